--- /dev/null
+++ b/crates/core/src/control.rs
@@ -0,0 +1,61 @@
+//! Versions of the shared control state: configuration and operational state.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::Digest;
+
+/// Versions of the control state that a process holds; zero means none.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Versions {
+    /// Version of the environment document.
+    pub config: u64,
+    /// Version of the operational state.
+    pub operations: u64,
+}
+
+impl Versions {
+    /// Tells whether `self` is newer than `other` in either part.
+    pub fn has_newer_than(self, other: Self) -> bool {
+        self.config > other.config || self.operations > other.operations
+    }
+}
+
+/// An accepted environment document with its version.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigRecord {
+    /// Version, which rises by one with each accepted promotion.
+    pub version: u64,
+    /// Digest of `text`.
+    pub digest: Digest,
+    /// The TOML text, byte for byte as it was promoted.
+    pub text: Arc<str>,
+}
+
+/// Operational state: what operators have taken out of service.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OperationsRecord {
+    /// Version, which rises by one with each accepted change.
+    pub version: u64,
+    /// Names of data centres that receive no new work, in order.
+    pub data_centres_out: Vec<String>,
+    /// Names of upstreams that receive no new work, in order.
+    pub upstreams_leaving: Vec<String>,
+}
+
+/// Parts of the control state that one process passes to another.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ControlUpdate {
+    /// The configuration, if the receiver holds an older one.
+    pub config: Option<ConfigRecord>,
+    /// The operational state, if the receiver holds an older one.
+    pub operations: Option<OperationsRecord>,
+}
+
+impl ControlUpdate {
+    /// Tells whether the update carries nothing.
+    pub fn is_empty(&self) -> bool {
+        self.config.is_none() && self.operations.is_none()
+    }
+}
--- /dev/null
+++ b/crates/core/src/document.rs
@@ -0,0 +1,224 @@
+//! The environment document: pipelines, pools, services and customers.
+
+use serde::{Deserialize, Serialize};
+
+/// Environment document, parsed from TOML.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Document {
+    /// Limits that hold for every request.
+    #[serde(default)]
+    pub limits: Limits,
+    /// Pools of upstreams that run the same work.
+    #[serde(default, rename = "pool")]
+    pub pools: Vec<Pool>,
+    /// Pipelines that callers may request.
+    #[serde(default, rename = "pipeline")]
+    pub pipelines: Vec<Pipeline>,
+    /// Plain services that callers may request.
+    #[serde(default, rename = "service")]
+    pub services: Vec<Service>,
+    /// Customers that may send requests.
+    #[serde(default, rename = "customer")]
+    pub customers: Vec<Customer>,
+}
+
+/// Limits that hold for every request.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Largest accepted request body in bytes.
+    pub max_body_bytes: usize,
+    /// Time in which a caller has to send its whole request, in milliseconds.
+    pub request_read_timeout_ms: u64,
+    /// Retries allowed for each hundred completed attempts.
+    pub retries_per_hundred: u32,
+    /// Upstreams that a request may take down before it is refused.
+    pub quarantine_strikes: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            max_body_bytes: 1024 * 1024,
+            request_read_timeout_ms: 10_000,
+            retries_per_hundred: 20,
+            quarantine_strikes: 2,
+        }
+    }
+}
+
+/// Kind of work that a pool does; it selects the upstream protocol.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PoolKind {
+    /// Computes embeddings.
+    Encode,
+    /// Looks up documents by embedding.
+    Retrieve,
+    /// Orders documents by relevance.
+    Rerank,
+    /// Generates text as a stream.
+    Generate,
+    /// Serves plain HTTP calls.
+    Service,
+}
+
+/// How the engines of a pool treat fencing numbers on orders.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Fencing {
+    /// The engine refuses an order with an old number.
+    Checked,
+    /// The engine ignores the number, so the agent alone checks it.
+    #[default]
+    Ignored,
+}
+
+/// A pool of upstreams that run the same work.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Pool {
+    /// Name that stages and services refer to.
+    pub name: String,
+    /// Kind of work.
+    pub kind: PoolKind,
+    /// Model that the upstreams load, for pools that serve one.
+    #[serde(default)]
+    pub model: Option<String>,
+    /// Calls that one warm upstream runs at once.
+    #[serde(default = "default_concurrency")]
+    pub concurrency: u32,
+    /// Calls that one upstream in a cold start can bear at once.
+    #[serde(default = "default_cold_concurrency")]
+    pub cold_concurrency: u32,
+    /// Calls that may wait in front of one upstream.
+    #[serde(default = "default_queue")]
+    pub queue: u32,
+    /// Expected time of one call on a warm upstream, in milliseconds.
+    #[serde(default = "default_estimate_ms")]
+    pub estimate_ms: u64,
+    /// Expected time of one generated token, in milliseconds.
+    #[serde(default)]
+    pub token_estimate_ms: u64,
+    /// How the engines treat fencing numbers.
+    #[serde(default)]
+    pub fencing: Fencing,
+}
+
+fn default_concurrency() -> u32 {
+    8
+}
+
+fn default_cold_concurrency() -> u32 {
+    1
+}
+
+fn default_queue() -> u32 {
+    64
+}
+
+fn default_estimate_ms() -> u64 {
+    50
+}
+
+/// A pipeline of stages under one deadline.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Pipeline {
+    /// Name in the request path.
+    pub name: String,
+    /// Time from arrival to the whole answer, in milliseconds.
+    pub deadline_ms: u64,
+    /// Stages in the order in which they run.
+    #[serde(rename = "stage")]
+    pub stages: Vec<Stage>,
+}
+
+/// One stage of a pipeline.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Stage {
+    /// Pool that runs the stage.
+    pub pool: String,
+    /// Documents that a retrieve or rerank stage keeps.
+    #[serde(default)]
+    pub top_k: Option<u32>,
+    /// Longest text that a generate stage produces, in tokens.
+    #[serde(default)]
+    pub max_tokens: Option<u32>,
+}
+
+/// A plain service beside the pipelines.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Name in the request path.
+    pub name: String,
+    /// Pool that serves the calls.
+    pub pool: String,
+    /// Time from arrival to the whole answer, in milliseconds.
+    pub deadline_ms: u64,
+    /// Methods and path prefixes whose calls may be repeated; every other call may not.
+    #[serde(default)]
+    pub idempotent: Vec<IdempotentRule>,
+}
+
+/// Selects calls of a service that may be repeated.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct IdempotentRule {
+    /// HTTP method, in upper case.
+    pub method: String,
+    /// Prefix of the path below the service, which starts with a slash.
+    #[serde(default = "default_path")]
+    pub path: String,
+}
+
+fn default_path() -> String {
+    "/".to_owned()
+}
+
+/// A customer that sends requests.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Customer {
+    /// Name in the customer header.
+    pub name: String,
+    /// Weight of the customer when upstreams are contended.
+    #[serde(default = "default_share")]
+    pub share: u32,
+}
+
+fn default_share() -> u32 {
+    1
+}
+
+impl Document {
+    /// Finds a pool by name.
+    pub fn pool(&self, name: &str) -> Option<&Pool> {
+        self.pools.iter().find(|it| it.name == name)
+    }
+
+    /// Finds a pipeline by name.
+    pub fn pipeline(&self, name: &str) -> Option<&Pipeline> {
+        self.pipelines.iter().find(|it| it.name == name)
+    }
+
+    /// Finds a service by name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.iter().find(|it| it.name == name)
+    }
+
+    /// Finds a customer by name.
+    pub fn customer(&self, name: &str) -> Option<&Customer> {
+        self.customers.iter().find(|it| it.name == name)
+    }
+}
+
+impl Service {
+    /// Tells whether a call with `method` to `path` may be repeated.
+    pub fn is_idempotent(&self, method: &str, path: &str) -> bool {
+        self.idempotent.iter().any(|it| it.method == method && path.starts_with(&it.path))
+    }
+}
--- /dev/null
+++ b/crates/core/src/ids.rs
@@ -0,0 +1,99 @@
+//! Identifiers of requests, attempts and process incarnations.
+
+use derive_more::{Display, From, Into};
+use serde::{Deserialize, Serialize};
+
+/// Names one caller request for its whole life.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Display,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    From,
+    Into,
+    Serialize,
+    Deserialize,
+)]
+#[display("{_0:032x}")]
+pub struct RequestId(pub u128);
+
+/// Names one run of a process; a restarted process draws a new value at random.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Display,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    From,
+    Into,
+    Serialize,
+    Deserialize,
+)]
+#[display("{_0:016x}")]
+pub struct Incarnation(pub u64);
+
+/// Position of a stage in its pipeline, counted from zero.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Display,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    From,
+    Into,
+    Serialize,
+    Deserialize,
+)]
+pub struct StageIndex(pub u8);
+
+/// Names one attempt to run one stage of one request.
+///
+/// A result is delivered only to the attempt whose identifier it carries in full.
+#[derive(
+    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[display("{request}/{stage}/{number}@{entry}")]
+pub struct AttemptId {
+    /// The caller request that the attempt belongs to.
+    pub request: RequestId,
+    /// The stage that the attempt runs.
+    pub stage: StageIndex,
+    /// Number of the attempt within its stage, counted from zero.
+    pub number: u16,
+    /// The entry process that started the attempt.
+    pub entry: Incarnation,
+}
+
+/// SHA-256 digest of a byte string.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Digest(pub [u8; 32]);
+
+impl Digest {
+    /// Computes the digest of `bytes`.
+    pub fn of(bytes: &[u8]) -> Self {
+        use sha2::Digest as _;
+        Self(sha2::Sha256::digest(bytes).into())
+    }
+}
+
+impl std::fmt::Display for Digest {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        for byte in self.0 {
+            write!(f, "{byte:02x}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,17 @@
+//! Decisions of the yuccatrail serving system: pure state machines with explicit time.
+//!
+//! Nothing in this crate performs I/O, reads a clock or draws random numbers. Each slice takes the
+//! current time in milliseconds together with an event and returns plain values that tell the caller
+//! what to do, so the same code runs in the daemons, under fuzzing and inside other programs.
+
+pub mod control;
+pub mod document;
+pub mod ids;
+pub mod membership;
+pub mod outcome;
+
+/// Hash map with a fast, non-cryptographic hasher.
+pub type FastMap<K, V> = rustc_hash::FxHashMap<K, V>;
+
+/// Hash set with a fast, non-cryptographic hasher.
+pub type FastSet<K> = rustc_hash::FxHashSet<K>;
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
--- /dev/null
+++ b/crates/rpc/src/messages.rs
@@ -0,0 +1,227 @@
+//! Messages that entries and agents exchange.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use yuccatrail_core::{
+    control::{ControlUpdate, Versions},
+    ids::{AttemptId, Digest, Incarnation},
+    outcome::{Reason, Refusal, Usage},
+};
+
+/// Asks a peer for newer control state and tells it what the sender holds.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct SyncRequest {
+    /// Process that asks.
+    pub from: Incarnation,
+    /// Versions that the sender holds.
+    pub versions: Versions,
+    /// Newer state that the receiver is known to lack.
+    pub update: ControlUpdate,
+    /// Strikes against requests that the receiver may not know yet.
+    pub strikes: Vec<Strike>,
+}
+
+/// Answers a [`SyncRequest`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct SyncReply {
+    /// State of the answering process.
+    pub feedback: Feedback,
+    /// Newer state that the sender lacked.
+    pub update: ControlUpdate,
+}
+
+/// State of an answering process, which every reply carries.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Feedback {
+    /// The run of the process that answers.
+    pub incarnation: Incarnation,
+    /// Monotonic clock of the process that answers, in milliseconds since its start.
+    pub now_ms: u64,
+    /// Versions of the control state that the process holds.
+    pub versions: Versions,
+    /// Load of the upstream; all zero for an entry.
+    pub load: Load,
+    /// Recent strikes against requests.
+    pub strikes: Vec<Strike>,
+}
+
+/// Load of one upstream as its agent sees it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Calls in progress at the upstream.
+    pub running: u32,
+    /// Calls that wait in the agent.
+    pub queued: u32,
+    /// Calls that the upstream may run at once now.
+    pub limit: u32,
+    /// Whether the upstream is in a cold start.
+    pub cold: bool,
+    /// Whether the agent refuses new work.
+    pub draining: bool,
+}
+
+/// An upstream stopped while it ran a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Strike {
+    /// Digest of the customer, target and body of the request.
+    pub fingerprint: Digest,
+    /// The run of the agent whose upstream stopped.
+    pub agent: Incarnation,
+    /// Number of the upstream stop, counted by that agent.
+    pub number: u32,
+}
+
+/// Asks an agent to run one attempt on its upstream.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct SubmitRequest {
+    /// Versions that the entry holds.
+    pub versions: Versions,
+    /// Identity of the attempt.
+    pub attempt: AttemptId,
+    /// The run of the agent that the entry chose; another run refuses the attempt.
+    pub agent: Incarnation,
+    /// Pool that the entry expects the upstream to belong to.
+    pub pool: String,
+    /// Customer on whose behalf the call is made.
+    pub customer: String,
+    /// Digest of the customer, target and body of the request.
+    pub fingerprint: Digest,
+    /// Whether the call may be repeated.
+    pub idempotent: bool,
+    /// Latest time of dispatch on the agent's clock, in milliseconds since its start.
+    pub dispatch_by_ms: u64,
+    /// End of the request's deadline on the agent's clock, in milliseconds since its start.
+    pub deadline_ms: u64,
+    /// Expected run time at the upstream, in milliseconds.
+    pub estimate_ms: u64,
+    /// The HTTP call for the upstream.
+    pub call: UpstreamCall,
+    /// Time for which the agent may hold the reply while it waits for output, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// HTTP call that an agent makes to its upstream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamCall {
+    /// HTTP method.
+    pub method: String,
+    /// Path with query.
+    pub path: String,
+    /// Content type of the body, if there is one.
+    pub content_type: Option<String>,
+    /// Body of the call.
+    pub body: Bytes,
+    /// Form of the expected answer.
+    pub response: ResponseForm,
+}
+
+/// Form of an upstream's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ResponseForm {
+    /// One body, delivered whole as a single chunk.
+    Whole,
+    /// Server-sent events that end with `[DONE]`; each event's data is a chunk.
+    Events,
+}
+
+/// Answers a submit, read or cancel call.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct AttemptReply {
+    /// State of the agent.
+    pub feedback: Feedback,
+    /// Control state that the entry lacked.
+    pub update: ControlUpdate,
+    /// The attempt that the reply describes.
+    pub attempt: AttemptId,
+    /// What the agent knows about the attempt.
+    pub state: AttemptState,
+}
+
+/// What an agent knows about an attempt.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AttemptState {
+    /// The attempt was accepted; output from the requested sequence number on.
+    Accepted(OutputPage),
+    /// The attempt was not passed to the upstream and never will be.
+    NotRun(Refusal),
+    /// The entry holds older control state than the agent and has to take the update first.
+    StaleVersions,
+    /// The agent has no record of the attempt and cannot tell whether it ran.
+    Unknown,
+}
+
+/// Part of an attempt's output.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OutputPage {
+    /// Sequence number of the first chunk in `chunks`.
+    pub first_sequence: u64,
+    /// Consecutive chunks.
+    pub chunks: Vec<Bytes>,
+    /// Progress of the attempt once all of `chunks` is taken.
+    pub progress: Progress,
+}
+
+/// Progress of an attempt.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Progress {
+    /// The attempt waits in the agent.
+    Queued,
+    /// The attempt runs and more output may follow.
+    Running,
+    /// The upstream's answer is complete.
+    Completed(Completion),
+    /// The attempt ended without a complete answer.
+    Failed(AttemptFailure),
+}
+
+/// A complete answer of an upstream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Completion {
+    /// HTTP status of the answer.
+    pub status: u16,
+    /// Content type of the answer.
+    pub content_type: Option<String>,
+    /// Number of chunks in the whole output.
+    pub chunk_count: u64,
+    /// Resources consumed.
+    pub usage: Usage,
+}
+
+/// An attempt that was dispatched and did not complete.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AttemptFailure {
+    /// Why the attempt did not complete.
+    pub reason: Reason,
+    /// Whether the upstream itself reported the failure.
+    pub reported: bool,
+    /// HTTP status, if the upstream answered.
+    pub status: Option<u16>,
+    /// Resources consumed.
+    pub usage: Usage,
+}
+
+/// Asks for an attempt's output.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ReadRequest {
+    /// Versions that the entry holds.
+    pub versions: Versions,
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The run of the agent that accepted the attempt.
+    pub agent: Incarnation,
+    /// Sequence number of the first chunk that the entry lacks.
+    pub from_sequence: u64,
+    /// Time for which the agent may hold the reply while it waits for output, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// Cancels an attempt; one that was not dispatched is then never dispatched.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct CancelRequest {
+    /// Versions that the entry holds.
+    pub versions: Versions,
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The run of the agent that was handed the attempt.
+    pub agent: Incarnation,
+}
