--- /dev/null
+++ b/crates/agent/src/upstream.rs
@@ -0,0 +1,177 @@
+//! HTTP client for the one upstream.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use eventsource_stream::Eventsource;
+use futures::{Stream, StreamExt};
+use http_body_util::{BodyExt, BodyStream, Full};
+use hyper::{Request, Response, body::Incoming, header};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+use serde::Deserialize;
+use yuccatrail_core::ids::AttemptId;
+use yuccatrail_rpc::messages::{ResponseForm, UpstreamCall};
+
+/// Time after which an attempt to connect fails.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after which an unused connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Event that ends a complete stream, as in the completions protocol.
+const STREAM_END: &str = "[DONE]";
+
+/// Why a call ended without a complete answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CallError {
+    /// No connection could be opened, so the upstream saw nothing of the call.
+    NotConnected,
+    /// The connection broke after the call may have been sent.
+    Lost,
+    /// The stream ended before its final event.
+    Cut,
+    /// The upstream answered with an error status.
+    Status(u16),
+}
+
+/// Head of a complete answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct AnswerHead {
+    /// HTTP status.
+    pub(crate) status: u16,
+    /// Content type.
+    pub(crate) content_type: Option<String>,
+}
+
+/// Answer of the upstream's health endpoint.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub(crate) struct Health {
+    /// Identity of the engine start.
+    pub(crate) boot_id: String,
+    /// Whether the engine considers itself warm, if it tells.
+    #[serde(default)]
+    pub(crate) warm: Option<bool>,
+}
+
+/// Connections to the one upstream.
+#[derive(Clone, Debug)]
+pub(crate) struct UpstreamClient {
+    address: SocketAddr,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl UpstreamClient {
+    /// Creates a client for the upstream at `address`; it connects on demand.
+    pub(crate) fn new(address: SocketAddr) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .build(connector);
+        Self { address, client }
+    }
+
+    /// Asks the upstream for its health.
+    pub(crate) async fn probe(&self) -> Result<Health, CallError> {
+        let request = Request::get(self.url("/health")).body(Full::default());
+        let Ok(request) = request else { return Err(CallError::NotConnected) };
+        let response = self.send(request).await?;
+        if !response.status().is_success() {
+            return Err(CallError::Status(response.status().as_u16()));
+        }
+        let body = response.into_body().collect().await.map_err(|_| CallError::Lost)?.to_bytes();
+        serde_json::from_slice(&body).map_err(|_| CallError::Cut)
+    }
+
+    /// Makes a call and passes each chunk of the answer to `on_chunk`.
+    pub(crate) async fn call(
+        &self,
+        attempt: AttemptId,
+        call: UpstreamCall,
+        mut on_chunk: impl FnMut(Bytes),
+    ) -> Result<AnswerHead, CallError> {
+        let form = call.response;
+        let Some(request) = self.build(attempt, call) else { return Err(CallError::NotConnected) };
+        let response = self.send(request).await?;
+        let head = AnswerHead {
+            status: response.status().as_u16(),
+            content_type: content_type(&response),
+        };
+        if form == ResponseForm::Events {
+            if !response.status().is_success() {
+                return Err(CallError::Status(head.status));
+            }
+            let chunks = BodyStream::new(response.into_body()).filter_map(data_frame);
+            read_events(chunks, on_chunk).await?;
+            return Ok(head);
+        }
+        let body = response.into_body().collect().await.map_err(|_| CallError::Lost)?.to_bytes();
+        if response_is_server_error(head.status) {
+            return Err(CallError::Status(head.status));
+        }
+        on_chunk(body);
+        Ok(head)
+    }
+
+    fn build(&self, attempt: AttemptId, call: UpstreamCall) -> Option<Request<Full<Bytes>>> {
+        let mut builder = Request::builder()
+            .method(call.method.as_str())
+            .uri(self.url(&call.path))
+            .header("x-request-id", attempt.request.to_string())
+            .header("x-attempt-id", attempt.to_string());
+        if let Some(content_type) = &call.content_type {
+            builder = builder.header(header::CONTENT_TYPE, content_type);
+        }
+        if let Some(key) = &call.idempotency_key {
+            builder = builder.header("idempotency-key", key);
+        }
+        builder.body(Full::new(call.body)).ok()
+    }
+
+    async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, CallError> {
+        match self.client.request(request).await {
+            Ok(response) => Ok(response),
+            Err(error) if error.is_connect() => Err(CallError::NotConnected),
+            Err(_) => Err(CallError::Lost),
+        }
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.address)
+    }
+}
+
+fn response_is_server_error(status: u16) -> bool {
+    status >= 500
+}
+
+fn content_type(response: &Response<Incoming>) -> Option<String> {
+    Some(response.headers().get(header::CONTENT_TYPE)?.to_str().ok()?.to_owned())
+}
+
+async fn data_frame(
+    frame: Result<hyper::body::Frame<Bytes>, hyper::Error>,
+) -> Option<Result<Bytes, hyper::Error>> {
+    match frame {
+        Ok(frame) => frame.into_data().ok().map(Ok),
+        Err(error) => Some(Err(error)),
+    }
+}
+
+async fn read_events(
+    chunks: impl Stream<Item = Result<Bytes, hyper::Error>>,
+    mut on_chunk: impl FnMut(Bytes),
+) -> Result<(), CallError> {
+    let mut events = std::pin::pin!(chunks.eventsource());
+    while let Some(event) = events.next().await {
+        let Ok(event) = event else { return Err(CallError::Lost) };
+        if event.data == STREAM_END {
+            return Ok(());
+        }
+        on_chunk(Bytes::from(event.data));
+    }
+    Err(CallError::Cut)
+}
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,3 +1,38 @@
-//! Placeholder.
+//! The entry instance and the operators' commands.
 
-fn main() {}
+mod caller;
+mod entry;
+mod fleet;
+mod link;
+mod run;
+mod serve;
+mod settings;
+
+use std::process::ExitCode;
+
+use bpaf::{OptionParser, Parser, construct};
+
+use crate::settings::Settings;
+
+/// Subcommands of the binary.
+#[derive(Clone, Debug)]
+enum Command {
+    /// Runs the entry instance.
+    Serve(Settings),
+}
+
+fn options() -> OptionParser<Command> {
+    let serve = settings::options()
+        .to_options()
+        .descr("Serve callers: the entry instance behind the platform's balancer")
+        .command("serve")
+        .map(Command::Serve);
+    construct!([serve]).to_options().descr("Serving system for multi-stage model pipelines")
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    match options().run() {
+        Command::Serve(settings) => serve::run(settings).await,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/settings.rs
@@ -0,0 +1,75 @@
+//! Settings of the entry from flags and environment variables.
+
+use std::net::SocketAddr;
+
+use bpaf::{Parser, construct, long};
+
+/// Settings of one entry process.
+#[derive(Clone, Debug)]
+pub(crate) struct Settings {
+    /// Name of the entry instance in the platform's list.
+    pub(crate) name: String,
+    /// Data centre that the entry stands in.
+    pub(crate) data_centre: String,
+    /// Address on which callers reach the entry.
+    pub(crate) listen: SocketAddr,
+    /// Address on which other entries reach the entry.
+    pub(crate) peer_listen: SocketAddr,
+    /// Address of the platform's object API.
+    pub(crate) platform: SocketAddr,
+    /// Environment whose configuration is served.
+    pub(crate) environment: String,
+    /// Longest time that a planned stop waits for work in progress, in milliseconds.
+    pub(crate) stop_limit_ms: u64,
+}
+
+/// Parses the flags and the environment.
+pub(crate) fn options() -> impl Parser<Settings> {
+    let name = long("name")
+        .env("YUCCATRAIL_NAME")
+        .help("Name of the entry instance")
+        .argument::<String>("NAME")
+        .guard(not_empty, "name must not be empty");
+    let data_centre = long("data-centre")
+        .env("YUCCATRAIL_DATA_CENTRE")
+        .help("Data centre that the entry stands in")
+        .argument::<String>("NAME")
+        .guard(not_empty, "data-centre must not be empty");
+    let listen = long("listen")
+        .env("YUCCATRAIL_LISTEN")
+        .help("Address on which callers reach the entry")
+        .argument("ADDRESS");
+    let peer_listen = long("peer-listen")
+        .env("YUCCATRAIL_PEER_LISTEN")
+        .help("Address on which other entries reach the entry")
+        .argument("ADDRESS");
+    let platform = long("platform")
+        .env("YUCCATRAIL_PLATFORM")
+        .help("Address of the platform's object API")
+        .argument("ADDRESS");
+    let environment = long("environment")
+        .env("YUCCATRAIL_ENVIRONMENT")
+        .help("Environment whose configuration is served")
+        .argument::<String>("NAME")
+        .guard(not_empty, "environment must not be empty")
+        .fallback("production".to_owned());
+    let stop_limit_ms = long("stop-limit-ms")
+        .env("YUCCATRAIL_STOP_LIMIT_MS")
+        .help("Longest wait of a planned stop for work in progress in milliseconds")
+        .argument("MS")
+        .fallback(60_000);
+    construct!(Settings {
+        name,
+        data_centre,
+        listen,
+        peer_listen,
+        platform,
+        environment,
+        stop_limit_ms
+    })
+}
+
+#[allow(clippy::ptr_arg)] // the parser's guard passes the parsed type
+fn not_empty(text: &String) -> bool {
+    !text.is_empty()
+}
--- /dev/null
+++ b/crates/fakes/src/lib.rs
@@ -0,0 +1,3 @@
+//! Small stand-ins for the systems around yuccatrail, for tests, demonstrations and measurements.
+
+pub mod upstream;
--- /dev/null
+++ b/crates/fakes/src/stack/caller.rs
@@ -0,0 +1,161 @@
+//! HTTP caller for tests and demonstrations.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use eventsource_stream::Eventsource;
+use futures::StreamExt;
+use http_body_util::{BodyExt, BodyStream, Full};
+use hyper::{HeaderMap, Request, Response, body::Incoming};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use serde_json::{Value, json};
+
+/// The HTTP exchange broke.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[display("{detail}")]
+pub struct CallerError {
+    /// What went wrong.
+    pub detail: String,
+}
+
+/// Whole answer to a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// JSON body; null when the body is not JSON.
+    pub body: Value,
+}
+
+/// Streamed answer to a pipeline request.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct StreamedAnswer {
+    /// Texts of the `text` events, joined.
+    pub text: String,
+    /// Data of the `done` event.
+    pub done: Option<Value>,
+    /// Data of the `problem` event, or the problem document itself.
+    pub problem: Option<Value>,
+}
+
+/// Sends requests to entries and stand-ins.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    client: Client<HttpConnector, Full<Bytes>>,
+    customer: String,
+}
+
+impl Caller {
+    /// Creates a caller for a customer.
+    pub fn new(customer: &str) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new()).build(connector);
+        Self { client, customer: customer.to_owned() }
+    }
+
+    /// Requests a pipeline and waits for the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the HTTP exchange breaks.
+    pub async fn pipeline(&self, entry: SocketAddr, name: &str, input: &str) -> Result<Answer, CallerError> {
+        let body = json!({ "input": input }).to_string();
+        self.send(entry, "POST", &format!("/v1/pipelines/{name}"), &[], body).await
+    }
+
+    /// Requests a pipeline as a stream of events.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the HTTP exchange breaks.
+    pub async fn pipeline_stream(
+        &self,
+        entry: SocketAddr,
+        name: &str,
+        input: &str,
+    ) -> Result<StreamedAnswer, CallerError> {
+        let body = json!({ "input": input }).to_string();
+        let path = format!("/v1/pipelines/{name}");
+        let response =
+            self.open(entry, "POST", &path, &[("accept", "text/event-stream")], body).await?;
+        if !response.status().is_success() {
+            let answer = read_answer(response).await?;
+            return Ok(StreamedAnswer { problem: Some(answer.body), ..StreamedAnswer::default() });
+        }
+        read_stream(response).await
+    }
+
+    /// Sends any request and waits for the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the HTTP exchange breaks.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Result<Answer, CallerError> {
+        let response = self.open(address, method, path, headers, body).await?;
+        read_answer(response).await
+    }
+
+    async fn open(
+        &self,
+        address: SocketAddr,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Result<Response<Incoming>, CallerError> {
+        let mut builder = Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"))
+            .header("x-customer", &self.customer)
+            .header("content-type", "application/json");
+        for (name, value) in headers {
+            builder = builder.header(*name, *value);
+        }
+        let request = builder.body(Full::new(body.into())).map_err(broken)?;
+        self.client.request(request).await.map_err(broken)
+    }
+}
+
+async fn read_answer(response: Response<Incoming>) -> Result<Answer, CallerError> {
+    let status = response.status().as_u16();
+    let headers = response.headers().clone();
+    let bytes = response.into_body().collect().await.map_err(broken)?.to_bytes();
+    let body = serde_json::from_slice(&bytes).unwrap_or(Value::Null);
+    Ok(Answer { status, headers, body })
+}
+
+async fn read_stream(response: Response<Incoming>) -> Result<StreamedAnswer, CallerError> {
+    let chunks = BodyStream::new(response.into_body())
+        .filter_map(|frame| async move { frame.map(|it| it.into_data().ok()).transpose() });
+    let mut events = std::pin::pin!(chunks.eventsource());
+    let mut answer = StreamedAnswer::default();
+    while let Some(event) = events.next().await {
+        let event = event.map_err(broken)?;
+        let data: Value = serde_json::from_str(&event.data).map_err(broken)?;
+        match event.event.as_str() {
+            "text" => answer.text.push_str(data["text"].as_str().unwrap_or_default()),
+            "done" => answer.done = Some(data),
+            "problem" => answer.problem = Some(data),
+            _ => {}
+        }
+    }
+    Ok(answer)
+}
+
+fn broken(error: impl std::fmt::Display) -> CallerError {
+    CallerError { detail: error.to_string() }
+}
--- /dev/null
+++ b/crates/fakes/src/stack/mod.rs
@@ -0,0 +1,7 @@
+//! Starts the real binaries with the stand-ins around them, as separate processes on loopback.
+
+pub mod caller;
+pub mod expected;
+pub mod plan;
+pub mod process;
+pub mod run;
--- /dev/null
+++ b/crates/fakes/src/stack/run.rs
@@ -0,0 +1,270 @@
+//! A running stack.
+
+use std::net::SocketAddr;
+
+use derive_more::{Display, Error, From};
+use serde_json::Value;
+use yuccatrail_core::{
+    control::ConfigRecord,
+    ids::Digest,
+    membership::{InstanceRecord, InstanceRole, InstanceState},
+};
+use yuccatrail_platform::{Client, ClientSettings, Kind, PlatformError};
+
+use super::{
+    caller::{Caller, CallerError},
+    plan::{StackPlan, UpstreamPlan},
+    process::{Process, ProcessError},
+};
+use crate::upstream::state::{Record, Switches};
+
+/// Environment of every stack.
+pub const ENVIRONMENT: &str = "production";
+/// Time between two checks of a condition, in milliseconds.
+const POLL_INTERVAL_MS: u64 = 20;
+/// Number of checks before a condition counts as not reached.
+const POLL_LIMIT: u32 = 1000;
+
+/// Why a stack failed.
+#[derive(Debug, Display, Error, From)]
+pub enum StackError {
+    /// A process failed.
+    #[display("{_0}")]
+    Process(ProcessError),
+    /// A request failed.
+    #[display("{_0}")]
+    Caller(CallerError),
+    /// The platform stand-in refused.
+    #[display("platform: {_0}")]
+    Platform(PlatformError),
+    /// A condition was not reached in time.
+    #[display("condition not reached: {what}")]
+    #[from(ignore)]
+    NotReached {
+        /// The condition.
+        what: String,
+    },
+}
+
+/// An upstream stand-in with its agent.
+#[derive(Debug)]
+pub struct UpstreamPair {
+    /// The plan.
+    pub plan: UpstreamPlan,
+    /// The upstream stand-in.
+    pub upstream: Process,
+    /// The agent.
+    pub agent: Process,
+}
+
+/// All processes of a running stack.
+#[derive(Debug)]
+pub struct Stack {
+    /// The platform stand-in.
+    pub platform: Process,
+    /// Client of the platform.
+    pub client: Client,
+    /// Entries.
+    pub entries: Vec<Process>,
+    /// Upstreams with their agents.
+    pub upstreams: Vec<UpstreamPair>,
+    /// Caller for requests and for the stand-ins' switches.
+    pub caller: Caller,
+}
+
+impl Stack {
+    /// Starts all processes and waits until every entry reaches every upstream.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a process does not start or the entries do not become ready.
+    pub async fn start(plan: StackPlan) -> Result<Self, StackError> {
+        let arguments = strings(&["platform", "--listen", "127.0.0.1:0"]);
+        let platform = Process::start("platform", "yuccatrail-fakes", &arguments).await?;
+        let client = Client::new(ClientSettings {
+            address: platform.address,
+            environment: ENVIRONMENT.to_owned(),
+            ..ClientSettings::default()
+        });
+        promote(&client, 1, &plan.document).await?;
+        let mut upstreams = Vec::new();
+        for upstream in plan.upstreams {
+            let pair = start_pair(upstream).await?;
+            client.create(Kind::Instances, &pair.plan.name, &pair.instance()).await?;
+            upstreams.push(pair);
+        }
+        let mut entries = Vec::new();
+        for (number, data_centre) in plan.entries.iter().enumerate() {
+            entries.push(start_entry(&format!("entry-{number}"), data_centre, platform.address).await?);
+        }
+        let stack = Self { platform, client, entries, upstreams, caller: Caller::new("lone-star") };
+        for entry in &stack.entries {
+            stack.wait_connected(entry.address, stack.upstreams.len()).await?;
+        }
+        Ok(stack)
+    }
+
+    /// Waits until an entry reaches `count` upstreams.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the entry does not reach them in time.
+    pub async fn wait_connected(&self, entry: SocketAddr, count: usize) -> Result<(), StackError> {
+        self.wait_status(entry, &format!("{count} upstreams connected"), |status| {
+            let upstreams = status["upstreams"].as_array().map_or(&[][..], Vec::as_slice);
+            upstreams.iter().filter(|it| it["connected"] == true).count() == count
+        })
+        .await
+    }
+
+    /// Waits until the status of an entry satisfies a condition.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the condition is not reached in time.
+    pub async fn wait_status(
+        &self,
+        entry: SocketAddr,
+        what: &str,
+        condition: impl Fn(&Value) -> bool,
+    ) -> Result<(), StackError> {
+        for _ in 0..POLL_LIMIT {
+            let answer = self.caller.send(entry, "GET", "/v1/status", &[], "").await;
+            if answer.is_ok_and(|it| condition(&it.body)) {
+                return Ok(());
+            }
+            tokio::time::sleep(std::time::Duration::from_millis(POLL_INTERVAL_MS)).await;
+        }
+        Err(StackError::NotReached { what: what.to_owned() })
+    }
+
+    /// Returns the address of an entry.
+    pub fn entry(&self, number: usize) -> SocketAddr {
+        self.entries[number].address
+    }
+
+    /// Reads what an upstream stand-in recorded.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the stand-in does not answer.
+    pub async fn record(&self, pair: &UpstreamPair) -> Result<Record, StackError> {
+        let answer = self.caller.send(pair.upstream.address, "GET", "/fake/record", &[], "").await?;
+        serde_json::from_value(answer.body)
+            .map_err(|it| StackError::Caller(CallerError { detail: it.to_string() }))
+    }
+
+    /// Changes the behaviour of an upstream stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the stand-in does not answer.
+    pub async fn switch(&self, pair: &UpstreamPair, switches: &Switches) -> Result<(), StackError> {
+        let body = serde_json::to_vec(switches).unwrap_or_default();
+        self.caller.send(pair.upstream.address, "POST", "/fake/switches", &[], body).await?;
+        Ok(())
+    }
+
+    /// Stops all processes as planned: entries, agents, upstreams, platform.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a process does not stop or reports a failure.
+    pub async fn close(self) -> Result<(), StackError> {
+        for entry in self.entries {
+            close_clean(entry).await?;
+        }
+        for pair in self.upstreams {
+            close_clean(pair.agent).await?;
+            close_clean(pair.upstream).await?;
+        }
+        close_clean(self.platform).await
+    }
+}
+
+impl UpstreamPair {
+    /// Returns the instance record that the platform lists.
+    pub fn instance(&self) -> InstanceRecord {
+        InstanceRecord {
+            name: self.plan.name.clone(),
+            role: InstanceRole::Upstream,
+            pool: Some(self.plan.pool.clone()),
+            data_centre: self.plan.data_centre.clone(),
+            address: self.agent.address,
+            state: InstanceState::Live,
+        }
+    }
+}
+
+/// Writes an environment document as the first accepted configuration.
+///
+/// # Errors
+///
+/// Returns an error when the platform refuses the write.
+pub async fn promote(client: &Client, version: u64, text: &str) -> Result<(), StackError> {
+    let record = ConfigRecord { version, digest: Digest::of(text.as_bytes()), text: text.into() };
+    client.create(Kind::Environments, "current", &record).await?;
+    Ok(())
+}
+
+/// Starts an entry process.
+///
+/// # Errors
+///
+/// Returns an error when the process does not start.
+pub async fn start_entry(name: &str, data_centre: &str, platform: SocketAddr) -> Result<Process, StackError> {
+    let platform = platform.to_string();
+    let arguments = strings(&[
+        "serve", "--name", name, "--data-centre", data_centre, "--listen", "127.0.0.1:0",
+        "--peer-listen", "127.0.0.1:0", "--platform", &platform, "--environment", ENVIRONMENT,
+    ]);
+    Ok(Process::start(name, "yuccatrail", &arguments).await?)
+}
+
+/// Starts an agent for an upstream stand-in.
+///
+/// # Errors
+///
+/// Returns an error when the process does not start.
+pub async fn start_agent(
+    plan: &UpstreamPlan,
+    upstream: SocketAddr,
+    listen: &str,
+) -> Result<Process, StackError> {
+    let upstream = upstream.to_string();
+    let arguments = strings(&[
+        "--name", &plan.name, "--pool", &plan.pool, "--data-centre", &plan.data_centre, "--listen",
+        listen, "--admin-listen", "127.0.0.1:0", "--upstream", &upstream,
+    ]);
+    Ok(Process::start(&format!("agent {}", plan.name), "yuccatrail-agent", &arguments).await?)
+}
+
+/// Starts an upstream stand-in.
+///
+/// # Errors
+///
+/// Returns an error when the process does not start.
+pub async fn start_upstream(plan: &UpstreamPlan, listen: &str) -> Result<Process, StackError> {
+    let switches = serde_json::to_string(&plan.switches).unwrap_or_default();
+    let arguments = strings(&["upstream", "--listen", listen, "--switches", &switches]);
+    Ok(Process::start(&plan.name, "yuccatrail-fakes", &arguments).await?)
+}
+
+async fn start_pair(plan: UpstreamPlan) -> Result<UpstreamPair, StackError> {
+    let upstream = start_upstream(&plan, "127.0.0.1:0").await?;
+    let agent = start_agent(&plan, upstream.address, "127.0.0.1:0").await?;
+    Ok(UpstreamPair { plan, upstream, agent })
+}
+
+async fn close_clean(process: Process) -> Result<(), StackError> {
+    let name = process.name.clone();
+    let status = process.close().await?;
+    if status.success() {
+        return Ok(());
+    }
+    Err(StackError::NotReached { what: format!("{name} exits with success, not {status}") })
+}
+
+fn strings(arguments: &[&str]) -> Vec<String> {
+    arguments.iter().map(|it| (*it).to_owned()).collect()
+}
--- /dev/null
+++ b/crates/fakes/src/upstream/server.rs
@@ -0,0 +1,193 @@
+//! HTTP interface of the upstream stand-in, in the style of common inference servers.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures::{StreamExt, stream};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::{
+    Request, Response, StatusCode,
+    body::{Frame, Incoming},
+    header,
+};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use yuccatrail_runtime::http::{self, Body, respond};
+
+use super::{
+    engine,
+    state::{Switches, Upstream},
+};
+
+const JSON: &str = "application/json";
+
+/// Serves the stand-in until `stop` is cancelled.
+pub async fn serve(listener: TcpListener, upstream: Arc<Upstream>, stop: CancellationToken) {
+    http::serve(listener, stop, move |request| handle(upstream.clone(), request)).await;
+}
+
+/// Body of a text generation request.
+#[derive(Deserialize)]
+struct CompletionRequest {
+    prompt: String,
+    max_tokens: usize,
+}
+
+/// Body of an embedding request.
+#[derive(Deserialize)]
+struct EmbeddingRequest {
+    input: String,
+}
+
+/// Body of a search request.
+#[derive(Deserialize)]
+struct SearchRequest {
+    vector: Vec<u8>,
+    limit: usize,
+}
+
+/// Body of a rerank request.
+#[derive(Deserialize)]
+struct RerankRequest {
+    query: String,
+    documents: Vec<String>,
+    top_n: usize,
+}
+
+/// Ends a call when it is dropped, also when the caller went away.
+struct Running(Arc<Upstream>);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.end();
+    }
+}
+
+async fn handle(upstream: Arc<Upstream>, request: Request<Incoming>) -> Response<Body> {
+    let path = request.uri().path().to_owned();
+    if path == "/health" {
+        let record = upstream.record();
+        return json_answer(&json!({ "boot_id": record.boot_id.to_string(), "warm": record.warm }));
+    }
+    if let Some(rest) = path.strip_prefix("/fake/") {
+        return admin(&upstream, rest, request).await;
+    }
+    run(upstream, request).await
+}
+
+async fn admin(upstream: &Upstream, action: &str, request: Request<Incoming>) -> Response<Body> {
+    match action {
+        "record" => json_answer(&json!(upstream.record())),
+        "cold" => {
+            upstream.turn_cold();
+            json_answer(&json!({}))
+        }
+        "switches" => {
+            let body = read_body(request).await;
+            let Ok(switches) = serde_json::from_slice::<Switches>(&body) else {
+                return respond(StatusCode::BAD_REQUEST, JSON, "{}");
+            };
+            upstream.set_switches(switches);
+            json_answer(&json!({}))
+        }
+        _ => respond(StatusCode::NOT_FOUND, JSON, "{}"),
+    }
+}
+
+async fn run(upstream: Arc<Upstream>, request: Request<Incoming>) -> Response<Body> {
+    let method = request.method().to_string();
+    let path = request.uri().path_and_query().map_or_else(String::new, ToString::to_string);
+    let request_id = header_text(&request, "x-request-id").unwrap_or_default();
+    let key = header_text(&request, "idempotency-key");
+    let body = read_body(request).await;
+    let text = String::from_utf8_lossy(&body).into_owned();
+    let switches = upstream.switches();
+    if switches.crash_on.as_ref().is_some_and(|it| text.contains(it.as_str())) {
+        std::process::abort();
+    }
+    if !upstream.begin(&request_id, key.as_deref()) {
+        upstream.end();
+        return respond(StatusCode::SERVICE_UNAVAILABLE, JSON, r#"{"error":"engine restarted"}"#);
+    }
+    let running = Running(upstream);
+    tokio::time::sleep(Duration::from_millis(switches.delay_ms)).await;
+    if let Some(status) = switches.fail_status {
+        let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        return respond(status, JSON, r#"{"error":"switched to fail"}"#);
+    }
+    match path.as_str() {
+        "/v1/completions" => complete(&body, &switches, running),
+        "/v1/embeddings" => answer(
+            &body,
+            |it: EmbeddingRequest| json!({ "data": [{ "embedding": engine::embed(&it.input) }] }),
+        ),
+        "/v1/search" => answer(
+            &body,
+            |it: SearchRequest| json!({ "documents": engine::search(&it.vector, it.limit) }),
+        ),
+        "/v1/rerank" => answer(&body, |it: RerankRequest| {
+            let order = engine::rerank(&it.query, &it.documents, it.top_n);
+            let results: Vec<Value> = order.iter().map(|it| json!({ "index": it })).collect();
+            json!({ "results": results })
+        }),
+        _ => json_answer(&engine::serve_call(&method, &path, &text)),
+    }
+}
+
+/// Parses a body and answers it with the value that `work` computes.
+fn answer<T: for<'de> Deserialize<'de>>(
+    body: &[u8],
+    work: impl FnOnce(T) -> Value,
+) -> Response<Body> {
+    match serde_json::from_slice(body) {
+        Ok(parsed) => json_answer(&work(parsed)),
+        Err(error) => respond(
+            StatusCode::BAD_REQUEST,
+            JSON,
+            json!({ "error": error.to_string() }).to_string(),
+        ),
+    }
+}
+
+fn complete(body: &[u8], switches: &Switches, running: Running) -> Response<Body> {
+    let Ok(request) = serde_json::from_slice::<CompletionRequest>(body) else {
+        return respond(StatusCode::BAD_REQUEST, JSON, r#"{"error":"bad completion request"}"#);
+    };
+    let mut events = Vec::new();
+    for token in engine::generate(&request.prompt, request.max_tokens) {
+        events.push(format!("data: {}\n\n", json!({ "choices": [{ "text": token }] })));
+    }
+    events.push("data: [DONE]\n\n".to_owned());
+    if let Some(count) = switches.cut_after_tokens {
+        events.truncate(count as usize);
+    }
+    let delay = Duration::from_millis(switches.token_delay_ms);
+    let frames = stream::iter(events).then(move |event| {
+        let held = &running;
+        let _ = held;
+        async move {
+            if !delay.is_zero() {
+                tokio::time::sleep(delay).await;
+            }
+            Ok(Frame::data(Bytes::from(event)))
+        }
+    });
+    let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
+    let content_type = header::HeaderValue::from_static("text/event-stream");
+    response.headers_mut().insert(header::CONTENT_TYPE, content_type);
+    response
+}
+
+fn json_answer(value: &Value) -> Response<Body> {
+    respond(StatusCode::OK, JSON, value.to_string())
+}
+
+fn header_text(request: &Request<Incoming>, name: &str) -> Option<String> {
+    Some(request.headers().get(name)?.to_str().ok()?.to_owned())
+}
+
+async fn read_body(request: Request<Incoming>) -> Bytes {
+    request.into_body().collect().await.map(|it| it.to_bytes()).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/fakes/src/upstream/state.rs
@@ -0,0 +1,137 @@
+//! Switches and records of the upstream stand-in.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use serde::{Deserialize, Serialize};
+use yuccatrail_core::FastMap;
+
+/// Behaviour that a test may change while the stand-in runs.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Switches {
+    /// Time that each call takes before its answer starts, in milliseconds.
+    pub delay_ms: u64,
+    /// Time between generated tokens, in milliseconds.
+    pub token_delay_ms: u64,
+    /// Calls that have to complete before a cold engine is warm; zero means always warm.
+    pub cold_calls: u32,
+    /// Calls that a cold engine bears at once; above this it restarts cold.
+    pub cold_bearable: u32,
+    /// Text in a body that makes the process abort.
+    pub crash_on: Option<String>,
+    /// Tokens after which a stream is cut.
+    pub cut_after_tokens: Option<u32>,
+    /// HTTP status that every call is answered with.
+    pub fail_status: Option<u16>,
+}
+
+/// What the stand-in saw.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Record {
+    /// Identity of the current engine start.
+    pub boot_id: u64,
+    /// Whether the engine is warm.
+    pub warm: bool,
+    /// Calls in progress.
+    pub running: u32,
+    /// Most calls in progress at once.
+    pub peak: u32,
+    /// Most calls in progress at once while cold.
+    pub cold_peak: u32,
+    /// Times that a cold engine was given more than it bears.
+    pub overloads: u32,
+    /// Calls begun.
+    pub calls: u64,
+    /// Calls begun, by idempotency key.
+    pub runs_by_key: FastMap<String, u32>,
+    /// Calls begun, by request identifier.
+    pub runs_by_request: FastMap<String, u32>,
+    /// Orders executed, as fencing numbers in order.
+    pub fences: Vec<u64>,
+    /// Completed calls since the engine start.
+    warm_up: u32,
+}
+
+/// State of one upstream stand-in.
+#[derive(Debug)]
+pub struct Upstream {
+    inner: Mutex<(Switches, Record)>,
+}
+
+impl Upstream {
+    /// Creates an engine that has just started.
+    pub fn new(switches: Switches, boot_id: u64) -> Self {
+        let record = Record { boot_id, warm: switches.cold_calls == 0, ..Record::default() };
+        Self { inner: Mutex::new((switches, record)) }
+    }
+
+    /// Returns the switches in force.
+    pub fn switches(&self) -> Switches {
+        self.lock().0.clone()
+    }
+
+    /// Replaces the switches.
+    pub fn set_switches(&self, switches: Switches) {
+        self.lock().0 = switches;
+    }
+
+    /// Returns what the stand-in saw so far.
+    pub fn record(&self) -> Record {
+        self.lock().1.clone()
+    }
+
+    /// Makes the engine cold, as after a restart.
+    pub fn turn_cold(&self) {
+        let mut inner = self.lock();
+        make_cold(&mut inner.1);
+    }
+
+    /// Begins a call; returns false when the engine falls over instead.
+    pub fn begin(&self, request: &str, key: Option<&str>) -> bool {
+        let mut inner = self.lock();
+        let (switches, record) = &mut *inner;
+        record.calls += 1;
+        record.running += 1;
+        record.peak = record.peak.max(record.running);
+        *record.runs_by_request.entry(request.to_owned()).or_default() += 1;
+        if let Some(key) = key {
+            *record.runs_by_key.entry(key.to_owned()).or_default() += 1;
+        }
+        if record.warm {
+            return true;
+        }
+        record.cold_peak = record.cold_peak.max(record.running);
+        if record.running <= switches.cold_bearable {
+            return true;
+        }
+        record.overloads += 1;
+        make_cold(record);
+        false
+    }
+
+    /// Ends a call.
+    pub fn end(&self) {
+        let mut inner = self.lock();
+        let (switches, record) = &mut *inner;
+        record.running = record.running.saturating_sub(1);
+        record.warm_up += 1;
+        if record.warm_up >= switches.cold_calls {
+            record.warm = true;
+        }
+    }
+
+    /// Executes an order and records its fencing number.
+    pub fn execute_order(&self, fence: u64) {
+        self.lock().1.fences.push(fence);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, (Switches, Record)> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn make_cold(record: &mut Record) {
+    record.boot_id += 1;
+    record.warm = false;
+    record.warm_up = 0;
+}
--- /dev/null
+++ b/crates/fakes/src/upstream_command.rs
@@ -0,0 +1,43 @@
+//! The `upstream` subcommand.
+
+use std::{net::SocketAddr, process::ExitCode, sync::Arc};
+
+use bpaf::{Parser, construct, long};
+use tokio::net::TcpListener;
+use yuccatrail_fakes::upstream::{
+    server,
+    state::{Switches, Upstream},
+};
+use yuccatrail_runtime::shutdown;
+
+/// Arguments of the `upstream` subcommand.
+#[derive(Clone, Debug)]
+pub(crate) struct UpstreamArguments {
+    listen: SocketAddr,
+    switches: Switches,
+}
+
+/// Parses the subcommand.
+pub(crate) fn options() -> impl Parser<UpstreamArguments> {
+    let listen = long("listen").help("Address to listen on").argument("ADDRESS");
+    let switches = long("switches")
+        .help("Initial switches as JSON")
+        .argument::<String>("JSON")
+        .parse(|text| serde_json::from_str::<Switches>(&text))
+        .fallback(Switches::default());
+    construct!(UpstreamArguments { listen, switches })
+        .to_options()
+        .descr("Run an upstream stand-in")
+        .command("upstream")
+}
+
+/// Runs the stand-in until it is asked to stop.
+pub(crate) async fn run(arguments: UpstreamArguments) -> ExitCode {
+    let Ok(stop) = shutdown::stop_signal() else { return ExitCode::FAILURE };
+    let Ok(listener) = TcpListener::bind(arguments.listen).await else { return ExitCode::FAILURE };
+    let Ok(address) = listener.local_addr() else { return ExitCode::FAILURE };
+    println!("listening {address}");
+    let upstream = Arc::new(Upstream::new(arguments.switches, rand::random::<u32>().into()));
+    server::serve(listener, upstream, stop).await;
+    ExitCode::SUCCESS
+}
--- a/crates/rpc/src/messages.rs
+++ b/crates/rpc/src/messages.rs
@@ -109,6 +109,8 @@
     pub path: String,
     /// Content type of the body, if there is one.
     pub content_type: Option<String>,
+    /// Key that the upstream may use to recognize a repeated call.
+    pub idempotency_key: Option<String>,
     /// Body of the call.
     pub body: Bytes,
     /// Form of the expected answer.
--- /dev/null
+++ b/crates/runtime/src/http.rs
@@ -0,0 +1,77 @@
+//! HTTP server loop shared by the binaries.
+
+use std::{convert::Infallible, future::Future, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
+use hyper::{Request, Response, StatusCode, body::Incoming, header, service::service_fn};
+use hyper_util::{
+    rt::{TokioExecutor, TokioIo, TokioTimer},
+    server::{conn::auto, graceful::GracefulShutdown},
+};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+/// Time in which a caller has to send the head of a request.
+const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(10);
+/// Largest number of concurrent HTTP/2 streams on one connection.
+const MAX_CONCURRENT_STREAMS: u32 = 1024;
+
+/// Body of an answer, whole or streamed.
+pub type Body = UnsyncBoxBody<Bytes, Infallible>;
+
+/// Wraps bytes into a body.
+pub fn full(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into()).boxed_unsync()
+}
+
+/// Builds an answer with a status, a content type and a whole body.
+pub fn respond(
+    status: StatusCode,
+    content_type: &'static str,
+    bytes: impl Into<Bytes>,
+) -> Response<Body> {
+    let mut response = Response::new(full(bytes));
+    *response.status_mut() = status;
+    response
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, header::HeaderValue::from_static(content_type));
+    response
+}
+
+/// Serves HTTP/1.1 and HTTP/2 until `stop` is cancelled, then finishes the requests in progress.
+pub async fn serve<F, Fut>(listener: TcpListener, stop: CancellationToken, handler: F)
+where
+    F: Fn(Request<Incoming>) -> Fut + Clone + Send + 'static,
+    Fut: Future<Output = Response<Body>> + Send + 'static,
+{
+    let graceful = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.cancelled() => break,
+        };
+        let Ok((stream, _)) = accepted else {
+            // Accepting fails when file descriptors run out; waiting lets connections close.
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        // Without this option small answers wait for the peer's delayed acknowledgement.
+        let _ = stream.set_nodelay(true);
+        let handler = handler.clone();
+        let service = service_fn(move |request| {
+            let answer = handler(request);
+            async move { Ok::<_, Infallible>(answer.await) }
+        });
+        let mut builder = auto::Builder::new(TokioExecutor::new());
+        builder.http1().timer(TokioTimer::new()).header_read_timeout(HEADER_READ_TIMEOUT);
+        builder.http2().timer(TokioTimer::new()).max_concurrent_streams(MAX_CONCURRENT_STREAMS);
+        let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
+        let connection = graceful.watch(connection);
+        tokio::spawn(async move {
+            // A connection that breaks concerns its caller alone.
+            let _ = connection.await;
+        });
+    }
+    graceful.shutdown().await;
+}
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -1,1 +1,6 @@
-//! Placeholder.
+//! Process plumbing shared by the binaries: JSON logs, signals, clock and metrics endpoint.
+
+pub mod clock;
+pub mod http;
+pub mod logging;
+pub mod shutdown;
