Add the platform client and a stand-in of its object API

Cause: entries and operators need objects with conditional updates and watches, and tests need a platform that can fail.

The client separates calls that certainly had no effect (connection refused, 429, 503 with Retry-After, every read) from writes whose answer was lost. A 503 without Retry-After counts as lost, because nothing says that the write was not taken up. Ruled out: a NotFound error. A missing object is None for a read, false for a deletion and Conflict for an update, so that no caller has to tell two cases of the same thing.

--- /dev/null
+++ b/crates/fakes/src/lib.rs
@@ -0,0 +1,3 @@
+//! Small stand-ins for the services around yuccatrail, for tests and demonstrations.
+
+pub mod platform;
--- a/crates/fakes/src/main.rs
+++ b/crates/fakes/src/main.rs
@@ -1,3 +1,10 @@
-//! Placeholder.
+//! Runs the stand-ins as processes of their own.
 
-fn main() {}
+mod commands;
+
+use std::process::ExitCode;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    commands::run(commands::parse()).await
+}
--- /dev/null
+++ b/crates/fakes/src/platform/admin.rs
@@ -0,0 +1,50 @@
+//! Admin path that sets switches and reads counters.
+
+use http_body_util::BodyExt;
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use serde_json::json;
+
+use super::{
+    Switches,
+    server::Shared,
+    status::{Body, failure, json_response},
+};
+
+/// Prefix of the admin paths.
+pub(crate) const PREFIX: &str = "/fake/";
+
+/// Handles an admin call.
+pub(crate) async fn handle(shared: &Shared, request: Request<Incoming>) -> Response<Body> {
+    let method = request.method().clone();
+    let path = request.uri().path().to_owned();
+    match (method, path.as_str()) {
+        (Method::GET, "/fake/counters") => {
+            json_response(StatusCode::OK, &json!(shared.state().counters))
+        }
+        (Method::GET, "/fake/switches") => {
+            json_response(StatusCode::OK, &json!(*shared.switches.borrow()))
+        }
+        (Method::PUT, "/fake/switches") => set_switches(shared, request).await,
+        (Method::POST, "/fake/compact") => {
+            shared.state().store.compact();
+            json_response(StatusCode::OK, &json!({}))
+        }
+        _ => failure(StatusCode::NOT_FOUND, "NotFound", "unknown admin path"),
+    }
+}
+
+async fn set_switches(shared: &Shared, request: Request<Incoming>) -> Response<Body> {
+    let body = match request.into_body().collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => {
+            return failure(StatusCode::BAD_REQUEST, "BadRequest", &error.to_string());
+        }
+    };
+    match serde_json::from_slice::<Switches>(&body) {
+        Ok(switches) => {
+            shared.switches.send_replace(switches.clone());
+            json_response(StatusCode::OK, &json!(switches))
+        }
+        Err(error) => failure(StatusCode::BAD_REQUEST, "BadRequest", &error.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/platform/mod.rs
@@ -0,0 +1,18 @@
+//! Stand-in of the platform's object API, with switches for its faults.
+//!
+//! It keeps objects in memory, answers conditional writes and watches, and limits the rate of calls.
+//! Tests run it in their own process and set its switches directly; other harnesses start the
+//! binary and set them over `/fake/...`.
+
+mod admin;
+mod api;
+mod seed;
+mod server;
+mod status;
+mod store;
+mod switches;
+mod watch;
+
+pub use seed::{Seed, SeedError};
+pub use server::{FakePlatform, FakeSettings};
+pub use switches::{Counters, Outage, Switches};
--- /dev/null
+++ b/crates/fakes/src/platform/server.rs
@@ -0,0 +1,190 @@
+//! The HTTP server of the stand-in and its handle.
+
+use std::{
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    task::JoinHandle,
+};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+use yuccatrail_platform::TokenBucket;
+
+use super::{
+    Counters, Seed, Switches, admin, api,
+    status::{Body, Cut},
+    store::Store,
+};
+
+/// Settings of the stand-in.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FakeSettings {
+    /// Address to listen on; port 0 selects a free port.
+    pub listen: SocketAddr,
+    /// Reads and lists that are answered, in calls per second.
+    pub reads_per_second: f64,
+    /// Writes that are taken, in calls per second.
+    pub writes_per_second: f64,
+}
+
+impl Default for FakeSettings {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            reads_per_second: 2_000.0,
+            writes_per_second: 400.0,
+        }
+    }
+}
+
+/// A running stand-in.
+#[derive(Debug)]
+pub struct FakePlatform {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    cancel: CancellationToken,
+    accept: JoinHandle<()>,
+}
+
+/// State that all connections share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    state: Mutex<State>,
+    pub(crate) switches: watch::Sender<Switches>,
+    /// Version of the newest change, which wakes watches.
+    pub(crate) newest: watch::Sender<u64>,
+}
+
+/// Part of the state behind the lock.
+#[derive(Debug)]
+pub(crate) struct State {
+    pub(crate) store: Store,
+    pub(crate) counters: Counters,
+    pub(crate) reads: TokenBucket,
+    pub(crate) writes: TokenBucket,
+}
+
+impl Shared {
+    /// Locks the state; it is never held across an await.
+    pub(crate) fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the moment that a lagging view shows now.
+    pub(crate) fn lagging_now(&self) -> Instant {
+        let lag = Duration::from_millis(self.switches.borrow().instances_lag_ms);
+        let now = Instant::now();
+        now.checked_sub(lag).unwrap_or(now)
+    }
+}
+
+impl FakePlatform {
+    /// Starts to serve on the configured address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the address cannot be bound.
+    pub async fn start(settings: FakeSettings) -> io::Result<Self> {
+        let listener = TcpListener::bind(settings.listen).await?;
+        let address = listener.local_addr()?;
+        let now = Instant::now();
+        let state = State {
+            store: Store::default(),
+            counters: Counters::default(),
+            reads: TokenBucket::new(settings.reads_per_second, now),
+            writes: TokenBucket::new(settings.writes_per_second, now),
+        };
+        let shared = Arc::new(Shared {
+            state: Mutex::new(state),
+            switches: watch::Sender::new(Switches::default()),
+            newest: watch::Sender::new(0),
+        });
+        let cancel = CancellationToken::new();
+        let accept = tokio::spawn(accept_all(listener, Arc::clone(&shared), cancel.clone()));
+        Ok(Self { address, shared, cancel, accept })
+    }
+
+    /// Returns the address that the stand-in listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Creates the objects of a seed; objects that exist already are left alone.
+    pub fn seed(&self, seed: Seed) {
+        let now = Instant::now();
+        let mut state = self.shared.state();
+        for (collection, name, object) in seed.objects {
+            // The platform's own objects may be listed twice; the first one counts.
+            let _ = state.store.create(&collection, &name, object, now);
+        }
+        self.shared.newest.send_replace(state.store.version());
+    }
+
+    /// Returns the switches as they stand.
+    pub fn switches(&self) -> Switches {
+        self.shared.switches.borrow().clone()
+    }
+
+    /// Replaces all switches.
+    pub fn set_switches(&self, switches: Switches) {
+        self.shared.switches.send_replace(switches);
+    }
+
+    /// Returns the numbers of calls so far.
+    pub fn counters(&self) -> Counters {
+        self.shared.state().counters
+    }
+
+    /// Forgets the history, so that watches from an older version are answered with 410.
+    pub fn compact(&self) {
+        self.shared.state().store.compact();
+    }
+
+    /// Stops serving and closes every connection.
+    pub async fn close(self) {
+        self.cancel.cancel();
+        // The task ends by itself and its panic would have been reported already.
+        let _ = self.accept.await;
+    }
+}
+
+async fn accept_all(listener: TcpListener, shared: Arc<Shared>, cancel: CancellationToken) {
+    let tracker = TaskTracker::new();
+    loop {
+        let accepted = tokio::select! {
+            () = cancel.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        // A connection that was reset before it was accepted concerns nobody else.
+        let Ok((stream, _)) = accepted else { continue };
+        tracker.spawn(serve(stream, Arc::clone(&shared), cancel.clone()));
+    }
+    tracker.close();
+    tracker.wait().await;
+}
+
+async fn serve(stream: TcpStream, shared: Arc<Shared>, cancel: CancellationToken) {
+    let service = service_fn(move |request| handle(Arc::clone(&shared), request));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::select! {
+        () = cancel.cancelled() => {}
+        // Clients close connections as they like.
+        _ = connection => {}
+    }
+}
+
+async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
+    if request.uri().path().starts_with(admin::PREFIX) {
+        return Ok(admin::handle(&shared, request).await);
+    }
+    api::handle(shared, request).await
+}
--- /dev/null
+++ b/crates/fakes/src/platform/status.rs
@@ -0,0 +1,86 @@
+//! Answers in JSON, among them failures in the form of a `Status` object.
+
+use bytes::Bytes;
+use futures::TryStreamExt;
+use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
+use hyper::{
+    Response, StatusCode,
+    body::Frame,
+    header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
+};
+use serde_json::{Value, json};
+
+use super::store::Refusal;
+
+/// Why the stand-in closes a connection instead of answering.
+#[derive(Clone, Copy, Debug, derive_more::Display, derive_more::Error)]
+pub(crate) enum Cut {
+    /// A switch asks for it.
+    #[display("connection closed by a switch")]
+    Switched,
+}
+
+/// Body of an answer.
+pub(crate) type Body = UnsyncBoxBody<Bytes, Cut>;
+
+/// Answers with a JSON value.
+pub(crate) fn json_response(code: StatusCode, value: &Value) -> Response<Body> {
+    let body = Full::new(Bytes::from(value.to_string())).map_err(|never| match never {});
+    with_content_type(code, body.boxed_unsync())
+}
+
+/// Answers with a stream of lines.
+pub(crate) fn stream_response(
+    lines: impl futures::Stream<Item = Result<Bytes, Cut>> + Send + 'static,
+) -> Response<Body> {
+    let body = StreamBody::new(lines.map_ok(Frame::data));
+    with_content_type(StatusCode::OK, body.boxed_unsync())
+}
+
+/// Answers with a failure.
+pub(crate) fn failure(code: StatusCode, reason: &str, message: &str) -> Response<Body> {
+    json_response(code, &status_value(code, reason, message))
+}
+
+/// Answers with a failure that may be retried.
+pub(crate) fn retry_later(code: StatusCode, reason: &str, message: &str) -> Response<Body> {
+    let mut response = failure(code, reason, message);
+    response.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
+    response
+}
+
+/// Answers a write that the store refused.
+pub(crate) fn refused(refusal: Refusal, object: &str) -> Response<Body> {
+    match refusal {
+        Refusal::AlreadyExists => {
+            let message = format!("{object} already exists");
+            failure(StatusCode::CONFLICT, "AlreadyExists", &message)
+        }
+        Refusal::Conflict => {
+            let message = format!("{object} has been modified; read the latest version");
+            failure(StatusCode::CONFLICT, "Conflict", &message)
+        }
+        Refusal::NotFound => {
+            failure(StatusCode::NOT_FOUND, "NotFound", &format!("{object} not found"))
+        }
+    }
+}
+
+/// Builds a `Status` object for a failure.
+pub(crate) fn status_value(code: StatusCode, reason: &str, message: &str) -> Value {
+    json!({
+        "apiVersion": "v1",
+        "kind": "Status",
+        "status": "Failure",
+        "reason": reason,
+        "message": message,
+        "code": code.as_u16(),
+    })
+}
+
+fn with_content_type(code: StatusCode, body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
+    *response.status_mut() = code;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
--- /dev/null
+++ b/crates/fakes/src/platform/store.rs
@@ -0,0 +1,233 @@
+//! Objects in memory with versions, conditional writes and a bounded history.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::{Duration, Instant},
+};
+
+use serde_json::Value;
+
+/// Number of changes that watches can be resumed over.
+const HISTORY_CHANGES: usize = 10_000;
+
+/// Time for which old states of lagging collections are kept.
+const SNAPSHOT_RETENTION: Duration = Duration::from_secs(600);
+
+/// A collection of objects.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Collection {
+    /// Namespace of the objects.
+    pub(crate) namespace: String,
+    /// Plural name of the kind.
+    pub(crate) plural: String,
+}
+
+impl Collection {
+    /// Tells whether the collection shows the platform's lagging view of the fleet.
+    pub(crate) fn lags(&self) -> bool {
+        self.plural == "instances"
+    }
+}
+
+/// Kind of a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ChangeKind {
+    Added,
+    Modified,
+    Deleted,
+}
+
+/// One change of one object.
+#[derive(Clone, Debug)]
+pub(crate) struct Change {
+    pub(crate) version: u64,
+    pub(crate) at: Instant,
+    pub(crate) collection: Collection,
+    pub(crate) kind: ChangeKind,
+    /// The whole object; a deleted one in its last state, with the version of the deletion.
+    pub(crate) object: Value,
+}
+
+/// Why a write was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Refusal {
+    AlreadyExists,
+    Conflict,
+    NotFound,
+}
+
+type Objects = BTreeMap<String, Value>;
+
+/// State of a lagging collection after one change.
+#[derive(Debug)]
+struct Snapshot {
+    at: Instant,
+    version: u64,
+    objects: Objects,
+}
+
+/// The store.
+#[derive(Debug, Default)]
+pub(crate) struct Store {
+    version: u64,
+    /// Version of the newest change that is no longer in `history`.
+    compacted: u64,
+    collections: BTreeMap<Collection, Objects>,
+    history: VecDeque<Change>,
+    snapshots: BTreeMap<Collection, VecDeque<Snapshot>>,
+}
+
+impl Store {
+    /// Returns the version of the newest change.
+    pub(crate) fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns one object.
+    pub(crate) fn get(&self, collection: &Collection, name: &str, as_of: Instant) -> Option<Value> {
+        let (_, objects) = self.view(collection, as_of)?;
+        objects.get(name).cloned()
+    }
+
+    /// Returns the objects of a collection with the version of the view.
+    pub(crate) fn list(&self, collection: &Collection, as_of: Instant) -> (u64, Vec<Value>) {
+        match self.view(collection, as_of) {
+            Some((version, objects)) => (version, objects.values().cloned().collect()),
+            None if collection.lags() => (self.compacted, Vec::new()),
+            None => (self.version, Vec::new()),
+        }
+    }
+
+    /// Creates an object.
+    pub(crate) fn create(
+        &mut self,
+        collection: &Collection,
+        name: &str,
+        object: Value,
+        now: Instant,
+    ) -> Result<Value, Refusal> {
+        if self.current(collection, name).is_some() {
+            return Err(Refusal::AlreadyExists);
+        }
+        Ok(self.put(collection, name, object, ChangeKind::Added, now))
+    }
+
+    /// Replaces an object that has the version `from`; without `from`, any version.
+    pub(crate) fn update(
+        &mut self,
+        collection: &Collection,
+        name: &str,
+        from: Option<&str>,
+        object: Value,
+        now: Instant,
+    ) -> Result<Value, Refusal> {
+        self.check_version(collection, name, from)?;
+        Ok(self.put(collection, name, object, ChangeKind::Modified, now))
+    }
+
+    /// Deletes an object that has the version `from`; without `from`, any version.
+    pub(crate) fn delete(
+        &mut self,
+        collection: &Collection,
+        name: &str,
+        from: Option<&str>,
+        now: Instant,
+    ) -> Result<(), Refusal> {
+        self.check_version(collection, name, from)?;
+        let objects = self.collections.entry(collection.clone()).or_default();
+        let Some(mut object) = objects.remove(name) else {
+            return Err(Refusal::NotFound);
+        };
+        self.version += 1;
+        set_version(&mut object, self.version);
+        self.record(collection, ChangeKind::Deleted, object, now);
+        Ok(())
+    }
+
+    /// Tells whether every change after `version` is still held.
+    pub(crate) fn holds_changes_since(&self, version: u64) -> bool {
+        version >= self.compacted
+    }
+
+    /// Returns the first change of a collection after `version`.
+    pub(crate) fn change_after(&self, collection: &Collection, version: u64) -> Option<&Change> {
+        let start = self.history.partition_point(|it| it.version <= version);
+        self.history.range(start..).find(|it| it.collection == *collection)
+    }
+
+    /// Forgets the history, so that no watch can be resumed from an older version.
+    pub(crate) fn compact(&mut self) {
+        self.history.clear();
+        self.compacted = self.version;
+    }
+
+    fn current(&self, collection: &Collection, name: &str) -> Option<&Value> {
+        self.collections.get(collection)?.get(name)
+    }
+
+    /// Returns a collection, for a lagging one as it stood at `as_of`.
+    fn view(&self, collection: &Collection, as_of: Instant) -> Option<(u64, &Objects)> {
+        if !collection.lags() {
+            return Some((self.version, self.collections.get(collection)?));
+        }
+        let snapshots = self.snapshots.get(collection)?;
+        let snapshot = snapshots.iter().rev().find(|it| it.at <= as_of)?;
+        Some((snapshot.version, &snapshot.objects))
+    }
+
+    fn check_version(
+        &self,
+        collection: &Collection,
+        name: &str,
+        from: Option<&str>,
+    ) -> Result<(), Refusal> {
+        let Some(object) = self.current(collection, name) else {
+            return Err(Refusal::NotFound);
+        };
+        match from {
+            Some(from) if object["metadata"]["resourceVersion"] != *from => Err(Refusal::Conflict),
+            _ => Ok(()),
+        }
+    }
+
+    fn put(
+        &mut self,
+        collection: &Collection,
+        name: &str,
+        mut object: Value,
+        kind: ChangeKind,
+        now: Instant,
+    ) -> Value {
+        self.version += 1;
+        set_version(&mut object, self.version);
+        let objects = self.collections.entry(collection.clone()).or_default();
+        objects.insert(name.to_owned(), object.clone());
+        self.record(collection, kind, object.clone(), now);
+        object
+    }
+
+    fn record(&mut self, collection: &Collection, kind: ChangeKind, object: Value, now: Instant) {
+        let collection = collection.clone();
+        let version = self.version;
+        if collection.lags() {
+            self.keep_snapshot(&collection, now);
+        }
+        self.history.push_back(Change { version, at: now, collection, kind, object });
+        while self.history.len() > HISTORY_CHANGES {
+            self.compacted = self.history.pop_front().map_or(self.compacted, |it| it.version);
+        }
+    }
+
+    fn keep_snapshot(&mut self, collection: &Collection, now: Instant) {
+        let objects = self.collections.get(collection).cloned().unwrap_or_default();
+        let snapshots = self.snapshots.entry(collection.clone()).or_default();
+        snapshots.push_back(Snapshot { at: now, version: self.version, objects });
+        while snapshots.len() > 1 && now.duration_since(snapshots[1].at) > SNAPSHOT_RETENTION {
+            snapshots.pop_front();
+        }
+    }
+}
+
+fn set_version(object: &mut Value, version: u64) {
+    object["metadata"]["resourceVersion"] = Value::String(version.to_string());
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,22 @@
-//! Placeholder.
+//! Client of the platform's object API: objects with versions, conditional updates and watches.
+//!
+//! The API follows the published conventions of Kubernetes: objects live at
+//! `/apis/yuccatrail.dev/v1/namespaces/{environment}/{plural}/{name}`, carry an opaque
+//! `metadata.resourceVersion`, and failures are answered with a `Status` object.
+
+mod answer;
+mod budget;
+mod client;
+mod error;
+mod object;
+mod settings;
+mod watch;
+mod wire;
+
+pub use budget::{CallBudget, CallCounts, CallKind, TokenBucket};
+pub use client::Client;
+pub use error::PlatformError;
+pub use object::{Kind, Object, ObjectList, ResourceVersion};
+pub use settings::{BudgetSettings, ClientSettings};
+pub use watch::{Watch, WatchEvent};
+pub use wire::{API_VERSION, MAX_VALUE_BYTES};
