Control state, promotion flow and document parser

Cause: processes need one place that decides which control state is in force, and operators need a change that is either accepted for good or refused for good.

- control: ControlState adopts only rising versions with matching digests and valid documents; PromoteFlow carries a change through one conditional update and settles a lost answer by the history in the stored object.
- document: parse names key path and line of every fault.

Ruled out: deciding by the newest record alone after a lost answer, since a later change hides ours; hence the short history in the stored object.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control/mod.rs
@@ -1,4 +1,22 @@
 //! Versions of the shared control state: configuration and operational state.
+//!
+//! Each process holds a [`ControlState`], which only ever moves to higher versions. Operators change
+//! the state with a [`PromoteFlow`], which accepts a change by one conditional update.
+
+mod operations;
+mod promote;
+mod sabotage;
+mod state;
+mod stored;
+
+#[cfg(test)]
+mod tests;
+
+pub use operations::OperationsChange;
+pub use promote::{AuthorToken, PromoteAction, PromoteEvent, PromoteFlow, PromoteResult};
+pub use sabotage::Sabotage;
+pub use state::{Adopted, Adoption, ControlState};
+pub use stored::{HistoryEntry, Stored, StoredConfig, StoredOperations};
 
 use std::sync::Arc;
 
--- /dev/null
+++ b/crates/core/src/control/state.rs
@@ -0,0 +1,237 @@
+//! Control state that one process holds.
+
+use std::sync::Arc;
+
+use super::{ConfigRecord, ControlUpdate, OperationsRecord, Sabotage, Versions};
+use crate::{
+    document::{self, Document, Fault},
+    ids::Digest,
+    outcome::Reason,
+    switch::Switch,
+};
+
+/// Control state that one process holds; its versions only rise.
+#[derive(Clone, Debug)]
+pub struct ControlState {
+    config: Option<HeldConfig>,
+    operations: Option<Arc<OperationsRecord>>,
+    switch: Switch<Sabotage>,
+}
+
+/// A configuration record with its parsed document.
+#[derive(Clone, Debug)]
+struct HeldConfig {
+    record: ConfigRecord,
+    document: Arc<Document>,
+}
+
+/// What became of each part of an update.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Adopted {
+    /// What became of the configuration.
+    pub config: Adoption,
+    /// What became of the operational state.
+    pub operations: Adoption,
+}
+
+impl Adopted {
+    /// Tells whether either part is newly in force.
+    pub fn is_changed(&self) -> bool {
+        self.config.is_adopted() || self.operations.is_adopted()
+    }
+}
+
+/// What became of one part of an update.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Adoption {
+    /// The update did not carry the part.
+    Absent,
+    /// The record is now in force.
+    Adopted {
+        /// Version now in force.
+        version: u64,
+    },
+    /// The same record was in force before.
+    AlreadyHeld,
+    /// The record is older than the one in force, which stays.
+    Older {
+        /// Version in force.
+        held_version: u64,
+    },
+    /// Another record with the same version is in force and stays.
+    Conflict {
+        /// Version of both records.
+        version: u64,
+        /// Digest of the record in force.
+        held: Digest,
+        /// Digest of the refused record.
+        offered: Digest,
+    },
+    /// The text does not match the digest, so the record is refused.
+    DigestMismatch {
+        /// Version of the refused record.
+        version: u64,
+    },
+    /// The text is not a valid document, so the record is refused.
+    Invalid {
+        /// Version of the refused record.
+        version: u64,
+        /// Faults of the document.
+        faults: Vec<Fault>,
+    },
+}
+
+impl Adoption {
+    /// Tells whether the record is newly in force.
+    pub fn is_adopted(&self) -> bool {
+        matches!(self, Self::Adopted { .. })
+    }
+
+    /// Tells whether the record contradicts the one in force or itself, which an operator should know.
+    pub fn is_alarming(&self) -> bool {
+        matches!(self, Self::Conflict { .. } | Self::DigestMismatch { .. } | Self::Invalid { .. })
+    }
+}
+
+impl Default for ControlState {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl ControlState {
+    /// Creates the state of a process that has just started and holds nothing.
+    pub fn new() -> Self {
+        Self { config: None, operations: None, switch: Switch::new() }
+    }
+
+    /// Turns one mechanism off.
+    #[cfg(feature = "sabotage")]
+    pub fn sabotage(&mut self, mechanism: Sabotage) {
+        self.switch.turn_off(mechanism);
+    }
+
+    /// Versions that the process holds.
+    pub fn versions(&self) -> Versions {
+        Versions {
+            config: self.config.as_ref().map_or(0, |it| it.record.version),
+            operations: self.operations.as_ref().map_or(0, |it| it.version),
+        }
+    }
+
+    /// The document in force, if the process holds one.
+    pub fn document(&self) -> Option<&Arc<Document>> {
+        self.config.as_ref().map(|it| &it.document)
+    }
+
+    /// The configuration record in force, if the process holds one.
+    pub fn config(&self) -> Option<&ConfigRecord> {
+        self.config.as_ref().map(|it| &it.record)
+    }
+
+    /// The operational state in force, if the process holds one.
+    pub fn operations(&self) -> Option<&Arc<OperationsRecord>> {
+        self.operations.as_ref()
+    }
+
+    /// Returns the document to serve by, or the reason to refuse every request.
+    ///
+    /// A process serves only when it holds both parts: without the operational state it could send
+    /// work to a data centre that is out.
+    pub fn may_serve(&self) -> Result<&Arc<Document>, Reason> {
+        let Some(config) = &self.config else {
+            return Err(Reason::NoConfiguration);
+        };
+        if self.operations.is_none() {
+            return Err(Reason::NoConfiguration);
+        }
+        Ok(&config.document)
+    }
+
+    /// Collects what a peer that holds `versions` lacks.
+    pub fn update_for(&self, versions: Versions) -> ControlUpdate {
+        if self.switch.is_off(Sabotage::Gossip) {
+            return ControlUpdate::default();
+        }
+        let held = self.versions();
+        let mut update = ControlUpdate::default();
+        if held.config > versions.config {
+            update.config = self.config().cloned();
+        }
+        if held.operations > versions.operations {
+            update.operations = self.operations().map(|it| OperationsRecord::clone(it));
+        }
+        update
+    }
+
+    /// Takes over each part of `update` that is newer than the part in force.
+    pub fn adopt(&mut self, update: ControlUpdate) -> Adopted {
+        let config = match update.config {
+            Some(record) => self.adopt_config(record),
+            None => Adoption::Absent,
+        };
+        let operations = match update.operations {
+            Some(record) => self.adopt_operations(record),
+            None => Adoption::Absent,
+        };
+        Adopted { config, operations }
+    }
+
+    fn adopt_config(&mut self, record: ConfigRecord) -> Adoption {
+        let version = record.version;
+        let held_digest = self.config().map(|it| it.digest);
+        let held_version = self.versions().config;
+        if let Some(refusal) = self.compare(version, record.digest, held_version, held_digest) {
+            return refusal;
+        }
+        let is_checked = !self.switch.is_off(Sabotage::DigestCheck);
+        if is_checked && Digest::of(record.text.as_bytes()) != record.digest {
+            return Adoption::DigestMismatch { version };
+        }
+        let document = match document::parse(&record.text) {
+            Ok(document) => Arc::new(document),
+            Err(faults) => return Adoption::Invalid { version, faults },
+        };
+        self.config = Some(HeldConfig { record, document });
+        Adoption::Adopted { version }
+    }
+
+    fn adopt_operations(&mut self, record: OperationsRecord) -> Adoption {
+        let version = record.version;
+        let held_digest = self.operations().map(|it| it.digest());
+        let held_version = self.versions().operations;
+        if let Some(refusal) = self.compare(version, record.digest(), held_version, held_digest) {
+            return refusal;
+        }
+        self.operations = Some(Arc::new(record));
+        Adoption::Adopted { version }
+    }
+
+    /// Decides by version and digest alone; none means that the record is newer.
+    fn compare(
+        &self,
+        version: u64,
+        offered: Digest,
+        held_version: u64,
+        held: Option<Digest>,
+    ) -> Option<Adoption> {
+        // Version zero means "none", so no record may carry it.
+        if version == 0 {
+            return Some(Adoption::Older { held_version });
+        }
+        if version < held_version && !self.switch.is_off(Sabotage::RisingVersions) {
+            return Some(Adoption::Older { held_version });
+        }
+        if version > held_version {
+            return None;
+        }
+        let held = held?;
+        if held == offered {
+            return Some(Adoption::AlreadyHeld);
+        }
+        if self.switch.is_off(Sabotage::ConflictCheck) || version < held_version {
+            return None;
+        }
+        Some(Adoption::Conflict { version, held, offered })
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/tests.rs
@@ -0,0 +1,131 @@
+use std::sync::Arc;
+
+use super::*;
+use crate::{ids::Digest, outcome::Reason};
+
+const TEXT: &str = "[[customer]]\nname = \"acme\"\n";
+
+fn config(version: u64, text: &str) -> ConfigRecord {
+    ConfigRecord { version, digest: Digest::of(text.as_bytes()), text: Arc::from(text) }
+}
+
+fn update(record: ConfigRecord) -> ControlUpdate {
+    ControlUpdate { config: Some(record), operations: None }
+}
+
+fn author(number: u128) -> AuthorToken {
+    AuthorToken(number)
+}
+
+#[test]
+fn serves_only_with_both_parts() {
+    let mut state = ControlState::new();
+    assert_eq!(state.may_serve().unwrap_err(), Reason::NoConfiguration);
+    state.adopt(update(config(1, TEXT)));
+    assert_eq!(state.may_serve().unwrap_err(), Reason::NoConfiguration);
+    let operations = Some(OperationsRecord::initial());
+    state.adopt(ControlUpdate { config: None, operations });
+    assert!(state.may_serve().is_ok());
+}
+
+#[test]
+fn adopts_only_rising_versions() {
+    let mut state = ControlState::new();
+    assert!(state.adopt(update(config(2, TEXT))).is_changed());
+    let older = state.adopt(update(config(1, "")));
+    assert_eq!(older.config, Adoption::Older { held_version: 2 });
+    assert_eq!(state.adopt(update(config(2, TEXT))).config, Adoption::AlreadyHeld);
+    let other = state.adopt(update(config(2, "")));
+    assert!(matches!(other.config, Adoption::Conflict { version: 2, .. }));
+    assert_eq!(state.config().map(|it| &*it.text), Some(TEXT));
+}
+
+#[test]
+fn keeps_the_document_in_force_when_a_newer_one_is_refused() {
+    let mut state = ControlState::new();
+    state.adopt(update(config(1, TEXT)));
+    let mut broken = config(2, "");
+    broken.text = Arc::from("changed on the way");
+    assert_eq!(state.adopt(update(broken)).config, Adoption::DigestMismatch { version: 2 });
+    let invalid = state.adopt(update(config(3, "colour = 1")));
+    assert!(matches!(invalid.config, Adoption::Invalid { version: 3, .. }));
+    assert_eq!(state.versions().config, 1);
+}
+
+#[test]
+fn passes_on_only_what_the_peer_lacks() {
+    let mut state = ControlState::new();
+    state.adopt(update(config(3, TEXT)));
+    assert!(state.update_for(Versions { config: 3, operations: 0 }).is_empty());
+    assert_eq!(state.update_for(Versions::default()).config, Some(config(3, TEXT)));
+}
+
+#[test]
+fn promotes_the_first_document() {
+    let mut flow = PromoteFlow::promote(Arc::from(TEXT), None, author(1)).unwrap();
+    assert_eq!(flow.start(), PromoteAction::Read);
+    let PromoteAction::Write { if_revision: None, stored } = flow.handle(PromoteEvent::Missing)
+    else {
+        panic!("a missing object is created");
+    };
+    assert_eq!(stored.record, config(1, TEXT));
+    let result = flow.handle(PromoteEvent::Written);
+    assert_eq!(result, PromoteAction::Finished(PromoteResult::Accepted { version: 1 }));
+}
+
+#[test]
+fn finds_its_change_in_the_history_after_a_lost_answer() {
+    let mut flow = PromoteFlow::promote(Arc::from(TEXT), None, author(1)).unwrap();
+    flow.start();
+    let PromoteAction::Write { stored, .. } = flow.handle(PromoteEvent::Missing) else {
+        panic!("a missing object is created");
+    };
+    assert_eq!(flow.handle(PromoteEvent::AnswerLost), PromoteAction::Read);
+    let record = config(2, "");
+    let entry = HistoryEntry { version: 2, digest: record.digest, author: author(2) };
+    let newer = Stored::following(Some(&stored), record, entry);
+    let result = flow.handle(PromoteEvent::Read { revision: 2, stored: newer });
+    assert_eq!(result, PromoteAction::Finished(PromoteResult::Accepted { version: 1 }));
+}
+
+#[test]
+fn sends_an_unsettled_write_again_under_the_same_condition() {
+    let mut flow = PromoteFlow::promote(Arc::from(TEXT), None, author(1)).unwrap();
+    flow.start();
+    let write = flow.handle(PromoteEvent::Missing);
+    assert_eq!(flow.handle(PromoteEvent::AnswerLost), PromoteAction::Read);
+    assert_eq!(flow.handle(PromoteEvent::Missing), write);
+}
+
+#[test]
+fn reports_the_winner_of_a_race() {
+    let mut flow = PromoteFlow::promote(Arc::from(TEXT), None, author(1)).unwrap();
+    flow.start();
+    flow.handle(PromoteEvent::Missing);
+    assert_eq!(flow.handle(PromoteEvent::Conflict), PromoteAction::Read);
+    let record = config(1, "");
+    let digest = record.digest;
+    let entry = HistoryEntry { version: 1, digest, author: author(2) };
+    let stored = Stored::following(None, record, entry);
+    let result = flow.handle(PromoteEvent::Read { revision: 1, stored });
+    let conflict = PromoteResult::Conflict { current_version: 1, digest };
+    assert_eq!(result, PromoteAction::Finished(conflict));
+}
+
+#[test]
+fn makes_an_operations_change_again_on_the_newer_state() {
+    let out = |name: &str| OperationsChange::DataCentreOut(name.to_owned());
+    let mut flow = PromoteFlow::operate(out("east"), author(1));
+    flow.start();
+    flow.handle(PromoteEvent::Missing);
+    flow.handle(PromoteEvent::Conflict);
+    let record = OperationsRecord::initial().with(&out("west")).unwrap();
+    let entry = HistoryEntry { version: 2, digest: record.digest(), author: author(2) };
+    let stored = Stored::following(None, record, entry);
+    let action = flow.handle(PromoteEvent::Read { revision: 1, stored });
+    let PromoteAction::Write { if_revision: Some(1), stored } = action else {
+        panic!("the change is made again");
+    };
+    assert_eq!(stored.record.data_centres_out, ["east", "west"]);
+    assert_eq!(stored.record.version, 3);
+}
--- a/crates/core/src/document.rs
+++ b/crates/core/src/document/mod.rs
@@ -1,4 +1,18 @@
 //! The environment document: pipelines, pools, services and customers.
+//!
+//! [`parse`] is the only way from text to a [`Document`] that a process may serve by.
+
+mod check;
+mod fault;
+mod locate;
+mod parse;
+
+#[cfg(test)]
+mod tests;
+
+pub use check::stage_estimate_ms;
+pub use fault::{Fault, FaultKind};
+pub use parse::{MAX_TEXT_BYTES, parse};
 
 use serde::{Deserialize, Serialize};
 
--- /dev/null
+++ b/crates/core/src/drain/mod.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,9 +6,13 @@
 
 pub mod control;
 pub mod document;
+pub mod drain;
 pub mod ids;
 pub mod membership;
 pub mod outcome;
+pub mod placement;
+
+mod switch;
 
 /// Hash map with a fast, non-cryptographic hasher.
 pub type FastMap<K, V> = rustc_hash::FxHashMap<K, V>;
--- /dev/null
+++ b/crates/core/src/switch.rs
@@ -0,0 +1,40 @@
+//! Switch by which tests turn off one mechanism of a slice.
+
+/// Remembers which mechanism is off; always none unless the `sabotage` feature is on.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Switch<T> {
+    #[cfg(feature = "sabotage")]
+    off: Option<T>,
+    #[cfg(not(feature = "sabotage"))]
+    kind: std::marker::PhantomData<T>,
+}
+
+impl<T: Copy + PartialEq> Switch<T> {
+    /// Creates a switch with every mechanism on.
+    pub(crate) fn new() -> Self {
+        Self {
+            #[cfg(feature = "sabotage")]
+            off: None,
+            #[cfg(not(feature = "sabotage"))]
+            kind: std::marker::PhantomData,
+        }
+    }
+
+    /// Turns `mechanism` off.
+    #[cfg(feature = "sabotage")]
+    pub(crate) fn turn_off(&mut self, mechanism: T) {
+        self.off = Some(mechanism);
+    }
+
+    /// Tells whether `mechanism` is off.
+    #[cfg(feature = "sabotage")]
+    pub(crate) fn is_off(&self, mechanism: T) -> bool {
+        self.off == Some(mechanism)
+    }
+
+    /// Tells whether `mechanism` is off.
+    #[cfg(not(feature = "sabotage"))]
+    pub(crate) fn is_off(&self, _mechanism: T) -> bool {
+        false
+    }
+}
