--- /dev/null
+++ b/crates/core/src/drain/stop.rs
@@ -0,0 +1,84 @@
+//! Planned stop of a process.
+
+use super::Sabotage;
+use crate::switch::Switch;
+
+/// Times of a planned stop.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StopSettings {
+    /// Shortest time for which the process stays up and refuses new work, in milliseconds, so that
+    /// load balancers and peers notice before the address stops answering.
+    pub notice_ms: u64,
+    /// Time after which work in progress is cut, in milliseconds; none means never.
+    pub time_limit_ms: Option<u64>,
+}
+
+/// Phase of a process with respect to its planned stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopPhase {
+    /// The process is in service.
+    Running,
+    /// The process is not ready, refuses new work and finishes the work in progress.
+    Draining,
+    /// The process may exit.
+    Finished {
+        /// Number of calls in progress that the time limit cuts.
+        cut: u32,
+    },
+}
+
+/// Carries a process through a planned stop.
+#[derive(Clone, Debug)]
+pub struct PlannedStop {
+    settings: StopSettings,
+    phase: StopPhase,
+    began_ms: u64,
+    switch: Switch<Sabotage>,
+}
+
+impl PlannedStop {
+    /// Creates the state of a running process.
+    pub fn new(settings: StopSettings) -> Self {
+        Self { settings, phase: StopPhase::Running, began_ms: 0, switch: Switch::new() }
+    }
+
+    /// Turns one mechanism off.
+    #[cfg(feature = "sabotage")]
+    pub fn sabotage(&mut self, mechanism: Sabotage) {
+        self.switch.turn_off(mechanism);
+    }
+
+    /// Begins the stop; a repeated signal changes nothing.
+    pub fn begin(&mut self, now_ms: u64) {
+        if self.phase != StopPhase::Running {
+            return;
+        }
+        self.phase = StopPhase::Draining;
+        self.began_ms = now_ms;
+    }
+
+    /// Moves on with the number of calls in progress and returns the phase.
+    pub fn advance(&mut self, now_ms: u64, in_progress: u32) -> StopPhase {
+        if self.phase != StopPhase::Draining {
+            return self.phase;
+        }
+        let elapsed_ms = now_ms.saturating_sub(self.began_ms);
+        let is_idle = in_progress == 0 || self.switch.is_off(Sabotage::AwaitWork);
+        let is_noticed = elapsed_ms >= self.settings.notice_ms;
+        let is_over = self.settings.time_limit_ms.is_some_and(|it| elapsed_ms >= it);
+        if is_idle && is_noticed || is_over {
+            self.phase = StopPhase::Finished { cut: in_progress };
+        }
+        self.phase
+    }
+
+    /// The phase after the last event.
+    pub fn phase(&self) -> StopPhase {
+        self.phase
+    }
+
+    /// Tells whether the process reports itself ready and takes new work.
+    pub fn is_ready(&self) -> bool {
+        self.phase == StopPhase::Running
+    }
+}
