Directory of instances, subset assignment and gossip peers

Cause: the instance list lags, so an entry has to weigh it against what it learns by direct contact, and has to bound the number of its connections.

Ruled out: ordering an agent's answers by the time of the question, since an answer may be held back; answers of one run are ordered by the agent's clock. Ruled out: a ring of hashes, which moves more upstreams when an entry joins.

--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -1,4 +1,20 @@
-//! Instances of the fleet as the platform's lagging instance list shows them.
+//! Instances of the fleet, known from the platform's lagging list and from direct contact.
+//!
+//! A [`Directory`] decides which upstreams may get new work. [`subset`] bounds the number of agents
+//! that one entry connects to, and [`gossip_peers`] selects the peers of one round of exchange.
+
+mod assignment;
+mod directory;
+mod sabotage;
+mod upstream;
+
+#[cfg(test)]
+mod tests;
+
+pub use assignment::{SubsetSizes, gossip_peers, subset};
+pub use directory::{Directory, InstanceList, UpstreamKey};
+pub use sabotage::Sabotage;
+pub use upstream::{Evidence, Upstream};
 
 use std::net::SocketAddr;
 
