--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod ids;
 pub mod membership;
 pub mod outcome;
+pub mod queue;
 
 /// Hash map with a fast, non-cryptographic hasher.
 pub type FastMap<K, V> = rustc_hash::FxHashMap<K, V>;
