Routing, deadline and admission at the entry

Deadline: estimates by pool and the plan of a request's stages. Admission: refuses at once what the backlog leaves no time for; customers above their share are refused first.

--- /dev/null
+++ b/crates/core/src/admission/mod.rs
@@ -0,0 +1,205 @@
+//! Decision whether the entry takes on a request.
+//!
+//! A request is refused at once when its remaining stages, together with the work that waits before
+//! them, don't fit before its deadline. When pools are saturated, customers above their share are
+//! refused earlier than those below.
+
+mod fairness;
+#[cfg(test)]
+mod tests;
+
+use slotmap::{SlotMap, new_key_type};
+
+pub use crate::admission::fairness::CustomerKey;
+use crate::{
+    FastMap,
+    admission::fairness::Fairness,
+    deadline::{Plan, PoolKey, StageEstimates},
+    outcome::{Reason, Refusal},
+    routing::PoolLoad,
+};
+
+/// Time that messages take for each stage, in milliseconds.
+const STAGE_OVERHEAD_MS: u64 = 4;
+
+/// Bounds of the time after which a refused caller may try again, in milliseconds.
+const MIN_RETRY_AFTER_MS: u64 = 100;
+const MAX_RETRY_AFTER_MS: u64 = 60_000;
+
+/// Part of the slack that backlog may use up for a customer above its share.
+const ABOVE_SHARE_SLACK: f64 = 0.5;
+
+/// Part of the slack that backlog may use up for a customer within its share.
+const WITHIN_SHARE_SLACK: f64 = 0.9;
+
+new_key_type! {
+    /// Identifies an admitted request.
+    pub struct AdmissionKey;
+}
+
+/// One remaining stage of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StageWork {
+    /// Pool that runs the stage.
+    pub pool: PoolKey,
+    /// Longest text that the stage produces, in tokens.
+    pub max_tokens: u32,
+    /// Load of the pool.
+    pub load: PoolLoad,
+}
+
+/// An admitted request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Admitted {
+    /// Key for [`Admission::on_stage_sent`] and [`Admission::finish`].
+    pub key: AdmissionKey,
+    /// Times of the stages.
+    pub plan: Plan,
+}
+
+#[derive(Clone, Debug)]
+struct Request {
+    pools: Vec<PoolKey>,
+    sent: usize,
+}
+
+/// Admission of requests at one entry.
+#[derive(Clone, Debug, Default)]
+pub struct Admission {
+    requests: SlotMap<AdmissionKey, Request>,
+    /// Calls of admitted requests that are yet to be sent to a pool.
+    upcoming: FastMap<PoolKey, u32>,
+    fairness: Fairness,
+}
+
+/// Time that the stages of a request need.
+#[derive(Clone, Copy, Debug, Default)]
+struct Need {
+    run_ms: u64,
+    safe_ms: u64,
+    wait_ms: u64,
+}
+
+impl Admission {
+    /// Creates an admission without requests.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the key of a customer and takes over its current share.
+    pub fn customer(&mut self, name: &str, share: u32) -> CustomerKey {
+        self.fairness.customer(name, share)
+    }
+
+    /// Admits a request or refuses it as not run.
+    ///
+    /// # Errors
+    ///
+    /// `NoUpstream` when a pool has no upstream that may receive work, `DeadlineUnreachable` when
+    /// the stages don't fit, `CustomerShare` when they would fit for a customer within its share.
+    pub fn admit(
+        &mut self,
+        now_ms: u64,
+        estimates: &StageEstimates,
+        customer: CustomerKey,
+        deadline_ms: u64,
+        stages: &[StageWork],
+    ) -> Result<Admitted, Refusal> {
+        let mut expected_ms = Vec::with_capacity(stages.len());
+        let mut need = Need::default();
+        for stage in stages {
+            if stage.load.upstreams == 0 {
+                return Err(Refusal::not_run(Reason::NoUpstream, MIN_RETRY_AFTER_MS));
+            }
+            let run_ms = estimates.expected_ms(stage.pool, stage.max_tokens);
+            need.run_ms += run_ms + STAGE_OVERHEAD_MS;
+            need.safe_ms += estimates.safe_ms(stage.pool, stage.max_tokens) + STAGE_OVERHEAD_MS;
+            need.wait_ms += self.wait_ms(estimates, stage, run_ms);
+            expected_ms.push(run_ms + STAGE_OVERHEAD_MS);
+        }
+
+        let remaining_ms = deadline_ms.saturating_sub(now_ms);
+        if let Some(reason) = self.refusal(now_ms, customer, remaining_ms, need) {
+            return Err(Refusal::not_run(reason, retry_after_ms(remaining_ms, need)));
+        }
+
+        self.fairness.on_admitted(now_ms, customer, need.run_ms);
+        let pools: Vec<PoolKey> = stages.iter().map(|it| it.pool).collect();
+        for &pool in &pools {
+            *self.upcoming.entry(pool).or_default() += 1;
+        }
+        let key = self.requests.insert(Request { pools, sent: 0 });
+        Ok(Admitted { key, plan: Plan::new(now_ms, deadline_ms, &expected_ms) })
+    }
+
+    /// Notes that the next stage of a request was sent to its pool for the first time.
+    pub fn on_stage_sent(&mut self, key: AdmissionKey) {
+        let Some(request) = self.requests.get_mut(key) else { return };
+        let Some(&pool) = request.pools.get(request.sent) else { return };
+        request.sent += 1;
+        self.leave(pool);
+    }
+
+    /// Ends a request, whatever its outcome.
+    pub fn finish(&mut self, key: AdmissionKey) {
+        let Some(request) = self.requests.remove(key) else { return };
+        for &pool in &request.pools[request.sent..] {
+            self.leave(pool);
+        }
+    }
+
+    /// Returns the number of admitted requests that have not finished.
+    pub fn in_progress(&self) -> usize {
+        self.requests.len()
+    }
+
+    fn leave(&mut self, pool: PoolKey) {
+        if let Some(upcoming) = self.upcoming.get_mut(&pool) {
+            *upcoming = upcoming.saturating_sub(1);
+        }
+    }
+
+    /// Returns the time for which a call would wait in the pool.
+    fn wait_ms(&self, estimates: &StageEstimates, stage: &StageWork, run_ms: u64) -> u64 {
+        let upcoming = self.upcoming.get(&stage.pool).copied().unwrap_or(0);
+        let ahead = u64::from(stage.load.outstanding) + u64::from(upcoming);
+        let limit = u64::from(stage.load.limit.max(1));
+        if ahead < limit {
+            return 0;
+        }
+        let backlog_ms = (ahead - limit + 1) * run_ms / limit;
+        backlog_ms.max(estimates.queue_ms(stage.pool))
+    }
+
+    fn refusal(
+        &mut self,
+        now_ms: u64,
+        customer: CustomerKey,
+        remaining_ms: u64,
+        need: Need,
+    ) -> Option<Reason> {
+        let above_share = self.fairness.offer(now_ms, customer, need.run_ms);
+        if need.run_ms > remaining_ms {
+            return Some(Reason::DeadlineUnreachable);
+        }
+        if need.wait_ms == 0 {
+            return None;
+        }
+
+        let slack_ms = remaining_ms.saturating_sub(need.safe_ms) as f64;
+        if need.wait_ms as f64 > slack_ms * WITHIN_SHARE_SLACK {
+            return Some(Reason::DeadlineUnreachable);
+        }
+        if above_share && need.wait_ms as f64 > slack_ms * ABOVE_SHARE_SLACK {
+            return Some(Reason::CustomerShare);
+        }
+        None
+    }
+}
+
+/// Returns the time in which the backlog shrinks far enough for the request to fit.
+fn retry_after_ms(remaining_ms: u64, need: Need) -> u64 {
+    let slack_ms = remaining_ms.saturating_sub(need.safe_ms);
+    let excess_ms = need.wait_ms.saturating_sub(slack_ms / 2);
+    excess_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS)
+}
--- /dev/null
+++ b/crates/core/src/admission/tests.rs
@@ -0,0 +1,95 @@
+use super::*;
+use crate::deadline::EstimateSeed;
+
+struct Entry {
+    admission: Admission,
+    estimates: StageEstimates,
+    pool: PoolKey,
+}
+
+fn entry() -> Entry {
+    let mut estimates = StageEstimates::new();
+    let seed = EstimateSeed { estimate_ms: 100, token_estimate_ms: 0 };
+    let pool = estimates.pool("rerank", seed);
+    Entry { admission: Admission::new(), estimates, pool }
+}
+
+impl Entry {
+    fn admit(&mut self, customer: CustomerKey, outstanding: u32) -> Result<Admitted, Refusal> {
+        let load = PoolLoad { upstreams: 2, outstanding, limit: 10 };
+        let stage = StageWork { pool: self.pool, max_tokens: 0, load };
+        self.admission.admit(0, &self.estimates, customer, 1_000, &[stage, stage])
+    }
+}
+
+#[test]
+fn idle_pool_admits_with_a_plan() {
+    let mut entry = entry();
+    let customer = entry.admission.customer("a", 1);
+    let admitted = entry.admit(customer, 0).unwrap();
+    assert_eq!(admitted.plan.stages.len(), 2);
+    assert_eq!(entry.admission.in_progress(), 1);
+    entry.admission.finish(admitted.key);
+    assert_eq!(entry.admission.in_progress(), 0);
+}
+
+#[test]
+fn backlog_that_does_not_fit_is_refused_at_once_with_its_drain_time() {
+    let mut entry = entry();
+    let customer = entry.admission.customer("a", 1);
+    let refusal = entry.admit(customer, 100).unwrap_err();
+    assert_eq!(refusal.reason, Reason::DeadlineUnreachable);
+    let longer = entry.admit(customer, 200).unwrap_err();
+    assert!(longer.retry_after_ms > refusal.retry_after_ms);
+}
+
+#[test]
+fn too_short_deadline_is_refused_by_an_idle_pool() {
+    let mut entry = entry();
+    let customer = entry.admission.customer("a", 1);
+    let load = PoolLoad { upstreams: 1, outstanding: 0, limit: 1 };
+    let stage = StageWork { pool: entry.pool, max_tokens: 0, load };
+    let refusal = entry.admission.admit(0, &entry.estimates, customer, 99, &[stage]).unwrap_err();
+    assert_eq!(refusal.reason, Reason::DeadlineUnreachable);
+}
+
+#[test]
+fn pool_without_upstreams_is_refused() {
+    let mut entry = entry();
+    let customer = entry.admission.customer("a", 1);
+    let stage = StageWork { pool: entry.pool, max_tokens: 0, load: PoolLoad::default() };
+    let refusal =
+        entry.admission.admit(0, &entry.estimates, customer, 1_000, &[stage]).unwrap_err();
+    assert_eq!(refusal.reason, Reason::NoUpstream);
+}
+
+#[test]
+fn admitted_requests_count_until_their_stages_are_sent() {
+    let mut entry = entry();
+    let customer = entry.admission.customer("a", 1);
+    let mut admitted = Vec::new();
+    while let Ok(request) = entry.admit(customer, 0) {
+        admitted.push(request.key);
+    }
+    assert!(!admitted.is_empty());
+    for key in admitted {
+        entry.admission.on_stage_sent(key);
+        entry.admission.on_stage_sent(key);
+    }
+    assert!(entry.admit(customer, 0).is_ok());
+}
+
+#[test]
+fn customer_above_its_share_is_refused_before_the_others() {
+    let mut entry = entry();
+    let large = entry.admission.customer("large", 1);
+    let small = entry.admission.customer("small", 1);
+    entry.admit(small, 0).unwrap();
+    for _ in 0..5 {
+        let admitted = entry.admit(large, 0).unwrap();
+        entry.admission.finish(admitted.key);
+    }
+    let outstanding = 30;
+    assert_eq!(entry.admit(large, outstanding).unwrap_err().reason, Reason::CustomerShare);
+    assert!(entry.admit(small, outstanding).is_ok());
+}
--- /dev/null
+++ b/crates/core/src/deadline/tests.rs
@@ -0,0 +1,40 @@
+use super::*;
+use crate::outcome::Usage;
+
+const SEED: EstimateSeed = EstimateSeed { estimate_ms: 100, token_estimate_ms: 10 };
+
+#[test]
+fn header_only_shortens_the_deadline() {
+    assert_eq!(effective_deadline_ms(50, 1_000, None), 1_050);
+    assert_eq!(effective_deadline_ms(50, 1_000, Some(400)), 450);
+    assert_eq!(effective_deadline_ms(50, 1_000, Some(9_000)), 1_050);
+}
+
+#[test]
+fn plan_leaves_the_later_stages_their_time() {
+    let plan = Plan::new(0, 1_000, &[100, 300]);
+    assert_eq!(plan.stages[0].start_by_ms, 600);
+    assert_eq!(plan.stages[0].finish_by_ms, 700);
+    assert_eq!(plan.stages[1].start_by_ms, 700);
+    assert_eq!(plan.stages[1].finish_by_ms, 1_000);
+    assert_eq!(plan.stages[0].budget_ms + plan.stages[1].budget_ms, 1_000);
+    assert!(plan.fits(600, 0));
+    assert!(!plan.fits(601, 0));
+    assert!(plan.fits(700, 1));
+}
+
+#[test]
+fn estimates_start_at_the_seed_and_follow_completions() {
+    let mut estimates = StageEstimates::new();
+    let pool = estimates.pool("generate", SEED);
+    assert_eq!(estimates.expected_ms(pool, 40), 500);
+
+    let usage = Usage { engine_ms: 600, queued_ms: 30, tokens: 20 };
+    for _ in 0..400 {
+        estimates.on_complete(pool, 40, usage);
+    }
+    assert!(estimates.expected_ms(pool, 40).abs_diff(600) <= 5);
+    assert!(estimates.safe_ms(pool, 40) >= estimates.expected_ms(pool, 40));
+    assert!(estimates.queue_ms(pool).abs_diff(30) <= 1);
+    assert_eq!(estimates.pool("generate", SEED), pool);
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,13 +4,16 @@
 //! current time in milliseconds together with an event and returns plain values that tell the caller
 //! what to do, so the same code runs in the daemons, under fuzzing and inside other programs.
 
+pub mod admission;
 pub mod capacity;
 pub mod control;
+pub mod deadline;
 pub mod document;
 pub mod ids;
 pub mod membership;
 pub mod outcome;
 pub mod queue;
+pub mod routing;
 
 /// Hash map with a fast, non-cryptographic hasher.
 pub type FastMap<K, V> = rustc_hash::FxHashMap<K, V>;
--- /dev/null
+++ b/crates/core/src/routing/health.rs
@@ -0,0 +1,134 @@
+//! Health of one upstream: ejection after failures and careful return.
+
+/// Consecutive failures that eject an upstream.
+const EJECT_FAILURES: u32 = 3;
+
+/// Backoff after the first ejection, in milliseconds.
+const FIRST_BACKOFF_MS: u64 = 1_000;
+
+/// Longest backoff, in milliseconds.
+const MAX_BACKOFF_MS: u64 = 30_000;
+
+/// Time for which an unanswered attempt at return keeps others from starting, in milliseconds.
+const PROBE_TIMEOUT_MS: u64 = 10_000;
+
+/// Latency, relative to the rest of the pool, that ejects an upstream.
+const EJECT_LATENCY_FACTOR: f64 = 4.0;
+
+/// Samples that the latency of an upstream rests on before it counts.
+const LATENCY_SAMPLES: u32 = 8;
+
+/// Weight of a new sample in the latency average.
+const LATENCY_WEIGHT: f64 = 0.2;
+
+/// Whether an upstream may receive work as far as its health tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It receives its part of the work.
+    InService,
+    /// It was ejected and may receive one attempt, on which its return depends.
+    ProbeDue,
+    /// It was ejected and receives nothing.
+    Ejected,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum State {
+    InService,
+    Ejected { until_ms: u64 },
+    Probing { since_ms: u64 },
+}
+
+/// Health of one upstream.
+#[derive(Clone, Debug)]
+pub struct Health {
+    state: State,
+    consecutive_failures: u32,
+    ejections: u32,
+    ratio: f64,
+    samples: u32,
+}
+
+impl Health {
+    /// Creates the health of an upstream without history.
+    pub fn new() -> Self {
+        Self {
+            state: State::InService,
+            consecutive_failures: 0,
+            ejections: 0,
+            ratio: 1.0,
+            samples: 0,
+        }
+    }
+
+    /// Returns the standing at `now_ms`.
+    pub fn standing(&self, now_ms: u64) -> Standing {
+        match self.state {
+            State::InService => Standing::InService,
+            State::Ejected { until_ms } if now_ms >= until_ms => Standing::ProbeDue,
+            State::Ejected { .. } => Standing::Ejected,
+            State::Probing { since_ms } if now_ms >= since_ms + PROBE_TIMEOUT_MS => {
+                Standing::ProbeDue
+            }
+            State::Probing { .. } => Standing::Ejected,
+        }
+    }
+
+    /// Returns the average ratio of actual to expected duration, once it rests on enough samples.
+    pub fn latency_ratio(&self) -> Option<f64> {
+        (self.samples >= LATENCY_SAMPLES).then_some(self.ratio)
+    }
+
+    /// Notes that an attempt was sent.
+    pub(crate) fn on_sent(&mut self, now_ms: u64) {
+        if self.standing(now_ms) == Standing::ProbeDue {
+            self.state = State::Probing { since_ms: now_ms };
+        }
+    }
+
+    /// Notes a complete answer and its ratio of actual to expected duration.
+    pub(crate) fn on_success(&mut self, ratio: f64) {
+        self.consecutive_failures = 0;
+        self.samples = self.samples.saturating_add(1);
+        self.ratio += (ratio - self.ratio) * LATENCY_WEIGHT;
+        if matches!(self.state, State::Probing { .. }) {
+            self.state = State::InService;
+            // The latency before the ejection says nothing about the time after it.
+            self.samples = 0;
+            self.ratio = ratio;
+        }
+    }
+
+    /// Notes a failure; returns whether the upstream should be ejected.
+    pub(crate) fn on_failure(&mut self) -> bool {
+        self.consecutive_failures += 1;
+        self.consecutive_failures >= EJECT_FAILURES || matches!(self.state, State::Probing { .. })
+    }
+
+    /// Tells whether the upstream is so much slower than its pool that it should be ejected.
+    pub(crate) fn is_outlier(&self, pool_ratio: f64) -> bool {
+        self.state == State::InService
+            && self.latency_ratio().is_some_and(|it| it > pool_ratio * EJECT_LATENCY_FACTOR)
+    }
+
+    /// Takes the upstream out for a backoff that doubles with each ejection.
+    pub(crate) fn eject(&mut self, now_ms: u64) {
+        let backoff_ms = FIRST_BACKOFF_MS << self.ejections.min(16);
+        self.state = State::Ejected { until_ms: now_ms + backoff_ms.min(MAX_BACKOFF_MS) };
+        self.ejections += 1;
+        self.consecutive_failures = 0;
+    }
+
+    /// Forgets earlier ejections after a long time without one.
+    pub(crate) fn forgive(&mut self) {
+        if self.state == State::InService && self.samples >= 10 * LATENCY_SAMPLES {
+            self.ejections = 0;
+        }
+    }
+}
+
+impl Default for Health {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/core/src/routing/mod.rs
@@ -0,0 +1,28 @@
+//! Choice of the upstream that an attempt is sent to.
+//!
+//! The entry keeps a [`PoolView`] per pool: the load that replies carried, the attempts sent since,
+//! the health of each upstream and hints about cached prompt prefixes. [`choose`] picks among the
+//! candidates of that view.
+
+mod choose;
+mod health;
+mod hints;
+mod pool;
+#[cfg(test)]
+mod tests;
+
+use slotmap::new_key_type;
+
+pub use crate::routing::{
+    choose::{
+        Candidate, Choice, ChoiceReason, NoChoice, Policy, RandomNumbers, RouteContext, choose,
+    },
+    health::{Health, Standing},
+    hints::{CacheEvent, PrefixHints},
+    pool::{AttemptEnd, LoadReport, PoolLoad, PoolView},
+};
+
+new_key_type! {
+    /// Identifies an upstream within one entry.
+    pub struct UpstreamKey;
+}
--- /dev/null
+++ b/crates/core/src/routing/pool.rs
@@ -0,0 +1,236 @@
+//! What one entry knows of the upstreams of a pool.
+
+use slotmap::{SecondaryMap, SlotMap};
+
+use crate::routing::{
+    UpstreamKey,
+    choose::Candidate,
+    health::{Health, Standing},
+    hints::{CacheEvent, PrefixHints},
+};
+
+/// Time after which the reported load counts half, in milliseconds.
+const LOAD_HALF_LIFE_MS: u64 = 2_000;
+
+/// Load of an upstream as its agent reported it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Calls in progress at the upstream.
+    pub running: u32,
+    /// Calls that wait in the agent.
+    pub queued: u32,
+    /// Calls that the upstream may run at once.
+    pub limit: u32,
+    /// Whether the upstream is in a cold start.
+    pub cold: bool,
+    /// Whether the agent refuses new work.
+    pub draining: bool,
+}
+
+impl LoadReport {
+    /// Returns what is assumed of an upstream that has not reported: cold and idle.
+    pub fn unknown(cold_limit: u32) -> Self {
+        Self { running: 0, queued: 0, limit: cold_limit.max(1), cold: true, draining: false }
+    }
+}
+
+/// Load of a whole pool as an entry knows it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PoolLoad {
+    /// Upstreams that may receive work.
+    pub upstreams: u32,
+    /// Calls that run or wait at them.
+    pub outstanding: u32,
+    /// Calls that they may run at once.
+    pub limit: u32,
+}
+
+/// How an attempt ended, as far as the health of the upstream is concerned.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum AttemptEnd {
+    /// It completed, taking `ratio` times the expected time at the upstream.
+    Completed {
+        /// Ratio of actual to expected duration.
+        ratio: f64,
+    },
+    /// The upstream or its agent failed.
+    Failed,
+    /// It was refused, cancelled or dropped, which says nothing about the health.
+    NotRun,
+}
+
+#[derive(Clone, Debug)]
+struct Upstream {
+    stable_id: u64,
+    is_local: bool,
+    load: LoadReport,
+    reported_ms: u64,
+    sent_since_reply: u32,
+    in_flight: u32,
+}
+
+/// Upstreams of a pool as one entry knows them.
+#[derive(Clone, Debug, Default)]
+pub struct PoolView {
+    upstreams: SlotMap<UpstreamKey, Upstream>,
+    health: SecondaryMap<UpstreamKey, Health>,
+    hints: PrefixHints,
+}
+
+impl PoolView {
+    /// Creates an empty view.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds an upstream, which counts as cold until its agent replies.
+    ///
+    /// `stable_id` names the upstream alike in all entries, such as a hash of its name.
+    pub fn add(
+        &mut self,
+        now_ms: u64,
+        stable_id: u64,
+        is_local: bool,
+        cold_limit: u32,
+    ) -> UpstreamKey {
+        let key = self.upstreams.insert(Upstream {
+            stable_id,
+            is_local,
+            load: LoadReport::unknown(cold_limit),
+            reported_ms: now_ms,
+            sent_since_reply: 0,
+            in_flight: 0,
+        });
+        self.health.insert(key, Health::new());
+        key
+    }
+
+    /// Removes an upstream with all that is known of it.
+    pub fn remove(&mut self, key: UpstreamKey) {
+        self.upstreams.remove(key);
+        self.health.remove(key);
+        self.hints.forget(key);
+    }
+
+    /// Notes that an attempt is sent to an upstream.
+    pub fn on_sent(&mut self, now_ms: u64, key: UpstreamKey) {
+        let Some(upstream) = self.upstreams.get_mut(key) else { return };
+        upstream.sent_since_reply += 1;
+        upstream.in_flight += 1;
+        self.health[key].on_sent(now_ms);
+    }
+
+    /// Takes the load that a reply of the agent carried.
+    pub fn on_reply(&mut self, now_ms: u64, key: UpstreamKey, load: LoadReport) {
+        let Some(upstream) = self.upstreams.get_mut(key) else { return };
+        upstream.load = load;
+        upstream.reported_ms = now_ms;
+        upstream.sent_since_reply = 0;
+    }
+
+    /// Notes that an attempt ended.
+    pub fn on_end(&mut self, now_ms: u64, key: UpstreamKey, end: AttemptEnd) {
+        let Some(upstream) = self.upstreams.get_mut(key) else { return };
+        upstream.in_flight = upstream.in_flight.saturating_sub(1);
+        upstream.sent_since_reply = upstream.sent_since_reply.min(upstream.in_flight);
+
+        let eject = match end {
+            AttemptEnd::Completed { ratio } => {
+                self.health[key].on_success(ratio);
+                self.health[key].forgive();
+                self.is_outlier(key)
+            }
+            AttemptEnd::Failed => self.health[key].on_failure(),
+            AttemptEnd::NotRun => false,
+        };
+        if eject && self.may_eject(now_ms, key) {
+            self.health[key].eject(now_ms);
+        }
+    }
+
+    /// Takes an event about an upstream's prefix cache.
+    pub fn on_cache_event(&mut self, key: UpstreamKey, sequence: u64, event: CacheEvent) {
+        if self.upstreams.contains_key(key) {
+            self.hints.on_event(key, sequence, event);
+        }
+    }
+
+    /// Returns the candidates for an attempt with the given prompt prefix.
+    pub fn candidates(
+        &self,
+        now_ms: u64,
+        prefix: Option<u64>,
+        tried: &[UpstreamKey],
+    ) -> Vec<Candidate> {
+        let mut candidates = Vec::with_capacity(self.upstreams.len());
+        let pool_ratio = self.typical_ratio();
+        for (key, upstream) in &self.upstreams {
+            let health = &self.health[key];
+            let ratio = health.latency_ratio().unwrap_or(pool_ratio);
+            candidates.push(Candidate {
+                key,
+                stable_id: upstream.stable_id,
+                load: upstream.aged_load(now_ms),
+                sent_since_reply: upstream.sent_since_reply,
+                in_flight: upstream.in_flight,
+                latency_factor: ratio / pool_ratio,
+                is_local: upstream.is_local,
+                standing: health.standing(now_ms),
+                has_prefix: prefix.is_some_and(|it| self.hints.holds(key, it)),
+                tried: tried.contains(&key),
+            });
+        }
+        candidates
+    }
+
+    /// Returns the load of the upstreams that may receive work.
+    pub fn load(&self, now_ms: u64) -> PoolLoad {
+        let mut pool = PoolLoad::default();
+        for (key, upstream) in &self.upstreams {
+            let load = upstream.aged_load(now_ms);
+            if load.draining || self.health[key].standing(now_ms) != Standing::InService {
+                continue;
+            }
+            pool.upstreams += 1;
+            pool.outstanding += load.running + load.queued + upstream.sent_since_reply;
+            pool.limit += load.limit;
+        }
+        pool
+    }
+
+    fn is_outlier(&self, key: UpstreamKey) -> bool {
+        self.health[key].is_outlier(self.typical_ratio())
+    }
+
+    /// Returns the median latency ratio of the upstreams that have one.
+    fn typical_ratio(&self) -> f64 {
+        let mut ratios: Vec<f64> = self.health.values().filter_map(Health::latency_ratio).collect();
+        if ratios.is_empty() {
+            return 1.0;
+        }
+        ratios.sort_unstable_by(f64::total_cmp);
+        ratios[(ratios.len() - 1) / 2].max(0.01)
+    }
+
+    /// Tells whether the ejection of one more upstream leaves at least half of the pool.
+    fn may_eject(&self, now_ms: u64, key: UpstreamKey) -> bool {
+        let in_service = |it: UpstreamKey| self.health[it].standing(now_ms) == Standing::InService;
+        let ejected = self.upstreams.keys().filter(|&it| it != key && !in_service(it)).count();
+        (ejected + 1) * 2 <= self.upstreams.len()
+    }
+}
+
+impl Upstream {
+    /// Returns the reported load, which counts less the older it is.
+    ///
+    /// Without this an upstream that was busy when it last replied would never be chosen again.
+    fn aged_load(&self, now_ms: u64) -> LoadReport {
+        let half_lives = now_ms.saturating_sub(self.reported_ms) / LOAD_HALF_LIFE_MS;
+        let shift = half_lives.min(31) as u32;
+        LoadReport {
+            running: self.load.running >> shift,
+            queued: self.load.queued >> shift,
+            ..self.load
+        }
+    }
+}
