--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,11 +4,13 @@
 //! current time in milliseconds together with an event and returns plain values that tell the caller
 //! what to do, so the same code runs in the daemons, under fuzzing and inside other programs.
 
+pub mod accounting;
 pub mod admission;
 pub mod capacity;
 pub mod control;
 pub mod deadline;
 pub mod document;
+pub mod hedge;
 pub mod ids;
 pub mod membership;
 pub mod outcome;
