Add attempt and quarantine slices

Result matching at entries, attempt records at agents, the retry budget and strikes against poisonous requests, as pure state machines with unit tests.

OutputPage, Progress, Completion, AttemptFailure and Strike move from rpc to core and are re-exported from rpc, so that there is one type of each.

--- /dev/null
+++ b/crates/core/src/attempt/retry_budget.rs
@@ -0,0 +1,63 @@
+//! Budget that keeps retries a fixed fraction of the completed work.
+
+use crate::sabotage::{Mechanisms, Sabotage};
+
+/// Cost of one retry in credits; a completed stage earns `retries_per_hundred` credits.
+const RETRY_COST_CREDITS: u64 = 100;
+
+/// Grants retries and hedges as a fraction of the stages that completed.
+///
+/// After `n` completed stages at most `reserve + n * retries_per_hundred / 100` retries have been
+/// granted. Because every stage earns credit only once, whichever of its attempts completed it, and
+/// has one first attempt, the number of attempts stays below `1 + retries_per_hundred / 100` times
+/// the number of stages, plus the reserve.
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    credits: u64,
+    max_credits: u64,
+    credits_per_stage: u64,
+    mechanisms: Mechanisms,
+}
+
+impl RetryBudget {
+    /// Creates a budget with a full reserve.
+    ///
+    /// `reserve` is the largest number of retries that can be saved up for later.
+    pub fn new(retries_per_hundred: u32, reserve: u32) -> Self {
+        let max_credits = u64::from(reserve) * RETRY_COST_CREDITS;
+        Self {
+            credits: max_credits,
+            max_credits,
+            credits_per_stage: u64::from(retries_per_hundred),
+            mechanisms: Mechanisms::default(),
+        }
+    }
+
+    /// Creates a budget with one safety mechanism switched off.
+    #[cfg(feature = "sabotage")]
+    pub fn with_sabotage(retries_per_hundred: u32, reserve: u32, sabotage: Sabotage) -> Self {
+        let mechanisms = Mechanisms::without(sabotage);
+        Self { mechanisms, ..Self::new(retries_per_hundred, reserve) }
+    }
+
+    /// Records a completed attempt.
+    ///
+    /// `first_of_stage` tells whether no attempt for the same stage of the same request completed
+    /// before; further ones earn no credit.
+    pub fn on_completed(&mut self, first_of_stage: bool) {
+        if !first_of_stage && self.mechanisms.has(Sabotage::CreditOncePerStage) {
+            return;
+        }
+        self.credits = (self.credits + self.credits_per_stage).min(self.max_credits);
+    }
+
+    /// Takes one retry out of the budget; returns `false` when the budget is spent.
+    #[must_use]
+    pub fn try_retry(&mut self) -> bool {
+        if self.credits < RETRY_COST_CREDITS {
+            return false;
+        }
+        self.credits -= RETRY_COST_CREDITS;
+        true
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,11 +4,14 @@
 //! current time in milliseconds together with an event and returns plain values that tell the caller
 //! what to do, so the same code runs in the daemons, under fuzzing and inside other programs.
 
+pub mod attempt;
 pub mod control;
 pub mod document;
 pub mod ids;
 pub mod membership;
 pub mod outcome;
+pub mod quarantine;
+pub mod sabotage;
 
 /// Hash map with a fast, non-cryptographic hasher.
 pub type FastMap<K, V> = rustc_hash::FxHashMap<K, V>;
--- /dev/null
+++ b/crates/core/src/quarantine/mod.rs
@@ -0,0 +1,49 @@
+//! Quarantine of requests that stop the upstreams running them.
+//!
+//! # Rule
+//!
+//! When an upstream stops, every request in progress there gets a strike, which names the stop by
+//! agent run and number and tells whether the request ran alone. A request with a strike is a
+//! suspect and has to run alone. It is condemned, and refused from then on, once it has the
+//! configured number of strikes and ran alone in at least one of them. A request that completes is
+//! cleared of the strikes known then.
+//!
+//! A neighbour of a condemned request never gets a strike for running alone, because nothing else
+//! could have stopped the upstream it had to itself. So sharing an upstream, however often, condemns
+//! nobody. Two stops with otherwise disjoint neighbours would not do as proof: two different
+//! poisonous requests can each stop an upstream that the same innocent request shares.
+//!
+//! # Bound on lost upstreams
+//!
+//! Take a request that stops every upstream it runs on. Let `u` be the number of its copies that
+//! were dispatched by processes that held no strike against it, and let suspects run one at a time.
+//! With the usual limit of two strikes it takes down at most `max(2, u + 1)` upstreams. For copies
+//! sent one after the other, each after the strikes of the one before have reached the next entry or
+//! agent, `u` is one and the bound is two.
+//!
+//! - At one entry, [`SuspectTracker`] keeps a second copy of a suspect from starting while one is in
+//!   progress. Copies of a request without strikes are not held back, since equal requests are
+//!   usual; those already in progress at the first stop count towards `u`.
+//! - Between entries, [`alone_upstream`] sends copies of a suspect to the same upstream, whose agent
+//!   runs one at a time and refuses the next once it has stopped. Entries that see different
+//!   instance lists may disagree; then each concurrent copy may cost one more upstream.
+//! - An agent that is lost together with its upstream passes no strike on, so that stop is not
+//!   counted.
+//!
+//! An upstream that stops by itself while a request runs alone cannot be told from one stopped by
+//! the request. An innocent request is thus refused only if upstreams stop by themselves while it
+//! runs alone, within the retention period, and it never completes in between. A request that stops
+//! upstreams only now and then is cleared whenever it completes.
+
+mod registry;
+mod strike;
+mod suspects;
+
+pub use self::{
+    registry::{Admission, Quarantine, QuarantineLimits},
+    strike::Strike,
+    suspects::{SuspectTracker, alone_upstream},
+};
+
+#[cfg(test)]
+mod tests;
--- a/crates/rpc/src/messages.rs
+++ b/crates/rpc/src/messages.rs
@@ -2,10 +2,14 @@
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+pub use yuccatrail_core::{
+    attempt::{AttemptFailure, Completion, OutputPage, Progress},
+    quarantine::Strike,
+};
 use yuccatrail_core::{
     control::{ControlUpdate, Versions},
     ids::{AttemptId, Digest, Incarnation},
-    outcome::{Reason, Refusal, Usage},
+    outcome::Refusal,
 };
 
 /// Asks a peer for newer control state and tells it what the sender holds.
@@ -60,17 +64,6 @@
     pub draining: bool,
 }
 
-/// An upstream stopped while it ran a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Strike {
-    /// Digest of the customer, target and body of the request.
-    pub fingerprint: Digest,
-    /// The run of the agent whose upstream stopped.
-    pub agent: Incarnation,
-    /// Number of the upstream stop, counted by that agent.
-    pub number: u32,
-}
-
 /// Asks an agent to run one attempt on its upstream.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct SubmitRequest {
@@ -150,56 +143,6 @@
     Unknown,
 }
 
-/// Part of an attempt's output.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct OutputPage {
-    /// Sequence number of the first chunk in `chunks`.
-    pub first_sequence: u64,
-    /// Consecutive chunks.
-    pub chunks: Vec<Bytes>,
-    /// Progress of the attempt once all of `chunks` is taken.
-    pub progress: Progress,
-}
-
-/// Progress of an attempt.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Progress {
-    /// The attempt waits in the agent.
-    Queued,
-    /// The attempt runs and more output may follow.
-    Running,
-    /// The upstream's answer is complete.
-    Completed(Completion),
-    /// The attempt ended without a complete answer.
-    Failed(AttemptFailure),
-}
-
-/// A complete answer of an upstream.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Completion {
-    /// HTTP status of the answer.
-    pub status: u16,
-    /// Content type of the answer.
-    pub content_type: Option<String>,
-    /// Number of chunks in the whole output.
-    pub chunk_count: u64,
-    /// Resources consumed.
-    pub usage: Usage,
-}
-
-/// An attempt that was dispatched and did not complete.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct AttemptFailure {
-    /// Why the attempt did not complete.
-    pub reason: Reason,
-    /// Whether the upstream itself reported the failure.
-    pub reported: bool,
-    /// HTTP status, if the upstream answered.
-    pub status: Option<u16>,
-    /// Resources consumed.
-    pub usage: Usage,
-}
-
 /// Asks for an attempt's output.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ReadRequest {
@@ -224,4 +167,6 @@
     pub attempt: AttemptId,
     /// The run of the agent that was handed the attempt.
     pub agent: Incarnation,
+    /// Latest time of dispatch, exactly as the submit for the attempt states it.
+    pub dispatch_by_ms: u64,
 }
