--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod accounting;
 pub mod admission;
+pub mod attempt;
 pub mod capacity;
 pub mod control;
 pub mod deadline;
@@ -16,8 +17,10 @@
 pub mod membership;
 pub mod outcome;
 pub mod placement;
+pub mod quarantine;
 pub mod queue;
 pub mod routing;
+pub mod sabotage;
 
 mod switch;
 
