--- /dev/null
+++ b/crates/agent/src/admin.rs
@@ -0,0 +1,46 @@
+//! Health and metrics endpoint of the agent.
+
+use std::sync::Arc;
+
+use hyper::{Request, Response, StatusCode, body::Incoming};
+use prometheus_client::{encoding::text, registry::Registry};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use yuccatrail_runtime::http::{self, Body, respond};
+
+/// Content type of the metrics text.
+const METRICS_TEXT: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// What the endpoint shows.
+#[derive(Clone)]
+pub(crate) struct Admin {
+    /// All metrics.
+    pub(crate) registry: Arc<Registry>,
+    /// Cancelled once a planned stop begins.
+    pub(crate) stop: CancellationToken,
+}
+
+/// Serves the endpoint until `finished` is cancelled.
+pub(crate) async fn serve(listener: TcpListener, admin: Admin, finished: CancellationToken) {
+    http::serve(listener, finished, move |request| handle(admin.clone(), request)).await;
+}
+
+async fn handle(admin: Admin, request: Request<Incoming>) -> Response<Body> {
+    match request.uri().path() {
+        "/healthz" => respond(StatusCode::OK, "text/plain", "ok\n"),
+        "/readyz" if admin.stop.is_cancelled() => {
+            respond(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "stopping\n")
+        }
+        "/readyz" => respond(StatusCode::OK, "text/plain", "ready\n"),
+        "/metrics" => metrics(&admin.registry),
+        _ => respond(StatusCode::NOT_FOUND, "text/plain", "not found\n"),
+    }
+}
+
+fn metrics(registry: &Registry) -> Response<Body> {
+    let mut body = String::new();
+    match text::encode(&mut body, registry) {
+        Ok(()) => respond(StatusCode::OK, METRICS_TEXT, body),
+        Err(_) => respond(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", "metrics failed\n"),
+    }
+}
--- a/crates/agent/src/executor.rs
+++ b/crates/agent/src/executor.rs
@@ -1,41 +1,52 @@
 //! Runs attempts on the upstream and keeps their output for the entries.
 
 use std::{
-    collections::VecDeque,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
-use bytes::Bytes;
 use log::info;
-use tokio::sync::Notify;
+use tokio::{sync::Notify, time::Instant};
+use tokio_util::sync::CancellationToken;
 use yuccatrail_core::{
-    FastMap,
+    FastMap, FastSet,
+    agent::{AgentCore, CallResult, Dispatch, SubmitOrder},
+    attempt::{AttemptKey, AttemptLookup, Progress},
+    control::{ControlUpdate, Versions},
     ids::{AttemptId, Incarnation},
-    outcome::{Reason, Refusal, Usage},
 };
 use yuccatrail_rpc::messages::{
-    AttemptFailure, AttemptReply, AttemptState, Completion, Feedback, Load, OutputPage, Progress,
-    SubmitRequest, UpstreamCall,
+    AttemptReply, AttemptState, CancelRequest, Echo, Feedback, ReadRequest, SubmitRequest,
+    SyncReply, SyncRequest, UpstreamCall,
 };
 use yuccatrail_runtime::{clock::Clock, control::SharedControl};
 
-use crate::upstream::{AnswerHead, CallError, UpstreamClient};
+use crate::{
+    metrics::Metrics,
+    upstream::{AnswerHead, CallError, UpstreamClient},
+};
 
-/// Calls that run at once while no configuration is known.
-const DEFAULT_LIMIT: u32 = 8;
+/// Largest size of the output in one reply, in bytes.
+const MAX_PAGE_BYTES: usize = 256 * 1024;
 
-/// One attempt that the agent was handed.
-struct AttemptRecord {
-    chunks: Vec<Bytes>,
-    progress: Progress,
-    changed: Arc<Notify>,
+/// Everything that the agent's decisions and tasks share.
+struct State {
+    core: AgentCore,
+    /// Calls of attempts that wait for dispatch.
+    calls: FastMap<AttemptId, PendingCall>,
+    /// Wakes the readers of attempts that have not ended.
+    changed: FastMap<AttemptId, Arc<Notify>>,
+    /// Cuts running calls that may be cut.
+    cuts: FastMap<AttemptKey, CancellationToken>,
+    /// Ended attempts whose end no entry has read yet.
+    unread: FastSet<AttemptId>,
 }
 
-struct State {
-    records: FastMap<AttemptId, AttemptRecord>,
-    queue: VecDeque<(AttemptId, UpstreamCall)>,
-    running: u32,
+/// Call of an attempt that waits for dispatch.
+struct PendingCall {
+    call: UpstreamCall,
+    /// Whether the call may be cut at the upstream when it is cancelled.
+    may_cut: bool,
 }
 
 /// Runs attempts on one upstream.
@@ -44,6 +55,7 @@
     clock: Clock,
     upstream: UpstreamClient,
     control: Arc<SharedControl>,
+    metrics: Metrics,
     state: Mutex<State>,
 }
 
@@ -52,134 +64,274 @@
     pub(crate) fn new(
         incarnation: Incarnation,
         clock: Clock,
+        core: AgentCore,
         upstream: UpstreamClient,
         control: Arc<SharedControl>,
+        metrics: Metrics,
     ) -> Arc<Self> {
-        let state = State { records: FastMap::default(), queue: VecDeque::new(), running: 0 };
-        Arc::new(Self { incarnation, clock, upstream, control, state: Mutex::new(state) })
+        let state = State {
+            core,
+            calls: FastMap::default(),
+            changed: FastMap::default(),
+            cuts: FastMap::default(),
+            unread: FastSet::default(),
+        };
+        Arc::new(Self { incarnation, clock, upstream, control, metrics, state: Mutex::new(state) })
+    }
+
+    /// Exchanges control state and strikes with an entry.
+    pub(crate) fn sync(self: &Arc<Self>, request: SyncRequest) -> SyncReply {
+        let now_ms = self.clock.now_ms();
+        let is_changed = !request.update.is_empty();
+        self.control.adopt(request.update, "entry");
+        {
+            let mut state = self.lock();
+            if is_changed {
+                self.control.with(|it| state.core.set_control(it, now_ms));
+            }
+            state.core.merge_strikes(&request.strikes, now_ms);
+            let holds_all = !request.versions.has_newer_than(self.control.versions());
+            if let Some(sent_ms) = self.echoed_ms(request.echo)
+                && let Some(age_ms) = request.age_ms
+                && holds_all
+            {
+                state.core.confirm_control(sent_ms, age_ms);
+            }
+            self.wake(&mut state);
+        }
+        self.start_ready();
+        SyncReply { feedback: self.feedback(), update: self.control.update_for(request.versions) }
     }
 
     /// Accepts or refuses an attempt and waits for its first output.
     pub(crate) async fn submit(self: &Arc<Self>, request: SubmitRequest) -> AttemptReply {
         let attempt = request.attempt;
-        if request.agent != self.incarnation || self.clock.now_ms() > request.dispatch_by_ms {
-            let refusal = Refusal::not_run(Reason::DispatchExpired, 0);
-            return self.reply(attempt, AttemptState::NotRun(refusal));
+        let versions = request.versions;
+        if versions != self.control.versions() {
+            return self.reply(attempt, versions, AttemptState::StaleVersions);
         }
         let wait = Duration::from_millis(request.wait_ms);
-        self.enqueue(request);
+        if let Some(state) = self.accept(request) {
+            return self.reply(attempt, versions, state);
+        }
         self.start_ready();
-        self.read(attempt, 0, wait).await
+        let state = self.wait_output(attempt, 0, wait).await;
+        self.reply(attempt, versions, state)
     }
 
-    /// Reads an attempt's output, waiting up to `wait` for more.
-    pub(crate) async fn read(
-        &self,
-        attempt: AttemptId,
-        from_sequence: u64,
-        wait: Duration,
-    ) -> AttemptReply {
-        let deadline = tokio::time::Instant::now() + wait;
-        loop {
-            let (page, changed) = {
-                let state = self.lock();
-                let Some(record) = state.records.get(&attempt) else {
-                    return self.reply(attempt, AttemptState::Unknown);
-                };
-                (page_of(record, from_sequence), record.changed.clone())
-            };
-            let ended = !matches!(page.progress, Progress::Queued | Progress::Running);
-            if ended || !page.chunks.is_empty() {
-                return self.reply(attempt, AttemptState::Accepted(page));
-            }
-            if tokio::time::timeout_at(deadline, changed.notified()).await.is_err() {
-                return self.reply(attempt, AttemptState::Accepted(page));
-            }
+    /// Reads an attempt's output, waiting for more if there is none yet.
+    pub(crate) async fn read(&self, request: ReadRequest) -> AttemptReply {
+        let (attempt, versions) = (request.attempt, request.versions);
+        if request.agent != self.incarnation {
+            return self.reply(attempt, versions, AttemptState::Unknown);
         }
+        let wait = Duration::from_millis(request.wait_ms);
+        let state = self.wait_output(attempt, request.from_sequence, wait).await;
+        self.reply(attempt, versions, state)
+    }
+
+    /// Cancels an attempt and cuts its call if it runs and may be repeated.
+    pub(crate) fn cancel(&self, request: &CancelRequest) -> AttemptReply {
+        let now_ms = self.clock.now_ms();
+        let mut state = self.lock();
+        let (lookup, running) =
+            state.core.cancel(request.attempt, request.agent, request.dispatch_by_ms, now_ms);
+        let cut = running.and_then(|it| state.cuts.get(&it));
+        if let Some(cut) = cut {
+            cut.cancel();
+        }
+        state.unread.remove(&request.attempt);
+        self.wake(&mut state);
+        drop(state);
+        info!(attempt:% = request.attempt, running = running.is_some(); "attempt cancelled");
+        self.reply(request.attempt, request.versions, attempt_state(lookup))
+    }
+
+    /// Does the periodic work.
+    pub(crate) fn tick(self: &Arc<Self>) {
+        let mut state = self.lock();
+        state.core.tick(self.clock.now_ms());
+        self.wake(&mut state);
+        self.metrics.observe_load(state.core.load());
+        drop(state);
+        self.start_ready();
+    }
+
+    /// Probes the upstream once.
+    pub(crate) async fn probe(self: &Arc<Self>) {
+        let epoch = self.lock().core.probe_epoch();
+        let result = self.upstream.probe().await;
+        let strikes = self.lock().core.on_probe(epoch, result, self.clock.now_ms());
+        for strike in strikes {
+            self.metrics.strikes.inc();
+            info!(fingerprint:% = strike.fingerprint, alone = strike.alone, stop = strike.number; "upstream stopped with a request in progress");
+        }
+        self.start_ready();
+    }
+
+    /// Begins a planned stop: new work is refused and queued work handed back.
+    pub(crate) fn stop(&self) {
+        let mut state = self.lock();
+        state.core.stop(self.clock.now_ms());
+        self.wake(&mut state);
+    }
+
+    /// Returns the number of attempts that have not ended, and of ends that no entry has read.
+    pub(crate) fn remaining(&self) -> (u32, usize) {
+        let state = self.lock();
+        (state.core.in_progress_count(), state.unread.len())
     }
 
     /// Describes the agent's state.
     pub(crate) fn feedback(&self) -> Feedback {
+        let now_ms = self.clock.now_ms();
         let state = self.lock();
-        let load = Load {
-            running: state.running,
-            queued: state.queue.len() as u32,
-            limit: DEFAULT_LIMIT,
-            cold: false,
-            draining: false,
-        };
         Feedback {
             incarnation: self.incarnation,
-            now_ms: self.clock.now_ms(),
+            now_ms,
             versions: self.control.versions(),
-            load,
-            strikes: Vec::new(),
+            load: state.core.load(),
+            strikes: state.core.recent_strikes(now_ms),
         }
     }
 
-    fn enqueue(&self, request: SubmitRequest) {
+    /// Hands an attempt to the core; returns its state if it is not waiting or running.
+    fn accept(&self, request: SubmitRequest) -> Option<AttemptState> {
+        let attempt = request.attempt;
+        let order = SubmitOrder {
+            attempt,
+            agent: request.agent,
+            pool: request.pool,
+            customer: request.customer,
+            fingerprint: request.fingerprint,
+            dispatch_by_ms: request.dispatch_by_ms,
+            deadline_ms: request.deadline_ms,
+            estimate_ms: request.estimate_ms,
+        };
         let mut state = self.lock();
-        if state.records.contains_key(&request.attempt) {
-            return;
+        let lookup = state.core.submit(&order, self.clock.now_ms());
+        match lookup {
+            AttemptLookup::Accepted(_) => {}
+            refused => {
+                if let AttemptLookup::NotRun(refusal) = &refused {
+                    self.metrics.refused(refusal.reason);
+                    info!(attempt:% = attempt, reason:% = refusal.reason; "attempt refused");
+                }
+                self.wake(&mut state);
+                return Some(attempt_state(refused));
+            }
         }
-        let record = AttemptRecord {
-            chunks: Vec::new(),
-            progress: Progress::Queued,
-            changed: Arc::new(Notify::new()),
-        };
-        state.records.insert(request.attempt, record);
-        state.queue.push_back((request.attempt, request.call));
+        // A repeated submit joins the attempt, whose call is kept or already gone.
+        if !state.changed.contains_key(&attempt) && state.core.is_waiting(attempt) {
+            let pending = PendingCall { call: request.call, may_cut: request.idempotent };
+            state.calls.insert(attempt, pending);
+            state.changed.insert(attempt, Arc::new(Notify::new()));
+        }
+        self.wake(&mut state);
+        None
     }
 
+    /// Starts every attempt that may start now.
     fn start_ready(self: &Arc<Self>) {
         let mut state = self.lock();
-        while state.running < DEFAULT_LIMIT {
-            let Some((attempt, call)) = state.queue.pop_front() else { return };
-            let Some(record) = state.records.get_mut(&attempt) else { continue };
-            record.progress = Progress::Running;
-            state.running += 1;
-            info!(attempt:% = attempt, path:% = call.path; "dispatching to upstream");
-            tokio::spawn(self.clone().run(attempt, call));
+        while let Some(dispatch) = state.core.next(self.clock.now_ms()) {
+            let Some(pending) = state.calls.remove(&dispatch.attempt) else {
+                state.core.on_end(dispatch.key, &CallResult::Cancelled, self.clock.now_ms());
+                continue;
+            };
+            let cut = CancellationToken::new();
+            if pending.may_cut {
+                state.cuts.insert(dispatch.key, cut.clone());
+            }
+            self.metrics.dispatched.inc();
+            info!(attempt:% = dispatch.attempt, path:% = pending.call.path, queued_ms = dispatch.queued_ms; "dispatching to upstream");
+            tokio::spawn(self.clone().run(dispatch, pending.call, cut));
         }
+        self.wake(&mut state);
     }
 
-    async fn run(self: Arc<Self>, attempt: AttemptId, call: UpstreamCall) {
-        let started_ms = self.clock.now_ms();
-        let result = self.upstream.call(attempt, call, |chunk| self.push(attempt, chunk)).await;
-        let engine_ms = self.clock.now_ms() - started_ms;
-        self.finish(attempt, result, engine_ms);
+    async fn run(self: Arc<Self>, dispatch: Dispatch, call: UpstreamCall, cut: CancellationToken) {
+        let on_chunk = |chunk| {
+            let mut state = self.lock();
+            state.core.push_chunk(dispatch.key, chunk);
+            self.wake(&mut state);
+        };
+        let answer = tokio::select! {
+            answer = self.upstream.call(dispatch.attempt, call, on_chunk) => Some(answer),
+            () = cut.cancelled() => None,
+        };
+        let result = match answer {
+            Some(answer) => call_result(answer),
+            None => CallResult::Cancelled,
+        };
+        if result == CallResult::Lost {
+            self.lock().core.on_lost();
+            // The strikes of a stop have to be known before an entry learns of the loss.
+            self.probe().await;
+        }
+        self.finish(dispatch, &result);
         self.start_ready();
     }
 
-    fn push(&self, attempt: AttemptId, chunk: Bytes) {
+    fn finish(&self, dispatch: Dispatch, result: &CallResult) {
         let mut state = self.lock();
-        let Some(record) = state.records.get_mut(&attempt) else { return };
-        record.chunks.push(chunk);
-        record.changed.notify_waiters();
-        record.changed.notify_one();
+        state.cuts.remove(&dispatch.key);
+        state.core.on_end(dispatch.key, result, self.clock.now_ms());
+        self.metrics.ended(result);
+        if *result != CallResult::Cancelled {
+            state.unread.insert(dispatch.attempt);
+        }
+        self.wake(&mut state);
     }
 
-    fn finish(&self, attempt: AttemptId, result: Result<AnswerHead, CallError>, engine_ms: u64) {
-        let mut state = self.lock();
-        state.running -= 1;
-        let Some(record) = state.records.get_mut(&attempt) else { return };
-        let chunk_count = record.chunks.len() as u64;
-        let usage = Usage { engine_ms, queued_ms: 0, tokens: chunk_count };
-        record.progress = match result {
-            Ok(head) => Progress::Completed(Completion {
-                status: head.status,
-                content_type: head.content_type,
-                chunk_count,
-                usage,
-            }),
-            Err(error) => Progress::Failed(failure(error, usage)),
-        };
-        record.changed.notify_waiters();
-        record.changed.notify_one();
+    async fn wait_output(&self, attempt: AttemptId, from: u64, wait: Duration) -> AttemptState {
+        let deadline = Instant::now() + wait;
+        loop {
+            let changed = {
+                let mut state = self.lock();
+                let lookup = state.core.read(attempt, from, MAX_PAGE_BYTES);
+                let notify = state.changed.get(&attempt).cloned();
+                let (true, Some(notify)) = (is_idle(&lookup), notify) else {
+                    note_read(&mut state, attempt, &lookup);
+                    return attempt_state(lookup);
+                };
+                notify.notified_owned()
+            };
+            if tokio::time::timeout_at(deadline, changed).await.is_err() {
+                let mut state = self.lock();
+                let lookup = state.core.read(attempt, from, MAX_PAGE_BYTES);
+                note_read(&mut state, attempt, &lookup);
+                return attempt_state(lookup);
+            }
+        }
     }
 
-    fn reply(&self, attempt: AttemptId, state: AttemptState) -> AttemptReply {
-        AttemptReply { feedback: self.feedback(), update: Default::default(), attempt, state }
+    /// Wakes the readers of changed attempts and lets go of what ended attempts no longer need.
+    fn wake(&self, state: &mut State) {
+        for attempt in state.core.take_changed() {
+            if let Some(notify) = state.changed.get(&attempt) {
+                notify.notify_waiters();
+            }
+            if state.core.is_in_progress(attempt) {
+                continue;
+            }
+            state.changed.remove(&attempt);
+            state.calls.remove(&attempt);
+        }
+    }
+
+    /// Returns the time of the reply that a request follows, if it was made by this run.
+    fn echoed_ms(&self, echo: Option<Echo>) -> Option<u64> {
+        let echo = echo?;
+        (echo.incarnation == self.incarnation).then_some(echo.now_ms)
+    }
+
+    fn reply(&self, attempt: AttemptId, versions: Versions, state: AttemptState) -> AttemptReply {
+        let update = match state {
+            AttemptState::StaleVersions => self.control.update_for(versions),
+            _ => ControlUpdate::default(),
+        };
+        AttemptReply { feedback: self.feedback(), update, attempt, state }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -187,23 +339,34 @@
     }
 }
 
-fn page_of(record: &AttemptRecord, from_sequence: u64) -> OutputPage {
-    let first = (from_sequence as usize).min(record.chunks.len());
-    OutputPage {
-        first_sequence: first as u64,
-        chunks: record.chunks[first..].to_vec(),
-        progress: record.progress.clone(),
+/// Tells whether there is nothing new to report.
+fn is_idle(lookup: &AttemptLookup) -> bool {
+    let AttemptLookup::Accepted(page) = lookup else { return false };
+    let in_progress = matches!(page.progress, Progress::Queued | Progress::Running);
+    in_progress && page.chunks.is_empty()
+}
+
+/// Notes that an entry reads the end of an attempt.
+fn note_read(state: &mut State, attempt: AttemptId, lookup: &AttemptLookup) {
+    let AttemptLookup::Accepted(page) = lookup else { return };
+    if matches!(page.progress, Progress::Completed(_) | Progress::Failed(_)) {
+        state.unread.remove(&attempt);
+    }
+}
+
+fn attempt_state(lookup: AttemptLookup) -> AttemptState {
+    match lookup {
+        AttemptLookup::Accepted(page) => AttemptState::Accepted(page),
+        AttemptLookup::NotRun(refusal) => AttemptState::NotRun(refusal),
+        AttemptLookup::Unknown => AttemptState::Unknown,
     }
 }
 
-fn failure(error: CallError, usage: Usage) -> AttemptFailure {
-    let status = match error {
-        CallError::Status(status) => Some(status),
-        _ => None,
-    };
-    let reason = match error {
-        CallError::Status(_) => Reason::UpstreamError,
-        _ => Reason::UpstreamLost,
-    };
-    AttemptFailure { reason, reported: status.is_some(), status, usage }
+fn call_result(answer: Result<AnswerHead, CallError>) -> CallResult {
+    match answer {
+        Ok(head) => CallResult::Completed { status: head.status, content_type: head.content_type },
+        Err(CallError::Status(status)) => CallResult::Rejected { status },
+        Err(CallError::NotConnected | CallError::Refused) => CallResult::NotConnected,
+        Err(CallError::Lost | CallError::Cut) => CallResult::Lost,
+    }
 }
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -14,24 +14,18 @@
     service::Agent,
     transport,
 };
-use yuccatrail_runtime::control::SharedControl;
 
 use crate::executor::Executor;
 
 /// Answers the calls of one connection.
 #[derive(Clone)]
-pub(crate) struct Connection {
-    /// Runs the attempts.
-    pub(crate) executor: Arc<Executor>,
-    /// Control state of the agent.
-    pub(crate) control: Arc<SharedControl>,
+struct Connection {
+    executor: Arc<Executor>,
 }
 
 impl Agent for Connection {
     async fn sync(self, _: Context, request: SyncRequest) -> SyncReply {
-        self.control.adopt(request.update, "entry");
-        let update = self.control.update_for(request.versions);
-        SyncReply { feedback: self.executor.feedback(), update }
+        self.executor.sync(request)
     }
 
     async fn submit(self, _: Context, request: SubmitRequest) -> AttemptReply {
@@ -39,17 +33,16 @@
     }
 
     async fn read(self, _: Context, request: ReadRequest) -> AttemptReply {
-        let wait = Duration::from_millis(request.wait_ms);
-        self.executor.read(request.attempt, request.from_sequence, wait).await
+        self.executor.read(request).await
     }
 
     async fn cancel(self, _: Context, request: CancelRequest) -> AttemptReply {
-        self.executor.read(request.attempt, 0, Duration::ZERO).await
+        self.executor.cancel(&request)
     }
 }
 
 /// Accepts connections until `stop` is cancelled.
-pub(crate) async fn serve(listener: TcpListener, connection: Connection, stop: CancellationToken) {
+pub(crate) async fn serve(listener: TcpListener, executor: Arc<Executor>, stop: CancellationToken) {
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -60,14 +53,14 @@
             tokio::time::sleep(Duration::from_millis(10)).await;
             continue;
         };
-        tokio::spawn(serve_connection(stream, connection.clone()));
+        tokio::spawn(serve_connection(stream, executor.clone()));
     }
 }
 
-async fn serve_connection(stream: TcpStream, connection: Connection) {
+async fn serve_connection(stream: TcpStream, executor: Arc<Executor>) {
     let Ok(transport) = transport::accept(stream).await else { return };
     let channel = BaseChannel::with_defaults(Box::pin(transport));
-    channel.execute(connection.serve()).for_each(spawn).await;
+    channel.execute(Connection { executor }.serve()).for_each(spawn).await;
 }
 
 async fn spawn(response: impl Future<Output = ()> + Send + 'static) {
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -6,7 +6,6 @@
 
 /// Settings of one agent process.
 #[derive(Clone, Debug)]
-#[expect(dead_code, reason = "the thin path does not use each setting yet")]
 pub(crate) struct Settings {
     /// Name of the upstream instance in the platform's list.
     pub(crate) name: String,
--- a/crates/agent/src/upstream.rs
+++ b/crates/agent/src/upstream.rs
@@ -1,6 +1,12 @@
 //! HTTP client for the one upstream.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    error::Error,
+    hash::{Hash, Hasher},
+    io,
+    net::SocketAddr,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use eventsource_stream::Eventsource;
@@ -8,15 +14,21 @@
 use http_body_util::{BodyExt, BodyStream, Full};
 use hyper::{Request, Response, body::Incoming, header};
 use hyper_util::{
-    client::legacy::{Client, connect::HttpConnector},
+    client::{
+        self,
+        legacy::{Client, connect::HttpConnector},
+    },
     rt::{TokioExecutor, TokioTimer},
 };
+use rustc_hash::FxHasher;
 use serde::Deserialize;
-use yuccatrail_core::ids::AttemptId;
+use yuccatrail_core::{agent::ProbeResult, ids::AttemptId};
 use yuccatrail_rpc::messages::{ResponseForm, UpstreamCall};
 
 /// Time after which an attempt to connect fails.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after which an unanswered probe counts as silence.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Time after which an unused connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Event that ends a complete stream, as in the completions protocol.
@@ -27,6 +39,8 @@
 pub(crate) enum CallError {
     /// No connection could be opened, so the upstream saw nothing of the call.
     NotConnected,
+    /// Nothing listens on the upstream's address.
+    Refused,
     /// The connection broke after the call may have been sent.
     Lost,
     /// The stream ended before its final event.
@@ -46,12 +60,12 @@
 
 /// Answer of the upstream's health endpoint.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
-pub(crate) struct Health {
+struct Health {
     /// Identity of the engine start.
-    pub(crate) boot_id: String,
+    boot_id: String,
     /// Whether the engine considers itself warm, if it tells.
     #[serde(default)]
-    pub(crate) warm: Option<bool>,
+    warm: Option<bool>,
 }
 
 /// Connections to the one upstream.
@@ -75,8 +89,18 @@
     }
 
     /// Asks the upstream for its health.
-    #[expect(dead_code, reason = "the thin path does not probe yet")]
-    pub(crate) async fn probe(&self) -> Result<Health, CallError> {
+    pub(crate) async fn probe(&self) -> ProbeResult {
+        match tokio::time::timeout(PROBE_TIMEOUT, self.health()).await {
+            Ok(Ok(health)) => {
+                let boot_id = Some(boot_number(&health.boot_id));
+                ProbeResult::Answered { boot_id, warm: health.warm }
+            }
+            Ok(Err(CallError::Refused)) => ProbeResult::Refused,
+            Ok(Err(_)) | Err(_) => ProbeResult::Silent,
+        }
+    }
+
+    async fn health(&self) -> Result<Health, CallError> {
         let request = Request::get(self.url("/health")).body(Full::default());
         let Ok(request) = request else { return Err(CallError::NotConnected) };
         let response = self.send(request).await?;
@@ -135,6 +159,7 @@
     async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, CallError> {
         match self.client.request(request).await {
             Ok(response) => Ok(response),
+            Err(error) if is_refused(&error) => Err(CallError::Refused),
             Err(error) if error.is_connect() => Err(CallError::NotConnected),
             Err(_) => Err(CallError::Lost),
         }
@@ -145,6 +170,28 @@
     }
 }
 
+/// Tells whether a connection was refused, which only happens when nothing listens.
+fn is_refused(error: &client::legacy::Error) -> bool {
+    let mut source = error.source();
+    while let Some(cause) = source {
+        let refused = cause
+            .downcast_ref::<io::Error>()
+            .is_some_and(|it| it.kind() == io::ErrorKind::ConnectionRefused);
+        if refused {
+            return true;
+        }
+        source = cause.source();
+    }
+    false
+}
+
+/// Maps the text of a boot identity to a number.
+fn boot_number(text: &str) -> u64 {
+    let mut hasher = FxHasher::default();
+    text.hash(&mut hasher);
+    hasher.finish()
+}
+
 fn response_is_server_error(status: u16) -> bool {
     status >= 500
 }
--- /dev/null
+++ b/crates/core/src/agent/core.rs
@@ -0,0 +1,495 @@
+//! The state machine of one agent.
+
+use bytes::Bytes;
+
+use super::{
+    settings::AgentSettings,
+    stops::{CallResult, ProbeResult, StopDetector, usage},
+};
+use crate::{
+    FastMap,
+    attempt::{
+        AttemptFailure, AttemptKey, AttemptLedger, AttemptLookup, CancelResult, DispatchCheck,
+        SubmitResult,
+    },
+    capacity::{CallEnd, CallKey, Capacity, CapacityConfig, Epoch, Probe},
+    control::ControlState,
+    document::{Customer, Document},
+    drain::{DispatchHold, Gate, GateChange},
+    ids::{AttemptId, Digest, Incarnation},
+    membership::InstanceState,
+    outcome::{Reason, Refusal},
+    quarantine::{Admission, Quarantine, Strike},
+    queue::{Dropped, EntryKey, Next, Queue, QueueEntry},
+    routing::LoadReport,
+};
+
+/// Time after which a caller may come back to a busy upstream, in milliseconds.
+const BUSY_RETRY_AFTER_MS: u64 = 250;
+/// Time after which a caller may come back when an upstream refuses new work, in milliseconds.
+const CLOSED_RETRY_AFTER_MS: u64 = 1_000;
+/// Calls that wait in front of an upstream whose pool is not known yet.
+const INITIAL_QUEUE: u32 = 0;
+
+/// An attempt that an entry hands to the agent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SubmitOrder {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The run of the agent that the entry chose.
+    pub agent: Incarnation,
+    /// Pool that the entry expects.
+    pub pool: String,
+    /// Customer on whose behalf the call is made.
+    pub customer: String,
+    /// Digest of the customer, target and body of the request.
+    pub fingerprint: Digest,
+    /// Latest time of dispatch, in milliseconds.
+    pub dispatch_by_ms: u64,
+    /// Time by which the answer is needed, in milliseconds.
+    pub deadline_ms: u64,
+    /// Expected run time, in milliseconds.
+    pub estimate_ms: u64,
+}
+
+/// An attempt that has to be passed to the upstream now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Dispatch {
+    /// Key under which the result is reported.
+    pub key: AttemptKey,
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// Time that the attempt waited, in milliseconds.
+    pub queued_ms: u64,
+}
+
+/// An accepted attempt that has not ended.
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    attempt: AttemptId,
+    fingerprint: Digest,
+    entry: EntryKey,
+}
+
+/// A call in progress at the upstream.
+#[derive(Clone, Copy, Debug)]
+struct Call {
+    waiting: Waiting,
+    call: CallKey,
+    started_ms: u64,
+    queued_ms: u64,
+    tokens: u64,
+}
+
+/// Decisions of one agent.
+#[derive(Debug)]
+pub struct AgentCore {
+    settings: AgentSettings,
+    ledger: AttemptLedger,
+    queue: Queue,
+    capacity: Capacity,
+    gate: Gate,
+    quarantine: Quarantine,
+    stops: StopDetector,
+    waiting: FastMap<AttemptKey, Waiting>,
+    keys_by_entry: FastMap<EntryKey, AttemptKey>,
+    calls: FastMap<AttemptKey, Call>,
+    changed: Vec<AttemptId>,
+}
+
+impl AgentCore {
+    /// Creates the state of an agent that starts at `now_ms` and knows nothing of its upstream.
+    pub fn new(settings: AgentSettings, now_ms: u64) -> Self {
+        Self {
+            ledger: AttemptLedger::new(settings.ledger),
+            queue: Queue::new(INITIAL_QUEUE),
+            capacity: Capacity::new(CapacityConfig::default()),
+            gate: Gate::new(settings.gate.clone(), now_ms),
+            quarantine: Quarantine::new(settings.quarantine),
+            stops: StopDetector::default(),
+            waiting: FastMap::default(),
+            keys_by_entry: FastMap::default(),
+            calls: FastMap::default(),
+            changed: Vec::new(),
+            settings,
+        }
+    }
+
+    /// Takes over the control state of the process.
+    pub fn set_control(&mut self, control: &ControlState, now_ms: u64) {
+        let change = self.gate.set_control(control);
+        if let Ok(document) = control.may_serve() {
+            self.set_document(document);
+        }
+        self.on_gate(change, now_ms);
+    }
+
+    /// Takes over the upstream's state in the instance list of version `list_version`.
+    pub fn set_listed(&mut self, list_version: u64, state: InstanceState, now_ms: u64) {
+        let change = self.gate.set_listed(list_version, state);
+        self.on_gate(change, now_ms);
+    }
+
+    /// Begins a planned stop: queued attempts are handed back, running ones finish.
+    pub fn stop(&mut self, now_ms: u64) {
+        let change = self.gate.stop();
+        self.on_gate(change, now_ms);
+    }
+
+    /// Notes an answer about the control state; see [`Gate::confirm`].
+    pub fn confirm_control(&mut self, sent_ms: u64, age_ms: u64) {
+        self.gate.confirm(sent_ms, age_ms);
+    }
+
+    /// Accepts or refuses an attempt.
+    pub fn submit(&mut self, order: &SubmitOrder, now_ms: u64) -> AttemptLookup {
+        if order.agent != self.settings.incarnation {
+            return AttemptLookup::Unknown;
+        }
+        let key = match self.ledger.submit(order.attempt, order.dispatch_by_ms, now_ms) {
+            SubmitResult::Queued(key) => key,
+            SubmitResult::Joined(_) => return self.read(order.attempt, 0, 0),
+            SubmitResult::NotRun(refusal) => return AttemptLookup::NotRun(refusal),
+            SubmitResult::Unknown => return AttemptLookup::Unknown,
+        };
+        if let Err(reason) = self.enqueue(key, order, now_ms) {
+            self.refuse(key, reason, now_ms);
+        }
+        self.read(order.attempt, 0, 0)
+    }
+
+    /// Takes the next attempt to pass to the upstream, if one may start now.
+    ///
+    /// `now_ms` has to be read immediately before the call, because the process may have been paused.
+    pub fn next(&mut self, now_ms: u64) -> Option<Dispatch> {
+        self.expire(now_ms);
+        loop {
+            match self.gate.may_dispatch(now_ms) {
+                Ok(()) => {}
+                Err(DispatchHold::Unconfirmed) => return None,
+                Err(DispatchHold::Refused(reason)) => {
+                    self.hand_back(reason, now_ms);
+                    return None;
+                }
+            }
+            if self.stops.is_suspected() {
+                return None;
+            }
+            self.capacity.on_tick(now_ms);
+            if !self.capacity.has_room() {
+                return None;
+            }
+            let next = self.queue.pop(now_ms)?;
+            if let Some(dispatch) = self.start(next, now_ms) {
+                return Some(dispatch);
+            }
+        }
+    }
+
+    /// Appends a chunk to the output of a running attempt.
+    pub fn push_chunk(&mut self, key: AttemptKey, chunk: Bytes) {
+        let Some(call) = self.calls.get_mut(&key) else { return };
+        call.tokens += 1;
+        if self.ledger.push_chunk(key, chunk) {
+            self.changed.push(call.waiting.attempt);
+        }
+    }
+
+    /// Notes that the answer to a call broke off, before its result is reported.
+    ///
+    /// A probe has to be sent at once; no attempt starts until it is answered.
+    pub fn on_lost(&mut self) {
+        let in_progress = self.in_progress();
+        self.capacity.on_reset();
+        self.stops.on_lost(self.capacity.epoch(), in_progress);
+    }
+
+    /// Ends a call with its result.
+    pub fn on_end(&mut self, key: AttemptKey, result: &CallResult, now_ms: u64) {
+        let Some(call) = self.calls.remove(&key) else { return };
+        self.forget(key, call.waiting.entry);
+        self.queue.finish(call.waiting.entry);
+        self.capacity.finish(now_ms, call.call, call_end(result));
+        if *result == CallResult::NotConnected {
+            self.capacity.on_connect_failure();
+        }
+        let usage = usage(call.started_ms, now_ms, call.queued_ms, call.tokens);
+        self.changed.push(call.waiting.attempt);
+        if let CallResult::Completed { status, content_type } = result {
+            self.quarantine.on_complete(call.waiting.fingerprint);
+            self.ledger.complete(key, *status, content_type.clone(), usage, now_ms);
+            return;
+        }
+        let (reason, execution, status) = result.failure();
+        let failure = AttemptFailure { reason, execution, status, usage };
+        self.ledger.fail(key, failure, now_ms);
+    }
+
+    /// Cancels an attempt; a returned key names a running call that may be cut at the upstream.
+    pub fn cancel(
+        &mut self,
+        attempt: AttemptId,
+        agent: Incarnation,
+        dispatch_by_ms: u64,
+        now_ms: u64,
+    ) -> (AttemptLookup, Option<AttemptKey>) {
+        if agent != self.settings.incarnation {
+            return (AttemptLookup::Unknown, None);
+        }
+        match self.ledger.cancel(attempt, dispatch_by_ms, now_ms) {
+            CancelResult::NotRun(refusal) => {
+                self.drop_waiting(attempt);
+                (AttemptLookup::NotRun(refusal), None)
+            }
+            CancelResult::Running(key) => (self.read(attempt, 0, 0), Some(key)),
+            CancelResult::Ended(_) => (self.read(attempt, 0, 0), None),
+            CancelResult::Unknown => (AttemptLookup::Unknown, None),
+        }
+    }
+
+    /// Reads what is known about an attempt, with output from `from_sequence` on.
+    pub fn read(&self, attempt: AttemptId, from_sequence: u64, max_bytes: usize) -> AttemptLookup {
+        self.ledger.read(attempt, from_sequence, max_bytes)
+    }
+
+    /// Returns the epoch that the next probe carries.
+    pub fn probe_epoch(&self) -> Epoch {
+        self.capacity.epoch()
+    }
+
+    /// Takes the result of a probe that was sent in `epoch`; returns new strikes.
+    pub fn on_probe(&mut self, epoch: Epoch, result: ProbeResult, now_ms: u64) -> Vec<Strike> {
+        let calls = &self.calls;
+        let in_progress = || fingerprints(calls);
+        let stop = self.stops.on_probe(epoch, result, in_progress);
+        match result {
+            ProbeResult::Answered { boot_id, warm } => {
+                self.capacity.on_probe(Probe { epoch, boot_id, warm });
+            }
+            ProbeResult::Refused => self.capacity.on_stop(),
+            ProbeResult::Silent => self.capacity.on_connect_failure(),
+        }
+        let Some(stop) = stop else { return Vec::new() };
+        let agent = self.settings.incarnation;
+        self.quarantine.on_stop(agent, stop.number, &stop.in_progress, now_ms)
+    }
+
+    /// Merges strikes that a peer passed on.
+    pub fn merge_strikes(&mut self, strikes: &[Strike], now_ms: u64) {
+        self.quarantine.merge(strikes, now_ms);
+    }
+
+    /// Returns the strikes to pass on.
+    pub fn recent_strikes(&self, now_ms: u64) -> Vec<Strike> {
+        self.quarantine.recent(now_ms)
+    }
+
+    /// Does the periodic work; it has to be called more often than the pause limit.
+    pub fn tick(&mut self, now_ms: u64) {
+        self.gate.tick(now_ms);
+        self.capacity.on_tick(now_ms);
+        self.expire(now_ms);
+        self.ledger.evict(now_ms);
+        self.quarantine.expire(now_ms);
+    }
+
+    /// Returns the load that every reply carries.
+    pub fn load(&self) -> LoadReport {
+        LoadReport {
+            running: self.calls.len() as u32,
+            queued: self.queue.queued(),
+            limit: self.capacity.limit(),
+            cold: self.capacity.is_cold(),
+            draining: self.gate.is_draining(),
+        }
+    }
+
+    /// Returns the number of accepted attempts that have not ended.
+    pub fn in_progress_count(&self) -> u32 {
+        (self.waiting.len() + self.calls.len()) as u32
+    }
+
+    /// Tells whether an attempt waits for dispatch.
+    pub fn is_waiting(&self, attempt: AttemptId) -> bool {
+        self.ledger.key(attempt).is_some_and(|it| self.waiting.contains_key(&it))
+    }
+
+    /// Tells whether an attempt waits for dispatch or runs.
+    pub fn is_in_progress(&self, attempt: AttemptId) -> bool {
+        let Some(key) = self.ledger.key(attempt) else { return false };
+        self.waiting.contains_key(&key) || self.calls.contains_key(&key)
+    }
+
+    /// Takes the attempts whose state or output has changed since the last call.
+    pub fn take_changed(&mut self) -> Vec<AttemptId> {
+        std::mem::take(&mut self.changed)
+    }
+
+    fn set_document(&mut self, document: &Document) {
+        for Customer { name, share } in &document.customers {
+            self.queue.customer(name, *share);
+        }
+        let Some(pool) = document.pool(&self.settings.pool) else { return };
+        self.queue.set_max_queued(pool.queue);
+        self.capacity.set_config(CapacityConfig {
+            concurrency: pool.concurrency,
+            cold_concurrency: pool.cold_concurrency,
+        });
+    }
+
+    fn enqueue(&mut self, key: AttemptKey, order: &SubmitOrder, now_ms: u64) -> Result<(), Reason> {
+        self.gate.may_accept(now_ms)?;
+        if order.pool != self.settings.pool {
+            return Err(Reason::WrongUpstream);
+        }
+        let alone = match self.quarantine.admit(order.fingerprint, now_ms) {
+            Admission::Normal => false,
+            Admission::Alone => true,
+            Admission::Refused => return Err(Reason::Quarantined),
+        };
+        let entry = QueueEntry {
+            attempt: order.attempt,
+            customer: self.queue.customer(&order.customer, 1),
+            deadline_ms: order.deadline_ms,
+            dispatch_by_ms: order.dispatch_by_ms,
+            estimate_ms: order.estimate_ms,
+            alone,
+        };
+        self.push(key, entry, order.fingerprint, now_ms)
+    }
+
+    fn push(
+        &mut self,
+        key: AttemptKey,
+        entry: QueueEntry,
+        fingerprint: Digest,
+        now_ms: u64,
+    ) -> Result<(), Reason> {
+        let pushed = self.queue.push(now_ms, entry)?;
+        let waiting = Waiting { attempt: entry.attempt, fingerprint, entry: pushed.key };
+        self.waiting.insert(key, waiting);
+        self.keys_by_entry.insert(pushed.key, key);
+        if let Some(evicted) = pushed.evicted {
+            self.refuse_dropped(evicted, now_ms);
+        }
+        Ok(())
+    }
+
+    /// Starts an entry that was taken from the queue, unless it may not run any more.
+    fn start(&mut self, next: Next, now_ms: u64) -> Option<Dispatch> {
+        let Some(&key) = self.keys_by_entry.get(&next.key) else {
+            self.queue.finish(next.key);
+            return None;
+        };
+        let waiting = self.waiting[&key];
+        match self.quarantine.admit(waiting.fingerprint, now_ms) {
+            Admission::Refused => {
+                self.queue.finish(next.key);
+                self.refuse(key, Reason::Quarantined, now_ms);
+                return None;
+            }
+            Admission::Alone if !next.entry.alone => {
+                self.requeue_alone(key, next, waiting.fingerprint, now_ms);
+                return None;
+            }
+            Admission::Alone | Admission::Normal => {}
+        }
+        let Some(call) = self.capacity.try_start(now_ms, next.entry.estimate_ms) else {
+            self.queue.finish(next.key);
+            self.refuse(key, Reason::Busy, now_ms);
+            return None;
+        };
+        if self.ledger.may_dispatch(key, now_ms) != DispatchCheck::Dispatch {
+            self.capacity.finish(now_ms, call, CallEnd::Abandoned);
+            self.queue.finish(next.key);
+            self.forget(key, next.key);
+            self.changed.push(waiting.attempt);
+            return None;
+        }
+        self.waiting.remove(&key);
+        let queued_ms = next.queued_ms;
+        let started = Call { waiting, call, started_ms: now_ms, queued_ms, tokens: 0 };
+        self.calls.insert(key, started);
+        Some(Dispatch { key, attempt: waiting.attempt, queued_ms })
+    }
+
+    /// Puts back an entry that became a suspect while it waited.
+    fn requeue_alone(&mut self, key: AttemptKey, next: Next, fingerprint: Digest, now_ms: u64) {
+        self.queue.finish(next.key);
+        self.forget(key, next.key);
+        let entry = QueueEntry { alone: true, ..next.entry };
+        if let Err(reason) = self.push(key, entry, fingerprint, now_ms) {
+            self.refuse(key, reason, now_ms);
+        }
+    }
+
+    fn expire(&mut self, now_ms: u64) {
+        for dropped in self.queue.expire(now_ms) {
+            self.refuse_dropped(dropped, now_ms);
+        }
+    }
+
+    fn on_gate(&mut self, change: GateChange, now_ms: u64) {
+        if let GateChange::Closed(reason) = change {
+            self.hand_back(reason, now_ms);
+        }
+    }
+
+    fn hand_back(&mut self, reason: Reason, now_ms: u64) {
+        for dropped in self.queue.drain(reason) {
+            self.refuse_dropped(dropped, now_ms);
+        }
+    }
+
+    fn refuse_dropped(&mut self, dropped: Dropped, now_ms: u64) {
+        let Some(&key) = self.keys_by_entry.get(&dropped.key) else { return };
+        self.refuse(key, dropped.reason, now_ms);
+    }
+
+    fn refuse(&mut self, key: AttemptKey, reason: Reason, now_ms: u64) {
+        let refusal = Refusal::not_run(reason, self.retry_after_ms(reason));
+        self.ledger.refuse(key, refusal, now_ms);
+        let Some(waiting) = self.waiting.get(&key).copied() else { return };
+        self.forget(key, waiting.entry);
+        self.changed.push(waiting.attempt);
+    }
+
+    fn drop_waiting(&mut self, attempt: AttemptId) {
+        let Some(key) = self.ledger.key(attempt) else { return };
+        let Some(waiting) = self.waiting.get(&key).copied() else { return };
+        self.queue.remove(waiting.entry);
+        self.forget(key, waiting.entry);
+        self.changed.push(attempt);
+    }
+
+    fn forget(&mut self, key: AttemptKey, entry: EntryKey) {
+        self.waiting.remove(&key);
+        self.keys_by_entry.remove(&entry);
+    }
+
+    fn in_progress(&self) -> Vec<Digest> {
+        fingerprints(&self.calls)
+    }
+
+    fn retry_after_ms(&self, reason: Reason) -> u64 {
+        match reason {
+            Reason::Busy | Reason::CustomerShare | Reason::Cold | Reason::DeadlineUnreachable => {
+                let slots = u64::from(self.capacity.limit().max(1));
+                BUSY_RETRY_AFTER_MS.max(self.queue.queued_work_ms() / slots)
+            }
+            _ => CLOSED_RETRY_AFTER_MS,
+        }
+    }
+}
+
+fn fingerprints(calls: &FastMap<AttemptKey, Call>) -> Vec<Digest> {
+    calls.values().map(|it| it.waiting.fingerprint).collect()
+}
+
+fn call_end(result: &CallResult) -> CallEnd {
+    match result {
+        CallResult::Completed { .. } => CallEnd::Completed,
+        CallResult::Rejected { .. } => CallEnd::Failed,
+        CallResult::NotConnected | CallResult::Lost | CallResult::Cancelled => CallEnd::Abandoned,
+    }
+}
--- a/crates/core/src/attempt/page.rs
+++ b/crates/core/src/attempt/page.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::outcome::{Reason, Usage};
+use crate::outcome::{Execution, Reason, Usage};
 
 /// Part of an attempt's output.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -47,8 +47,8 @@
 pub struct AttemptFailure {
     /// Why the attempt did not complete.
     pub reason: Reason,
-    /// Whether the upstream itself reported the failure.
-    pub reported: bool,
+    /// What is known about the execution.
+    pub execution: Execution,
     /// HTTP status, if the upstream answered.
     pub status: Option<u16>,
     /// Resources consumed.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod accounting;
 pub mod admission;
+pub mod agent;
 pub mod attempt;
 pub mod capacity;
 pub mod control;
--- a/crates/core/src/routing/pool.rs
+++ b/crates/core/src/routing/pool.rs
@@ -1,5 +1,6 @@
 //! What one entry knows of the upstreams of a pool.
 
+use serde::{Deserialize, Serialize};
 use slotmap::{SecondaryMap, SlotMap};
 
 use crate::routing::{
@@ -13,7 +14,7 @@
 const LOAD_HALF_LIFE_MS: u64 = 2_000;
 
 /// Load of an upstream as its agent reported it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
     /// Calls in progress at the upstream.
     pub running: u32,
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -10,7 +10,7 @@
 use tokio_util::sync::CancellationToken;
 use yuccatrail_core::{ids::Incarnation, membership::InstanceRecord};
 use yuccatrail_rpc::{
-    messages::{Feedback, SyncReply, SyncRequest},
+    messages::{Echo, Feedback, SyncReply, SyncRequest},
     service::AgentClient,
     transport::{self, TransportError},
 };
@@ -33,6 +33,11 @@
 }
 
 impl Report {
+    /// Names the report in a later request.
+    fn echo(&self) -> Echo {
+        Echo { incarnation: self.feedback.incarnation, now_ms: self.feedback.now_ms }
+    }
+
     /// Converts a time on the entry's clock to the agent's clock.
     ///
     /// The agent read its clock before the entry received the report, so the result is never later
@@ -141,6 +146,8 @@
                 from: self.entry,
                 versions: self.control.versions(),
                 update: self.control.update_for(known),
+                age_ms: self.control.age_ms(self.clock.now_ms()),
+                echo: self.lock().report.as_ref().map(Report::echo),
                 strikes: Vec::new(),
             };
             let Ok(reply) = client.sync(context_for(HEARTBEAT_TIMEOUT), request).await else {
--- a/crates/entry/src/platform_feed.rs
+++ b/crates/entry/src/platform_feed.rs
@@ -33,12 +33,14 @@
 }
 
 async fn read(entry: &Arc<Entry>, client: &Client) -> Result<(), PlatformError> {
+    let sent_ms = entry.clock.now_ms();
     let config = client.get::<StoredConfig>(Kind::Environments, CURRENT).await?;
     let operations = client.get::<StoredOperations>(Kind::Operations, CURRENT).await?;
     let operations = operations.map_or_else(OperationsRecord::initial, |it| it.spec.record);
     let update =
         ControlUpdate { config: config.map(|it| it.spec.record), operations: Some(operations) };
     entry.control.adopt(update, SOURCE);
+    entry.control.confirm(sent_ms, 0);
     let listed = client.list::<InstanceRecord>(Kind::Instances).await?;
     let mut instances = Vec::new();
     for object in listed.objects {
--- a/crates/entry/src/run/attempt.rs
+++ b/crates/entry/src/run/attempt.rs
@@ -64,6 +64,7 @@
     agent: Incarnation,
     id: AttemptId,
     deadline_ms: u64,
+    dispatch_by_ms: u64,
     chunks: Vec<Bytes>,
 }
 
@@ -90,15 +91,16 @@
         return Err(Refusal::not_run(Reason::NoUpstream, LOST_RETRY_AFTER_MS));
     };
     let _in_flight = link.begin_attempt();
+    let submit = submit_request(entry, &report, request, &plan);
     let running = Running {
         entry,
         link,
         agent: report.feedback.incarnation,
         id: plan.id,
         deadline_ms: request.deadline_ms,
+        dispatch_by_ms: submit.dispatch_by_ms,
         chunks: Vec::new(),
     };
-    let submit = submit_request(entry, &report, request, plan);
     let first = client.submit(context_for(call_timeout(submit.wait_ms)), submit).await;
     running.follow(first, on_chunk).await
 }
@@ -107,21 +109,21 @@
     entry: &Entry,
     report: &Report,
     request: &RequestContext,
-    plan: AttemptPlan,
+    plan: &AttemptPlan,
 ) -> SubmitRequest {
     let deadline_ms = report.agent_time_ms(request.deadline_ms);
     SubmitRequest {
         versions: entry.versions(),
         attempt: plan.id,
         agent: report.feedback.incarnation,
-        pool: plan.pool,
+        pool: plan.pool.clone(),
         customer: request.customer.clone(),
         fingerprint: request.fingerprint,
         idempotent: plan.idempotent,
         dispatch_by_ms: deadline_ms,
         deadline_ms,
         estimate_ms: plan.estimate_ms,
-        call: plan.call,
+        call: plan.call.clone(),
         wait_ms: REPLY_WAIT_MS,
     }
 }
@@ -203,35 +205,38 @@
             {
                 Step::Done(completion)
             }
-            Progress::Failed(failure) => {
-                let execution =
-                    if failure.reported { Execution::Failed } else { Execution::Unknown };
-                Step::Failed(Refusal {
-                    reason: failure.reason,
-                    execution,
-                    retry_after_ms: LOST_RETRY_AFTER_MS,
-                })
-            }
+            Progress::Failed(failure) => Step::Failed(Refusal {
+                reason: failure.reason,
+                execution: failure.execution,
+                retry_after_ms: LOST_RETRY_AFTER_MS,
+            }),
             _ => Step::More,
         }
     }
 
+    /// Cancels the attempt; returns true when the agent confirms that it was never dispatched.
+    async fn cancel(&self, client: &AgentClient) -> bool {
+        let request = CancelRequest {
+            versions: self.entry.versions(),
+            attempt: self.id,
+            agent: self.agent,
+            dispatch_by_ms: self.dispatch_by_ms,
+        };
+        let Ok(reply) = client.cancel(context_for(CALL_MARGIN), request).await else {
+            return false;
+        };
+        matches!(reply.state, AttemptState::NotRun(_)) && reply.feedback.incarnation == self.agent
+    }
+
     /// Cancels the attempt and reports what the agent confirms about it.
     async fn give_up(&self, reason: Reason) -> Refusal {
         let Some((client, _)) = self.link.connection() else { return lost(reason) };
-        let confirmed = cancel(self.entry, &client, self.id, self.agent).await;
+        let confirmed = self.cancel(&client).await;
         info!(attempt:% = self.id, reason:% = reason, confirmed = confirmed; "attempt given up");
         if confirmed { Refusal::not_run(reason, LOST_RETRY_AFTER_MS) } else { lost(reason) }
     }
 }
 
-/// Cancels an attempt; returns true when the agent confirms that it was never dispatched.
-async fn cancel(entry: &Entry, client: &AgentClient, id: AttemptId, agent: Incarnation) -> bool {
-    let request = CancelRequest { versions: entry.versions(), attempt: id, agent };
-    let Ok(reply) = client.cancel(context_for(CALL_MARGIN), request).await else { return false };
-    matches!(reply.state, AttemptState::NotRun(_)) && reply.feedback.incarnation == agent
-}
-
 fn lost(reason: Reason) -> Refusal {
     Refusal { reason, execution: Execution::Unknown, retry_after_ms: LOST_RETRY_AFTER_MS }
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -6,7 +6,6 @@
 
 /// Settings of one entry process.
 #[derive(Clone, Debug)]
-#[expect(dead_code, reason = "the thin path does not use each setting yet")]
 pub(crate) struct Settings {
     /// Name of the entry instance in the platform's list.
     pub(crate) name: String,
--- a/crates/rpc/src/messages.rs
+++ b/crates/rpc/src/messages.rs
@@ -10,6 +10,7 @@
     control::{ControlUpdate, Versions},
     ids::{AttemptId, Digest, Incarnation},
     outcome::Refusal,
+    routing::LoadReport,
 };
 
 /// Asks a peer for newer control state and tells it what the sender holds.
@@ -21,10 +22,23 @@
     pub versions: Versions,
     /// Newer state that the receiver is known to lack.
     pub update: ControlUpdate,
+    /// Upper bound on the age of the sender's control state in milliseconds, if it was ever confirmed.
+    pub age_ms: Option<u64>,
+    /// The receiver's last reply, after which this request was made.
+    pub echo: Option<Echo>,
     /// Strikes against requests that the receiver may not know yet.
     pub strikes: Vec<Strike>,
 }
 
+/// Names the reply that a request follows, so that the receiver can tell how old the request is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Echo {
+    /// The run of the process that replied.
+    pub incarnation: Incarnation,
+    /// Time of the reply on that process's clock, in milliseconds since its start.
+    pub now_ms: u64,
+}
+
 /// Answers a [`SyncRequest`].
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct SyncReply {
@@ -43,27 +57,12 @@
     pub now_ms: u64,
     /// Versions of the control state that the process holds.
     pub versions: Versions,
-    /// Load of the upstream; all zero for an entry.
-    pub load: Load,
+    /// Load of the upstream.
+    pub load: LoadReport,
     /// Recent strikes against requests.
     pub strikes: Vec<Strike>,
 }
 
-/// Load of one upstream as its agent sees it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Load {
-    /// Calls in progress at the upstream.
-    pub running: u32,
-    /// Calls that wait in the agent.
-    pub queued: u32,
-    /// Calls that the upstream may run at once now.
-    pub limit: u32,
-    /// Whether the upstream is in a cold start.
-    pub cold: bool,
-    /// Whether the agent refuses new work.
-    pub draining: bool,
-}
-
 /// Asks an agent to run one attempt on its upstream.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct SubmitRequest {
@@ -79,7 +78,7 @@
     pub customer: String,
     /// Digest of the customer, target and body of the request.
     pub fingerprint: Digest,
-    /// Whether the call may be repeated.
+    /// Whether the call may be repeated, and so be cut when it is cancelled.
     pub idempotent: bool,
     /// Latest time of dispatch on the agent's clock, in milliseconds since its start.
     pub dispatch_by_ms: u64,
--- a/crates/runtime/src/control.rs
+++ b/crates/runtime/src/control.rs
@@ -7,6 +7,7 @@
 use yuccatrail_core::{
     control::{Adoption, ControlState, ControlUpdate, OperationsRecord, Versions},
     document::Document,
+    drain::{Freshness, FreshnessSettings},
     outcome::Reason,
 };
 
@@ -14,6 +15,7 @@
 #[derive(Debug)]
 pub struct SharedControl {
     state: Mutex<ControlState>,
+    freshness: Mutex<Freshness>,
     changed: watch::Sender<Versions>,
 }
 
@@ -21,7 +23,8 @@
     /// Creates the state of a process that has just started and holds nothing.
     pub fn new() -> Self {
         let (changed, _) = watch::channel(Versions::default());
-        Self { state: Mutex::new(ControlState::new()), changed }
+        let freshness = Mutex::new(Freshness::new(FreshnessSettings::default(), 0));
+        Self { state: Mutex::new(ControlState::new()), freshness, changed }
     }
 
     /// Returns the versions that the process holds.
@@ -64,6 +67,21 @@
         }
     }
 
+    /// Notes an answer about the control state; see [`Freshness::confirm`].
+    pub fn confirm(&self, sent_ms: u64, age_ms: u64) {
+        self.freshness.lock().unwrap_or_else(PoisonError::into_inner).confirm(sent_ms, age_ms);
+    }
+
+    /// Upper bound on the age of the control state, in milliseconds, if it was ever confirmed.
+    pub fn age_ms(&self, now_ms: u64) -> Option<u64> {
+        self.freshness.lock().unwrap_or_else(PoisonError::into_inner).age_ms(now_ms)
+    }
+
+    /// Passes the state to `read`, which must not block.
+    pub fn with<T>(&self, read: impl FnOnce(&ControlState) -> T) -> T {
+        read(&self.lock())
+    }
+
     /// Returns a receiver that is notified of each change.
     pub fn subscribe(&self) -> watch::Receiver<Versions> {
         self.changed.subscribe()
