--- /dev/null
+++ b/crates/core/tests/queue_fuzz.rs
@@ -0,0 +1,364 @@
+//! Fuzzes the queue against an oracle that knows only its promises.
+
+use std::cell::Cell;
+
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed, TestRunner},
+};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+use yuccatrail_core::{
+    FastMap,
+    ids::{AttemptId, Incarnation, RequestId, StageIndex},
+    outcome::Reason,
+    queue::{CustomerKey, EntryKey, Queue, QueueEntry},
+};
+
+const SEED: u64 = 7_002;
+const MAX_QUEUED: u32 = 12;
+const SHARES: [u32; 4] = [1, 1, 2, 4];
+
+/// Lead in work per share that one backlogged customer may gain over another, in milliseconds.
+const FAIRNESS_BOUND_MS: f64 = 250.0 + 2.0 * 100.0;
+
+#[derive(Clone, Debug)]
+struct PushSpec {
+    customer: usize,
+    estimate_ms: u64,
+    slack_ms: u64,
+    dispatch_ms: u64,
+    alone: bool,
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Advance(u64),
+    Push(PushSpec),
+    Pop,
+    Finish(usize),
+    Remove(usize),
+    Expire,
+    Drain,
+}
+
+fn push_spec() -> impl Strategy<Value = PushSpec> {
+    let alone = prop::bool::weighted(0.1);
+    (0..SHARES.len(), 1..100_u64, 0..400_u64, 0..500_u64, alone).prop_map(
+        |(customer, estimate_ms, slack_ms, dispatch_ms, alone)| PushSpec {
+            customer,
+            estimate_ms,
+            slack_ms,
+            dispatch_ms,
+            alone,
+        },
+    )
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        4 => (1..60_u64).prop_map(Event::Advance),
+        20 => push_spec().prop_map(Event::Push),
+        8 => Just(Event::Pop),
+        6 => (0..16_usize).prop_map(Event::Finish),
+        1 => (0..16_usize).prop_map(Event::Remove),
+        2 => Just(Event::Expire),
+        1 => Just(Event::Drain),
+    ]
+}
+
+struct Events;
+
+impl ReferenceStateMachine for Events {
+    type State = ();
+    type Transition = Event;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Event> {
+        event().boxed()
+    }
+
+    fn apply((): (), _: &Event) {}
+}
+
+fn is_late(entry: &QueueEntry, now_ms: u64) -> bool {
+    now_ms + entry.estimate_ms > entry.deadline_ms || now_ms > entry.dispatch_by_ms
+}
+
+/// Entries that wait or run, as the caller of the queue knows them.
+#[derive(Default)]
+struct Oracle {
+    waiting: FastMap<EntryKey, QueueEntry>,
+    running: FastMap<EntryKey, QueueEntry>,
+}
+
+impl Oracle {
+    fn waiting_of(&self, customer: CustomerKey) -> u64 {
+        self.waiting.values().filter(|it| it.customer == customer).count() as u64
+    }
+
+    /// Returns the part of the queue that `customer` may claim beside those that wait and `newcomer`.
+    fn part(&self, sut: &Sut, customer: CustomerKey, newcomer: CustomerKey) -> u64 {
+        let mut active = 0;
+        for (key, share) in sut.customers.iter().zip(SHARES) {
+            if *key == newcomer || self.waiting_of(*key) > 0 {
+                active += u64::from(share);
+            }
+        }
+        let position = sut.customers.iter().position(|it| *it == customer).unwrap();
+        u64::from(MAX_QUEUED) * u64::from(SHARES[position]) / active
+    }
+
+    fn check_pop(&self, now_ms: u64, entry: &QueueEntry) {
+        assert!(!is_late(entry, now_ms), "started too late to finish");
+        assert!(!self.running.values().any(|it| it.alone), "started beside an exclusive entry");
+        if entry.alone {
+            assert!(self.running.is_empty(), "exclusive entry started beside others");
+            return;
+        }
+        for other in self.waiting.values().filter(|it| it.customer == entry.customer) {
+            let is_earlier = other.deadline_ms < entry.deadline_ms;
+            assert!(!is_earlier || is_late(other, now_ms), "overtook an earlier deadline");
+        }
+    }
+
+    fn check_nothing_popped(&self, now_ms: u64) {
+        if self.running.values().any(|it| it.alone) {
+            return;
+        }
+        let mut startable = self.waiting.values().filter(|it| !is_late(it, now_ms));
+        let waits_for_idle = startable.clone().any(|it| it.alone) && !self.running.is_empty();
+        assert!(waits_for_idle || startable.next().is_none(), "nothing started although it could");
+    }
+}
+
+#[cfg(feature = "sabotage")]
+use yuccatrail_core::queue::Sabotage;
+#[cfg(not(feature = "sabotage"))]
+#[derive(Clone, Copy, Default)]
+struct Sabotage;
+
+thread_local! {
+    static SABOTAGE: Cell<Sabotage> = Cell::default();
+}
+
+struct Sut {
+    queue: Queue,
+    customers: Vec<CustomerKey>,
+    now_ms: u64,
+    pushes: u128,
+}
+
+impl Sut {
+    fn new(max_queued: u32) -> Self {
+        let mut queue = Queue::new(max_queued);
+        #[cfg(feature = "sabotage")]
+        queue.sabotage(SABOTAGE.get());
+        let mut customers = Vec::new();
+        for (number, share) in SHARES.iter().enumerate() {
+            customers.push(queue.customer(&number.to_string(), *share));
+        }
+        Self { queue, customers, now_ms: 0, pushes: 0 }
+    }
+
+    fn entry(&mut self, spec: &PushSpec) -> QueueEntry {
+        self.pushes += 1;
+        let attempt = AttemptId {
+            request: RequestId(self.pushes),
+            stage: StageIndex(0),
+            number: 0,
+            entry: Incarnation(1),
+        };
+        QueueEntry {
+            attempt,
+            customer: self.customers[spec.customer],
+            deadline_ms: self.now_ms + spec.slack_ms,
+            dispatch_by_ms: self.now_ms + spec.dispatch_ms,
+            estimate_ms: spec.estimate_ms,
+            alone: spec.alone,
+        }
+    }
+
+    fn push(&mut self, oracle: &mut Oracle, spec: &PushSpec) {
+        let entry = self.entry(spec);
+        let waiting = oracle.waiting.len() as u64;
+        let held = oracle.waiting_of(entry.customer);
+        let part = oracle.part(self, entry.customer, entry.customer);
+        let pushed = match self.queue.push(self.now_ms, entry) {
+            Ok(pushed) => pushed,
+            Err(Reason::DeadlineUnreachable | Reason::DispatchExpired) => {
+                assert!(is_late(&entry, self.now_ms), "refused although it fits");
+                return;
+            }
+            Err(reason) => {
+                assert!(matches!(reason, Reason::Busy | Reason::CustomerShare));
+                assert!(waiting >= u64::from(MAX_QUEUED), "refused by a queue with room");
+                assert!(held >= part, "refused a customer below its part");
+                return;
+            }
+        };
+
+        assert!(!is_late(&entry, self.now_ms), "accepted although it is too late");
+        if let Some(evicted) = pushed.evicted {
+            let evicted_part = oracle.part(self, evicted.entry.customer, entry.customer);
+            assert!(
+                oracle.waiting_of(evicted.entry.customer) > evicted_part,
+                "evicted within part"
+            );
+            let removed = oracle.waiting.remove(&evicted.key);
+            assert_eq!(removed, Some(evicted.entry));
+        }
+        assert_eq!(oracle.waiting.insert(pushed.key, entry), None);
+    }
+
+    fn pop(&mut self, oracle: &mut Oracle) {
+        let Some(next) = self.queue.pop(self.now_ms) else {
+            oracle.check_nothing_popped(self.now_ms);
+            return;
+        };
+        assert_eq!(oracle.waiting.remove(&next.key), Some(next.entry), "started what did not wait");
+        oracle.check_pop(self.now_ms, &next.entry);
+        oracle.running.insert(next.key, next.entry);
+    }
+
+    fn expire(&mut self, oracle: &mut Oracle) {
+        for dropped in self.queue.expire(self.now_ms) {
+            let removed = oracle.waiting.remove(&dropped.key).expect("dropped what did not wait");
+            assert!(is_late(&removed, self.now_ms), "dropped although it fits");
+        }
+        assert!(!oracle.waiting.values().any(|it| is_late(it, self.now_ms)), "kept a late entry");
+    }
+
+    fn apply_event(&mut self, oracle: &mut Oracle, event: &Event) {
+        match event {
+            Event::Advance(ms) => self.now_ms += ms,
+            Event::Push(spec) => self.push(oracle, spec),
+            Event::Pop => self.pop(oracle),
+            Event::Finish(index) => {
+                let Some(key) = nth_key(&oracle.running, *index) else { return };
+                assert_eq!(self.queue.finish(key), oracle.running.remove(&key));
+                assert_eq!(self.queue.finish(key), None);
+            }
+            Event::Remove(index) => {
+                let Some(key) = nth_key(&oracle.waiting, *index) else { return };
+                assert_eq!(self.queue.remove(key), oracle.waiting.remove(&key));
+                assert_eq!(self.queue.remove(key), None);
+            }
+            Event::Expire => self.expire(oracle),
+            Event::Drain => {
+                let drained = self.queue.drain(Reason::Leaving);
+                assert_eq!(drained.len(), oracle.waiting.len());
+                for dropped in drained {
+                    assert!(oracle.waiting.remove(&dropped.key).is_some());
+                }
+            }
+        }
+        assert!(self.queue.queued() <= MAX_QUEUED, "more entries than the limit");
+        assert_eq!(self.queue.queued() as usize, oracle.waiting.len());
+        assert_eq!(self.queue.running() as usize, oracle.running.len());
+    }
+}
+
+fn nth_key(entries: &FastMap<EntryKey, QueueEntry>, index: usize) -> Option<EntryKey> {
+    let mut keys: Vec<EntryKey> = entries.keys().copied().collect();
+    keys.sort_unstable();
+    keys.get(index % keys.len().max(1)).copied()
+}
+
+struct QueueTest {
+    sut: Sut,
+    oracle: Oracle,
+}
+
+impl StateMachineTest for QueueTest {
+    type SystemUnderTest = Self;
+    type Reference = Events;
+
+    fn init_test((): &()) -> Self {
+        Self { sut: Sut::new(MAX_QUEUED), oracle: Oracle::default() }
+    }
+
+    fn apply(mut test: Self, (): &(), event: Event) -> Self {
+        test.sut.apply_event(&mut test.oracle, &event);
+        test
+    }
+}
+
+fn config() -> Config {
+    Config {
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+fn run(sabotage: Sabotage) -> Result<(), String> {
+    SABOTAGE.set(sabotage);
+    let strategy = Events::sequential_strategy(1..200);
+    let result = TestRunner::new(config()).run(&strategy, |(state, events, seen)| {
+        QueueTest::test_sequential(config(), state, events, seen);
+        Ok(())
+    });
+    result.map_err(|it| it.to_string())
+}
+
+/// Keeps all customers backlogged and compares the work that each was given per share.
+fn run_fairness(sabotage: Sabotage) -> Result<(), String> {
+    SABOTAGE.set(sabotage);
+    let strategy = prop::collection::vec((push_spec(), 1..1_000_u64), 200..400);
+    let result = TestRunner::new(config()).run(&strategy, |specs| {
+        let mut sut = Sut::new(10_000);
+        let mut left = [0; SHARES.len()];
+        for (spec, extra_ms) in &specs {
+            let spec = PushSpec {
+                slack_ms: 100_000 + spec.slack_ms + extra_ms * spec.customer as u64,
+                dispatch_ms: 1_000_000,
+                alone: false,
+                ..spec.clone()
+            };
+            let entry = sut.entry(&spec);
+            sut.queue.push(0, entry).unwrap();
+            left[spec.customer] += 1;
+        }
+
+        let mut work_per_share = [0.0; SHARES.len()];
+        while let Some(next) = sut.queue.pop(0) {
+            sut.queue.finish(next.key);
+            let customer = sut.customers.iter().position(|it| *it == next.entry.customer).unwrap();
+            let work = next.entry.estimate_ms as f64 / f64::from(SHARES[customer]);
+            work_per_share[customer] += work;
+            left[customer] -= 1;
+            if left.contains(&0) {
+                break;
+            }
+            let most = work_per_share.iter().copied().fold(0.0, f64::max);
+            let least = work_per_share.iter().copied().fold(f64::MAX, f64::min);
+            prop_assert!(most - least <= FAIRNESS_BOUND_MS, "lead of {}", most - least);
+        }
+        Ok(())
+    });
+    result.map_err(|it| it.to_string())
+}
+
+#[test]
+fn every_entry_leaves_once_and_starts_only_in_time() {
+    run(Sabotage::default()).unwrap();
+}
+
+#[test]
+fn backlogged_customers_receive_work_by_share() {
+    run_fairness(Sabotage::default()).unwrap();
+}
+
+#[cfg(feature = "sabotage")]
+#[test]
+fn oracle_notices_each_disabled_mechanism() {
+    let mechanisms =
+        [Sabotage::IgnoreAlone, Sabotage::StartExpired, Sabotage::NoEviction, Sabotage::Unbounded];
+    for sabotage in mechanisms {
+        assert!(run(sabotage).is_err(), "{sabotage:?} went unnoticed");
+    }
+    assert!(run_fairness(Sabotage::IgnoreShares).is_err());
+}
