--- a/crates/core/src/routing/health.rs
+++ b/crates/core/src/routing/health.rs
@@ -101,8 +101,22 @@
 
     /// Notes a failure; returns whether the upstream should be ejected.
     pub(crate) fn on_failure(&mut self) -> bool {
-        self.consecutive_failures += 1;
-        self.consecutive_failures >= EJECT_FAILURES || matches!(self.state, State::Probing { .. })
+        match self.state {
+            State::InService => {
+                self.consecutive_failures += 1;
+                self.consecutive_failures >= EJECT_FAILURES
+            }
+            State::Probing { .. } => true,
+            // The attempt was sent before the ejection, which has been counted.
+            State::Ejected { .. } => false,
+        }
+    }
+
+    /// Notes that an attempt did not run, so that another one may decide about the return.
+    pub(crate) fn on_not_run(&mut self, now_ms: u64) {
+        if matches!(self.state, State::Probing { .. }) {
+            self.state = State::Ejected { until_ms: now_ms };
+        }
     }
 
     /// Tells whether the upstream is so much slower than its pool that it should be ejected.
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -13,6 +13,8 @@
 
 use slotmap::new_key_type;
 
+#[cfg(feature = "sabotage")]
+pub use crate::routing::pool::Sabotage;
 pub use crate::routing::{
     choose::{
         Candidate, Choice, ChoiceReason, NoChoice, Policy, RandomNumbers, RouteContext, choose,
--- a/crates/core/src/routing/pool.rs
+++ b/crates/core/src/routing/pool.rs
@@ -59,6 +59,25 @@
     NotRun,
 }
 
+/// Mechanisms that tests switch off.
+#[cfg(feature = "sabotage")]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Sabotage {
+    /// Everything works.
+    #[default]
+    None,
+    /// Attempts sent since the last reply don't count.
+    IgnoreOwnAttempts,
+    /// Upstreams count as warm.
+    IgnoreCold,
+    /// Upstreams that were tried may be chosen again.
+    IgnoreTried,
+    /// Any number of upstreams may be ejected.
+    EjectAll,
+    /// An ejected upstream receives everything as soon as its backoff is over.
+    ReturnAtOnce,
+}
+
 #[derive(Clone, Debug)]
 struct Upstream {
     stable_id: u64,
@@ -75,6 +94,8 @@
     upstreams: SlotMap<UpstreamKey, Upstream>,
     health: SecondaryMap<UpstreamKey, Health>,
     hints: PrefixHints,
+    #[cfg(feature = "sabotage")]
+    sabotage: Sabotage,
 }
 
 impl PoolView {
@@ -83,6 +104,12 @@
         Self::default()
     }
 
+    /// Switches one mechanism off.
+    #[cfg(feature = "sabotage")]
+    pub fn sabotage(&mut self, sabotage: Sabotage) {
+        self.sabotage = sabotage;
+    }
+
     /// Adds an upstream, which counts as cold until its agent replies.
     ///
     /// `stable_id` names the upstream alike in all entries, such as a hash of its name.
@@ -117,6 +144,10 @@
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
         upstream.sent_since_reply += 1;
         upstream.in_flight += 1;
+        #[cfg(feature = "sabotage")]
+        if self.sabotage == Sabotage::ReturnAtOnce {
+            return;
+        }
         self.health[key].on_sent(now_ms);
     }
 
@@ -141,7 +172,10 @@
                 self.is_outlier(key)
             }
             AttemptEnd::Failed => self.health[key].on_failure(),
-            AttemptEnd::NotRun => false,
+            AttemptEnd::NotRun => {
+                self.health[key].on_not_run(now_ms);
+                false
+            }
         };
         if eject && self.may_eject(now_ms, key) {
             self.health[key].eject(now_ms);
@@ -180,9 +214,26 @@
                 tried: tried.contains(&key),
             });
         }
+        #[cfg(feature = "sabotage")]
+        self.sabotage_candidates(&mut candidates);
         candidates
     }
 
+    #[cfg(feature = "sabotage")]
+    fn sabotage_candidates(&self, candidates: &mut [Candidate]) {
+        for candidate in candidates {
+            match self.sabotage {
+                Sabotage::IgnoreOwnAttempts => {
+                    candidate.sent_since_reply = 0;
+                    candidate.in_flight = 0;
+                }
+                Sabotage::IgnoreCold => candidate.load.cold = false,
+                Sabotage::IgnoreTried => candidate.tried = false,
+                _ => {}
+            }
+        }
+    }
+
     /// Returns the load of the upstreams that may receive work.
     pub fn load(&self, now_ms: u64) -> PoolLoad {
         let mut pool = PoolLoad::default();
@@ -214,6 +265,10 @@
 
     /// Tells whether the ejection of one more upstream leaves at least half of the pool.
     fn may_eject(&self, now_ms: u64, key: UpstreamKey) -> bool {
+        #[cfg(feature = "sabotage")]
+        if self.sabotage == Sabotage::EjectAll {
+            return true;
+        }
         let in_service = |it: UpstreamKey| self.health[it].standing(now_ms) == Standing::InService;
         let ejected = self.upstreams.keys().filter(|&it| it != key && !in_service(it)).count();
         (ejected + 1) * 2 <= self.upstreams.len()
--- a/crates/core/tests/capacity_fuzz.rs
+++ b/crates/core/tests/capacity_fuzz.rs
@@ -215,11 +215,8 @@
 
 fn run(sabotage: Sabotage) -> Result<(), String> {
     SABOTAGE.set(sabotage);
-    let config = Config {
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..Config::default()
-    };
+    let config =
+        Config { rng_seed: RngSeed::Fixed(SEED), failure_persistence: None, ..Config::default() };
     let strategy = Events::sequential_strategy(1..200);
     let result = TestRunner::new(config.clone()).run(&strategy, |(state, events, seen)| {
         Sut::test_sequential(config.clone(), state, events, seen);
--- a/crates/core/tests/queue_fuzz.rs
+++ b/crates/core/tests/queue_fuzz.rs
@@ -287,11 +287,7 @@
 }
 
 fn config() -> Config {
-    Config {
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..Config::default()
-    }
+    Config { rng_seed: RngSeed::Fixed(SEED), failure_persistence: None, ..Config::default() }
 }
 
 fn run(sabotage: Sabotage) -> Result<(), String> {
