Add at_most_once slice

One claim object per key, created if absent, decides which request may dispatch; lost answers are settled by reading the claim back and comparing the token, and an unsettled claim is fenced in the background after the refusal.

A not_run about a call whose claim could not be read would be false for a copy of a call that ran earlier, so it is said only if the caller states that this is its only copy; else the refusal says unknown.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! current time in milliseconds together with an event and returns plain values that tell the caller
 //! what to do, so the same code runs in the daemons, under fuzzing and inside other programs.
 
+pub mod at_most_once;
 pub mod attempt;
 pub mod control;
 pub mod document;
--- a/crates/core/src/sabotage.rs
+++ b/crates/core/src/sabotage.rs
@@ -36,6 +36,8 @@
     ForeignClaimUnknown,
     /// A request that is given up before its claim is settled is reported as not run.
     UnsettledClaimUnknown,
+    /// A report about an earlier dispatch counts for the present one.
+    DispatchNumber,
     /// The expiry of the dispatch permission is ignored.
     DispatchPermission,
     /// A stop condemns every request in progress after enough strikes, whether it ran alone or not.
