--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -1,3 +1,4 @@
-//! Small stand-ins for the services around yuccatrail, for tests and demonstrations.
+//! Small stand-ins for the systems around yuccatrail, for tests, demonstrations and measurements.
 
 pub mod platform;
+pub mod upstream;
--- a/crates/fakes/src/commands/platform.rs
+++ b/crates/fakes/src/platform_command.rs
@@ -4,16 +4,17 @@
 
 use bpaf::{Parser, construct, long};
 use yuccatrail_fakes::platform::{FakePlatform, FakeSettings, Seed, SeedError};
+use yuccatrail_runtime::shutdown;
 
 /// Arguments of the subcommand.
 #[derive(Clone, Debug)]
-pub(crate) struct Arguments {
+pub(crate) struct PlatformArguments {
     listen: SocketAddr,
     seed_file: Option<PathBuf>,
 }
 
-/// Parses the arguments.
-pub(crate) fn arguments() -> impl Parser<Arguments> {
+/// Parses the subcommand.
+pub(crate) fn options() -> impl Parser<PlatformArguments> {
     let listen = long("listen")
         .help("Address to listen on; port 0 selects a free port")
         .argument::<SocketAddr>("ADDRESS")
@@ -23,11 +24,15 @@
         .help("JSON list of objects to start with, in the form of the object API")
         .argument::<PathBuf>("FILE")
         .optional();
-    construct!(Arguments { listen, seed_file })
+    construct!(PlatformArguments { listen, seed_file })
+        .to_options()
+        .descr("Run a stand-in of the platform's object API")
+        .command("platform")
 }
 
-/// Serves until the process is stopped by Ctrl-C.
-pub(crate) async fn run(arguments: Arguments) -> ExitCode {
+/// Runs the stand-in until it is asked to stop.
+pub(crate) async fn run(arguments: PlatformArguments) -> ExitCode {
+    let Ok(stop) = shutdown::stop_signal() else { return ExitCode::FAILURE };
     let seed = match read_seed(arguments.seed_file) {
         Ok(seed) => seed,
         Err(error) => {
@@ -45,10 +50,7 @@
     };
     platform.seed(seed);
     println!("listening {}", platform.address());
-    // Without a signal handler the process can only be killed, so it serves on.
-    if tokio::signal::ctrl_c().await.is_err() {
-        std::future::pending::<()>().await;
-    }
+    stop.cancelled().await;
     platform.close().await;
     ExitCode::SUCCESS
 }
