Write author tokens as hexadecimal text in JSON

Cause: a stored configuration did not survive the platform: JSON numbers beyond 64 bits become floating-point numbers in most stores, so an author could not find its own change after a lost answer. Ruled out: serde_json's arbitrary_precision, which helps this process but not the store. Before: a_stored_configuration_survives_the_json_of_the_platform failed; after: it passes.

--- a/crates/core/src/control/promote.rs
+++ b/crates/core/src/control/promote.rs
@@ -1,6 +1,6 @@
 //! Acceptance of an operator's change by one conditional update on the platform.
 
-use std::sync::Arc;
+use std::{num::ParseIntError, sync::Arc};
 
 use derive_more::{Display, From};
 use serde::{Deserialize, Serialize};
@@ -20,8 +20,24 @@
     Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, From, Serialize, Deserialize,
 )]
 #[display("{_0:032x}")]
+#[serde(into = "String", try_from = "String")]
 pub struct AuthorToken(pub u128);
 
+impl From<AuthorToken> for String {
+    fn from(author: AuthorToken) -> Self {
+        author.to_string()
+    }
+}
+
+impl TryFrom<String> for AuthorToken {
+    type Error = ParseIntError;
+
+    /// Reads the hexadecimal form; as a number the token would lose digits in JSON.
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        u128::from_str_radix(&text, 16).map(Self)
+    }
+}
+
 /// Answer of the platform to the last action of a flow.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PromoteEvent<T> {
--- a/crates/fakes/tests/platform_api.rs
+++ b/crates/fakes/tests/platform_api.rs
@@ -1,6 +1,12 @@
 //! The platform client against the stand-in.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
+use yuccatrail_core::{
+    control::{AuthorToken, ConfigRecord, HistoryEntry, Stored, StoredConfig},
+    ids::Digest,
+};
 use yuccatrail_fakes::platform::{FakePlatform, FakeSettings, Outage, Switches};
 use yuccatrail_platform::{
     Client, ClientSettings, Kind, PlatformError, ResourceVersion, WatchEvent,
@@ -135,3 +141,18 @@
     let write = client.create(Kind::Claims, "a", &spec("one")).await;
     assert!(matches!(write, Err(PlatformError::Unavailable { .. })));
 }
+
+#[tokio::test]
+async fn a_stored_configuration_survives_the_json_of_the_platform() {
+    let (platform, client) = start().await;
+    let text = "[[customer]]\nname = \"acme\"\n";
+    let record =
+        ConfigRecord { version: 1, digest: Digest::of(text.as_bytes()), text: Arc::from(text) };
+    let entry =
+        HistoryEntry { version: 1, digest: record.digest, author: AuthorToken(u128::MAX - 1) };
+    let stored = Stored { record, history: vec![entry] };
+    client.create(Kind::Environments, "current", &stored).await.unwrap();
+    let read = client.get::<StoredConfig>(Kind::Environments, "current").await.unwrap();
+    assert_eq!(read.map(|it| it.spec), Some(stored));
+    platform.close().await;
+}
