Add a watcher that lists, watches, resumes and lists again

Cause: processes have to follow the control state through outages of the platform. A watch that ends is resumed from the last change or bookmark; only Gone, or a long silence without any bookmark, costs another list, because a list may carry a megabyte. Ruled out: listing after each cut watch (33 KB/s for a 1 MB document every 30 s).

--- a/crates/fakes/tests/platform_api.rs
+++ b/crates/fakes/tests/platform_api.rs
@@ -2,14 +2,19 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, StatusCode};
+use hyper_util::{client::legacy, rt::TokioExecutor};
 use serde::{Deserialize, Serialize};
 use yuccatrail_core::{
     control::{AuthorToken, ConfigRecord, HistoryEntry, Stored, StoredConfig},
     ids::Digest,
 };
-use yuccatrail_fakes::platform::{FakePlatform, FakeSettings, Outage, Switches};
+use yuccatrail_fakes::platform::{Counters, FakePlatform, FakeSettings, Outage, Switches};
 use yuccatrail_platform::{
-    Client, ClientSettings, Kind, PlatformError, ResourceVersion, WatchEvent,
+    BudgetSettings, CallCounts, Client, ClientSettings, Kind, MAX_VALUE_BYTES, PlatformError,
+    ResourceVersion, WatchEvent,
 };
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -156,3 +161,99 @@
     assert_eq!(read.map(|it| it.spec), Some(stored));
     platform.close().await;
 }
+
+#[tokio::test]
+async fn an_oversized_value_is_refused_before_it_is_sent() {
+    let (platform, client) = start().await;
+    let large = spec(&"x".repeat(MAX_VALUE_BYTES));
+    let refused = client.create(Kind::Claims, "a", &large).await;
+    let Err(PlatformError::TooLarge { object, limit_bytes, .. }) = refused else {
+        panic!("a value above the limit is not sent")
+    };
+    assert_eq!((object.as_str(), limit_bytes), ("claims/a", MAX_VALUE_BYTES));
+    assert_eq!(platform.counters().writes, 0);
+    platform.close().await;
+}
+
+#[tokio::test]
+async fn a_name_that_does_not_fit_into_a_path_is_refused() {
+    let (platform, client) = start().await;
+    for name in ["", "../current", "Current", "a?b", "-a"] {
+        let read = client.get::<Spec>(Kind::Claims, name).await;
+        assert!(matches!(read, Err(PlatformError::Invalid { .. })), "{name:?}");
+    }
+    assert_eq!(platform.counters().reads, 0);
+    platform.close().await;
+}
+
+#[tokio::test]
+async fn the_platform_limits_the_rate_of_writes() {
+    let settings = FakeSettings { writes_per_second: 1.0, ..FakeSettings::default() };
+    let platform = FakePlatform::start(settings).await.unwrap();
+    let client = Client::new(self::settings(&platform));
+    let mut refused = 0;
+    for number in 0..5 {
+        match client.create(Kind::Claims, &format!("c{number}"), &spec("one")).await {
+            Ok(_) => {}
+            Err(PlatformError::Unavailable { retry_after_ms: Some(1_000), .. }) => refused += 1,
+            Err(other) => panic!("{other}"),
+        }
+    }
+    let counters = platform.counters();
+    assert!(refused > 0);
+    assert_eq!((counters.limited, counters.effects), (refused, 5 - refused));
+    platform.close().await;
+}
+
+#[tokio::test]
+async fn the_call_budget_refuses_before_it_sends() {
+    let platform = FakePlatform::start(FakeSettings::default()).await.unwrap();
+    let budget =
+        BudgetSettings { writes_per_second: 0.001, max_wait_ms: 1, ..BudgetSettings::default() };
+    let client = Client::new(ClientSettings { budget, ..settings(&platform) });
+    client.create(Kind::Claims, "a", &spec("one")).await.unwrap();
+    let refused = client.create(Kind::Claims, "b", &spec("one")).await;
+    assert!(matches!(refused, Err(PlatformError::Unavailable { .. })));
+    client.get::<Spec>(Kind::Claims, "a").await.unwrap();
+    let expected = CallCounts { reads: 1, writes: 1, watches: 0, refused: 1 };
+    assert_eq!(client.counts(), expected);
+    assert_eq!(platform.counters().writes, 1);
+    platform.close().await;
+}
+
+#[tokio::test]
+async fn the_instance_list_lags_and_other_kinds_do_not() {
+    let (platform, client) = start().await;
+    client.create(Kind::Instances, "early", &spec("one")).await.unwrap();
+    let lag = Switches { instances_lag_ms: 3_600_000, ..Switches::default() };
+    platform.set_switches(lag);
+    client.create(Kind::Instances, "late", &spec("one")).await.unwrap();
+    client.create(Kind::Leases, "late", &spec("one")).await.unwrap();
+    assert!(client.list::<Spec>(Kind::Instances).await.unwrap().objects.is_empty());
+    assert_eq!(client.list::<Spec>(Kind::Leases).await.unwrap().objects.len(), 1);
+    platform.set_switches(Switches::default());
+    assert_eq!(client.list::<Spec>(Kind::Instances).await.unwrap().objects.len(), 2);
+    platform.close().await;
+}
+
+#[tokio::test]
+async fn switches_and_counters_are_reached_over_http() {
+    let (platform, _) = start().await;
+    let http = legacy::Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
+    let base = format!("http://{}/fake", platform.address());
+    let switches = r#"{ "outage": "reset", "lost_answers": 2 }"#;
+    let request = Request::put(format!("{base}/switches")).body(Full::from(switches)).unwrap();
+    assert_eq!(http.request(request).await.unwrap().status(), StatusCode::OK);
+    let expected = Switches { outage: Some(Outage::Reset), lost_answers: 2, ..Switches::default() };
+    assert_eq!(platform.switches(), expected);
+
+    // The admin path answers during an outage, so that a harness can end it.
+    let answer = http.get(format!("{base}/counters").parse().unwrap()).await.unwrap();
+    let body = answer.into_body().collect().await.unwrap().to_bytes();
+    assert_eq!(serde_json::from_slice::<Counters>(&body).unwrap(), platform.counters());
+
+    let unknown = r#"{ "colour": 1 }"#;
+    let request = Request::put(format!("{base}/switches")).body(Full::from(unknown)).unwrap();
+    assert_eq!(http.request(request).await.unwrap().status(), StatusCode::BAD_REQUEST);
+    platform.close().await;
+}
--- /dev/null
+++ b/crates/fakes/tests/watcher.rs
@@ -0,0 +1,158 @@
+//! The watcher against the stand-in: outages, forgotten history, resume and silence.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::sync::mpsc::Receiver;
+use tokio_util::sync::CancellationToken;
+use yuccatrail_fakes::platform::{FakePlatform, FakeSettings, Outage, Switches};
+use yuccatrail_platform::{
+    BackoffSettings, Client, ClientSettings, Kind, Object, WatchUpdate, Watcher, WatcherSettings,
+};
+
+/// Longest wait for one update; only a failing test gets there.
+const UPDATE_TIMEOUT: Duration = Duration::from_secs(20);
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Spec {
+    number: u32,
+}
+
+struct Fixture {
+    platform: FakePlatform,
+    client: Client,
+    watcher: Watcher,
+    updates: Receiver<WatchUpdate<Spec>>,
+}
+
+impl Fixture {
+    async fn start(max_silence_ms: u64) -> Self {
+        let platform = FakePlatform::start(FakeSettings::default()).await.unwrap();
+        let client = Client::new(ClientSettings {
+            address: platform.address(),
+            request_timeout_ms: 300,
+            watch_timeout_s: 1,
+            ..ClientSettings::default()
+        });
+        client.create(Kind::Operations, "first", &Spec { number: 0 }).await.unwrap();
+        let settings = WatcherSettings {
+            backoff: BackoffSettings { first_ms: 10, max_ms: 50 },
+            max_silence_ms,
+            ..WatcherSettings::default()
+        };
+        let cancel = CancellationToken::new();
+        let (watcher, updates) =
+            Watcher::start(client.clone(), Kind::Operations, settings, &cancel);
+        Self { platform, client, watcher, updates }
+    }
+
+    async fn create(&self, name: &str, number: u32) -> Object<Spec> {
+        self.client.create(Kind::Operations, name, &Spec { number }).await.unwrap()
+    }
+
+    async fn next(&mut self) -> WatchUpdate<Spec> {
+        let next = tokio::time::timeout(UPDATE_TIMEOUT, self.updates.recv()).await;
+        next.expect("an update arrives").expect("the watcher runs")
+    }
+
+    async fn next_snapshot(&mut self) -> Vec<Object<Spec>> {
+        match self.next().await {
+            WatchUpdate::Snapshot(objects) => objects,
+            other => panic!("a snapshot instead of {other:?}"),
+        }
+    }
+
+    async fn close(self) {
+        self.watcher.close().await;
+        self.platform.close().await;
+    }
+}
+
+#[tokio::test]
+async fn lists_then_delivers_changes_over_several_watches_without_a_gap() {
+    let mut fixture = Fixture::start(60_000).await;
+    assert_eq!(fixture.next_snapshot().await.len(), 1);
+    let mut written = Vec::new();
+    for number in 0..30 {
+        written.push(WatchUpdate::Changed(fixture.create(&format!("n{number}"), number).await));
+        tokio::time::sleep(Duration::from_millis(80)).await;
+    }
+    for expected in written {
+        assert_eq!(fixture.next().await, expected);
+    }
+    assert!(fixture.platform.counters().watches >= 2, "the watch was resumed at least once");
+    assert_eq!(fixture.client.counts().reads, 1, "resuming needs no further list");
+    fixture.close().await;
+}
+
+#[tokio::test]
+async fn resumes_after_each_kind_of_outage() {
+    let mut fixture = Fixture::start(60_000).await;
+    fixture.next_snapshot().await;
+    for (number, outage) in
+        [Outage::Unavailable, Outage::Reset, Outage::Hang].into_iter().enumerate()
+    {
+        let down = Switches { outage: Some(outage), ..Switches::default() };
+        fixture.platform.set_switches(down);
+        assert!(matches!(fixture.next().await, WatchUpdate::Unavailable(_)), "{outage:?}");
+        fixture.platform.set_switches(Switches::default());
+        let created = fixture.create(&format!("after-{number}"), 1).await;
+        assert_eq!(fixture.next().await, WatchUpdate::Available, "{outage:?}");
+        assert_eq!(fixture.next().await, WatchUpdate::Changed(created), "{outage:?}");
+    }
+    assert_eq!(fixture.client.counts().reads, 1, "resuming needs no further list");
+    fixture.close().await;
+}
+
+#[tokio::test]
+async fn lists_again_when_the_platform_forgot_the_history() {
+    let mut fixture = Fixture::start(60_000).await;
+    fixture.next_snapshot().await;
+    let down = Switches { outage: Some(Outage::Reset), ..Switches::default() };
+    fixture.platform.set_switches(down);
+    assert!(matches!(fixture.next().await, WatchUpdate::Unavailable(_)));
+
+    // Another client writes while the watcher sees nothing but failures.
+    fixture.platform.set_switches(Switches { silent_watches: true, ..Switches::default() });
+    let created = fixture.create("second", 2).await;
+    fixture.platform.compact();
+    fixture.platform.set_switches(Switches::default());
+
+    let mut update = fixture.next().await;
+    if update == WatchUpdate::Available {
+        update = fixture.next().await;
+    }
+    let WatchUpdate::Snapshot(objects) = update else { panic!("a snapshot instead of {update:?}") };
+    assert!(objects.contains(&created));
+    assert_eq!(objects.len(), 2);
+    fixture.close().await;
+}
+
+#[tokio::test]
+async fn lists_again_when_watches_stay_silent() {
+    let mut fixture = Fixture::start(500).await;
+    fixture.platform.set_switches(Switches { silent_watches: true, ..Switches::default() });
+    let created = fixture.create("second", 2).await;
+    for _ in 0..10 {
+        if fixture.next_snapshot().await.contains(&created) {
+            fixture.close().await;
+            return;
+        }
+    }
+    panic!("a later list shows the change");
+}
+
+#[tokio::test]
+async fn stops_when_its_consumer_is_gone() {
+    let mut fixture = Fixture::start(60_000).await;
+    fixture.next_snapshot().await;
+    fixture.updates.close();
+    fixture.create("second", 2).await;
+    let finished = async {
+        while !fixture.watcher.is_finished() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(UPDATE_TIMEOUT, finished).await.expect("the watcher stops by itself");
+    fixture.close().await;
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,18 +5,22 @@
 //! `metadata.resourceVersion`, and failures are answered with a `Status` object.
 
 mod answer;
+mod backoff;
 mod budget;
 mod client;
 mod error;
 mod object;
 mod settings;
 mod watch;
+mod watcher;
 mod wire;
 
+pub use backoff::{Backoff, BackoffSettings};
 pub use budget::{CallBudget, CallCounts, CallKind, TokenBucket};
 pub use client::Client;
 pub use error::PlatformError;
 pub use object::{Kind, Object, ObjectList, ResourceVersion};
 pub use settings::{BudgetSettings, ClientSettings};
 pub use watch::{Watch, WatchEvent};
+pub use watcher::{WatchUpdate, Watcher, WatcherSettings};
 pub use wire::{API_VERSION, MAX_VALUE_BYTES};
