--- a/crates/agent/src/executor.rs
+++ b/crates/agent/src/executor.rs
@@ -11,7 +11,6 @@
 use tokio::sync::Notify;
 use yuccatrail_core::{
     FastMap,
-    control::Versions,
     ids::{AttemptId, Incarnation},
     outcome::{Reason, Refusal, Usage},
 };
@@ -19,7 +18,7 @@
     AttemptFailure, AttemptReply, AttemptState, Completion, Feedback, Load, OutputPage, Progress,
     SubmitRequest, UpstreamCall,
 };
-use yuccatrail_runtime::clock::Clock;
+use yuccatrail_runtime::{clock::Clock, control::SharedControl};
 
 use crate::upstream::{AnswerHead, CallError, UpstreamClient};
 
@@ -44,6 +43,7 @@
     incarnation: Incarnation,
     clock: Clock,
     upstream: UpstreamClient,
+    control: Arc<SharedControl>,
     state: Mutex<State>,
 }
 
@@ -53,9 +53,10 @@
         incarnation: Incarnation,
         clock: Clock,
         upstream: UpstreamClient,
+        control: Arc<SharedControl>,
     ) -> Arc<Self> {
         let state = State { records: FastMap::default(), queue: VecDeque::new(), running: 0 };
-        Arc::new(Self { incarnation, clock, upstream, state: Mutex::new(state) })
+        Arc::new(Self { incarnation, clock, upstream, control, state: Mutex::new(state) })
     }
 
     /// Accepts or refuses an attempt and waits for its first output.
@@ -110,7 +111,7 @@
         Feedback {
             incarnation: self.incarnation,
             now_ms: self.clock.now_ms(),
-            versions: Versions::default(),
+            versions: self.control.versions(),
             load,
             strikes: Vec::new(),
         }
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -14,18 +14,24 @@
     service::Agent,
     transport,
 };
+use yuccatrail_runtime::control::SharedControl;
 
 use crate::executor::Executor;
 
 /// Answers the calls of one connection.
 #[derive(Clone)]
-struct Connection {
-    executor: Arc<Executor>,
+pub(crate) struct Connection {
+    /// Runs the attempts.
+    pub(crate) executor: Arc<Executor>,
+    /// Control state of the agent.
+    pub(crate) control: Arc<SharedControl>,
 }
 
 impl Agent for Connection {
-    async fn sync(self, _: Context, _request: SyncRequest) -> SyncReply {
-        SyncReply { feedback: self.executor.feedback(), update: Default::default() }
+    async fn sync(self, _: Context, request: SyncRequest) -> SyncReply {
+        self.control.adopt(request.update, "entry");
+        let update = self.control.update_for(request.versions);
+        SyncReply { feedback: self.executor.feedback(), update }
     }
 
     async fn submit(self, _: Context, request: SubmitRequest) -> AttemptReply {
@@ -43,7 +49,7 @@
 }
 
 /// Accepts connections until `stop` is cancelled.
-pub(crate) async fn serve(listener: TcpListener, executor: Arc<Executor>, stop: CancellationToken) {
+pub(crate) async fn serve(listener: TcpListener, connection: Connection, stop: CancellationToken) {
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -54,14 +60,14 @@
             tokio::time::sleep(Duration::from_millis(10)).await;
             continue;
         };
-        tokio::spawn(serve_connection(stream, executor.clone()));
+        tokio::spawn(serve_connection(stream, connection.clone()));
     }
 }
 
-async fn serve_connection(stream: TcpStream, executor: Arc<Executor>) {
+async fn serve_connection(stream: TcpStream, connection: Connection) {
     let Ok(transport) = transport::accept(stream).await else { return };
     let channel = BaseChannel::with_defaults(Box::pin(transport));
-    channel.execute(Connection { executor }.serve()).for_each(spawn).await;
+    channel.execute(connection.serve()).for_each(spawn).await;
 }
 
 async fn spawn(response: impl Future<Output = ()> + Send + 'static) {
--- a/crates/agent/src/upstream.rs
+++ b/crates/agent/src/upstream.rs
@@ -75,6 +75,7 @@
     }
 
     /// Asks the upstream for its health.
+    #[expect(dead_code, reason = "the thin path does not probe yet")]
     pub(crate) async fn probe(&self) -> Result<Health, CallError> {
         let request = Request::get(self.url("/health")).body(Full::default());
         let Ok(request) = request else { return Err(CallError::NotConnected) };
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,13 +4,23 @@
 //! current time in milliseconds together with an event and returns plain values that tell the caller
 //! what to do, so the same code runs in the daemons, under fuzzing and inside other programs.
 
+pub mod accounting;
+pub mod admission;
+pub mod attempt;
+pub mod capacity;
 pub mod control;
+pub mod deadline;
 pub mod document;
 pub mod drain;
+pub mod hedge;
 pub mod ids;
 pub mod membership;
 pub mod outcome;
 pub mod placement;
+pub mod quarantine;
+pub mod queue;
+pub mod routing;
+pub mod sabotage;
 
 mod switch;
 
--- a/crates/entry/src/caller/status.rs
+++ b/crates/entry/src/caller/status.rs
@@ -8,7 +8,7 @@
 
 /// Answers the readiness check of the platform's balancer.
 pub(crate) fn ready(entry: &Entry) -> Response<Body> {
-    if entry.document().is_none() {
+    if entry.document().is_err() {
         return respond(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "no configuration\n");
     }
     respond(StatusCode::OK, "text/plain", "ready\n")
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -5,31 +5,29 @@
 use log::info;
 use yuccatrail_core::{
     FastMap,
+    ids::Incarnation,
     membership::{InstanceRecord, InstanceRole, InstanceState},
 };
-use yuccatrail_rpc::messages::SyncRequest;
-use yuccatrail_runtime::clock::Clock;
+use yuccatrail_runtime::{clock::Clock, control::SharedControl};
 
 use crate::link::Link;
 
 /// Links to the agents of all upstreams in the instance list, by instance name.
 pub(crate) struct Fleet {
     clock: Clock,
+    incarnation: Incarnation,
+    control: Arc<SharedControl>,
     links: RwLock<FastMap<String, Arc<Link>>>,
 }
 
 impl Fleet {
     /// Creates a fleet without upstreams.
-    pub(crate) fn new(clock: Clock) -> Self {
-        Self { clock, links: RwLock::default() }
+    pub(crate) fn new(clock: Clock, incarnation: Incarnation, control: Arc<SharedControl>) -> Self {
+        Self { clock, incarnation, control, links: RwLock::default() }
     }
 
     /// Opens and closes links so that they match the instance list.
-    pub(crate) fn apply(
-        &self,
-        instances: &[InstanceRecord],
-        heartbeat: impl Fn() -> SyncRequest + Clone + Send + Sync + 'static,
-    ) {
+    pub(crate) fn apply(&self, instances: &[InstanceRecord]) {
         let mut links = self.links.write().unwrap_or_else(PoisonError::into_inner);
         links.retain(|_, link| {
             let kept = instances.contains(&link.instance);
@@ -43,7 +41,8 @@
             if instance.role != InstanceRole::Upstream || links.contains_key(&instance.name) {
                 continue;
             }
-            let link = Link::open(instance.clone(), self.clock, heartbeat.clone());
+            let link =
+                Link::open(instance.clone(), self.clock, self.incarnation, self.control.clone());
             links.insert(instance.name.clone(), link);
         }
     }
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -14,7 +14,7 @@
     service::AgentClient,
     transport::{self, TransportError},
 };
-use yuccatrail_runtime::clock::Clock;
+use yuccatrail_runtime::{clock::Clock, control::SharedControl};
 
 /// Time between two heartbeats on a connection.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
@@ -54,6 +54,8 @@
     /// The instance that the agent stands on.
     pub(crate) instance: InstanceRecord,
     clock: Clock,
+    entry: Incarnation,
+    control: Arc<SharedControl>,
     state: Mutex<State>,
     stop: CancellationToken,
 }
@@ -63,15 +65,18 @@
     pub(crate) fn open(
         instance: InstanceRecord,
         clock: Clock,
-        heartbeat: impl Fn() -> SyncRequest + Send + Sync + 'static,
+        entry: Incarnation,
+        control: Arc<SharedControl>,
     ) -> Arc<Self> {
         let link = Arc::new(Self {
             instance,
             clock,
+            entry,
+            control,
             state: Mutex::new(State::default()),
             stop: CancellationToken::new(),
         });
-        tokio::spawn(link.clone().maintain(heartbeat));
+        tokio::spawn(link.clone().maintain());
         link
     }
 
@@ -110,19 +115,13 @@
         self.lock().report = Some(Report { feedback, received_ms });
     }
 
-    /// Tells whether the agent still runs under `incarnation`, as far as the entry knows.
-    pub(crate) fn is_incarnation(&self, incarnation: Incarnation) -> bool {
-        let state = self.lock();
-        state.report.as_ref().is_some_and(|it| it.feedback.incarnation == incarnation)
-    }
-
-    async fn maintain(self: Arc<Self>, heartbeat: impl Fn() -> SyncRequest) {
+    async fn maintain(self: Arc<Self>) {
         while !self.stop.is_cancelled() {
             let Ok(client) = self.connect().await else {
                 tokio::time::sleep(RECONNECT_INTERVAL).await;
                 continue;
             };
-            self.beat(&client, &heartbeat).await;
+            self.beat(&client).await;
             self.lock().client = None;
             info!(upstream:% = self.instance.name; "connection to agent closed");
         }
@@ -133,20 +132,35 @@
         Ok(AgentClient::new(Config::default(), Box::pin(transport)).spawn())
     }
 
-    async fn beat(&self, client: &AgentClient, heartbeat: &impl Fn() -> SyncRequest) {
+    /// Sends heartbeats until one stays unanswered; a change of the control state is sent at once.
+    async fn beat(&self, client: &AgentClient) {
+        let mut changed = self.control.subscribe();
+        let mut known = self.control.versions();
         while !self.stop.is_cancelled() {
-            let Ok(reply) = client.sync(context_for(HEARTBEAT_TIMEOUT), heartbeat()).await else {
+            let request = SyncRequest {
+                from: self.entry,
+                versions: self.control.versions(),
+                update: self.control.update_for(known),
+                strikes: Vec::new(),
+            };
+            let Ok(reply) = client.sync(context_for(HEARTBEAT_TIMEOUT), request).await else {
                 return;
             };
+            known = reply.feedback.versions;
             self.take_heartbeat(client, reply);
+            if self.control.versions().has_newer_than(known) {
+                continue;
+            }
             tokio::select! {
                 () = tokio::time::sleep(HEARTBEAT_INTERVAL) => {}
+                _ = changed.changed() => {}
                 () = self.stop.cancelled() => {}
             }
         }
     }
 
     fn take_heartbeat(&self, client: &AgentClient, reply: SyncReply) {
+        self.control.adopt(reply.update, &self.instance.name);
         self.observe(reply.feedback);
         let mut state = self.lock();
         if state.client.is_none() {
--- a/crates/entry/src/run/mod.rs
+++ b/crates/entry/src/run/mod.rs
@@ -18,6 +18,7 @@
     /// Digest of the customer, target and body.
     pub(crate) fingerprint: Digest,
     /// The caller's idempotency key.
+    #[expect(dead_code)]
     pub(crate) idempotency_key: Option<String>,
     /// End of the deadline on the entry's clock, in milliseconds.
     pub(crate) deadline_ms: u64,
--- a/crates/fakes/src/platform_command.rs
+++ b/crates/fakes/src/commands/platform.rs
@@ -8,13 +8,13 @@
 
 /// Arguments of the subcommand.
 #[derive(Clone, Debug)]
-pub(crate) struct PlatformArguments {
+pub(crate) struct Arguments {
     listen: SocketAddr,
     seed_file: Option<PathBuf>,
 }
 
-/// Parses the subcommand.
-pub(crate) fn options() -> impl Parser<PlatformArguments> {
+/// Parses the arguments.
+pub(crate) fn arguments() -> impl Parser<Arguments> {
     let listen = long("listen")
         .help("Address to listen on; port 0 selects a free port")
         .argument::<SocketAddr>("ADDRESS")
@@ -24,14 +24,11 @@
         .help("JSON list of objects to start with, in the form of the object API")
         .argument::<PathBuf>("FILE")
         .optional();
-    construct!(PlatformArguments { listen, seed_file })
-        .to_options()
-        .descr("Run a stand-in of the platform's object API")
-        .command("platform")
+    construct!(Arguments { listen, seed_file })
 }
 
-/// Runs the stand-in until it is asked to stop.
-pub(crate) async fn run(arguments: PlatformArguments) -> ExitCode {
+/// Serves until the process is stopped by a signal.
+pub(crate) async fn run(arguments: Arguments) -> ExitCode {
     let Ok(stop) = shutdown::stop_signal() else { return ExitCode::FAILURE };
     let seed = match read_seed(arguments.seed_file) {
         Ok(seed) => seed,
--- a/crates/fakes/src/upstream_command.rs
+++ b/crates/fakes/src/commands/upstream.rs
@@ -10,29 +10,26 @@
 };
 use yuccatrail_runtime::shutdown;
 
-/// Arguments of the `upstream` subcommand.
+/// Arguments of the subcommand.
 #[derive(Clone, Debug)]
-pub(crate) struct UpstreamArguments {
+pub(crate) struct Arguments {
     listen: SocketAddr,
     switches: Switches,
 }
 
-/// Parses the subcommand.
-pub(crate) fn options() -> impl Parser<UpstreamArguments> {
+/// Parses the arguments.
+pub(crate) fn arguments() -> impl Parser<Arguments> {
     let listen = long("listen").help("Address to listen on").argument("ADDRESS");
     let switches = long("switches")
         .help("Initial switches as JSON")
         .argument::<String>("JSON")
         .parse(|text| serde_json::from_str::<Switches>(&text))
         .fallback(Switches::default());
-    construct!(UpstreamArguments { listen, switches })
-        .to_options()
-        .descr("Run an upstream stand-in")
-        .command("upstream")
+    construct!(Arguments { listen, switches })
 }
 
 /// Runs the stand-in until it is asked to stop.
-pub(crate) async fn run(arguments: UpstreamArguments) -> ExitCode {
+pub(crate) async fn run(arguments: Arguments) -> ExitCode {
     let Ok(stop) = shutdown::stop_signal() else { return ExitCode::FAILURE };
     let Ok(listener) = TcpListener::bind(arguments.listen).await else { return ExitCode::FAILURE };
     let Ok(address) = listener.local_addr() else { return ExitCode::FAILURE };
--- a/crates/fakes/src/stack/process.rs
+++ b/crates/fakes/src/stack/process.rs
@@ -81,7 +81,11 @@
     /// # Errors
     ///
     /// Returns an error when the process cannot be started or does not listen in time.
-    pub async fn start(name: &str, binary: &str, arguments: &[String]) -> Result<Self, ProcessError> {
+    pub async fn start(
+        name: &str,
+        binary: &str,
+        arguments: &[String],
+    ) -> Result<Self, ProcessError> {
         let mut child = Command::new(binary_path(binary)?)
             .args(arguments)
             .stdin(Stdio::null())
@@ -99,7 +103,8 @@
         }
         let not_listening = || ProcessError::NotListening { name: name.to_owned() };
         let waiting = receiver.wait_for(Option::is_some);
-        let found = tokio::time::timeout(START_TIMEOUT, waiting).await.map_err(|_| not_listening())?;
+        let found =
+            tokio::time::timeout(START_TIMEOUT, waiting).await.map_err(|_| not_listening())?;
         let addresses = *found.map_err(|_| not_listening())?;
         let Some((address, admin_address)) = addresses else { return Err(not_listening()) };
         Ok(Self { name: name.to_owned(), address, admin_address, log, child })
