Load generator and benchmark over real processes

Nothing measured the request path of the real processes. `yuccatrail-fakes load` makes calls at planned times and compares every answer; `bench` sets calls through entry and agent beside the same calls made directly.

--- a/crates/fakes/src/commands/mod.rs
+++ b/crates/fakes/src/commands/mod.rs
@@ -1,12 +1,15 @@
 //! Subcommands, one file each.
 
+mod bench;
 mod demo;
+mod load;
 mod platform;
 mod upstream;
 
-use std::process::ExitCode;
+use std::{path::Path, process::ExitCode};
 
 use bpaf::{Parser, construct};
+use serde::Serialize;
 
 /// A subcommand with its arguments.
 #[derive(Clone, Debug)]
@@ -17,6 +20,10 @@
     Upstream(upstream::Arguments),
     /// Runs the whole system once with stand-ins.
     Demo,
+    /// Measures latency and throughput of the request path.
+    Bench(bench::Arguments),
+    /// Puts load on running entries.
+    Load(load::Arguments),
 }
 
 /// Parses the command line.
@@ -35,7 +42,17 @@
         .to_options()
         .descr("Starts the whole system with stand-ins, sends requests and stops it")
         .command("demo");
-    construct!([platform, upstream, demo])
+    let load = load::arguments()
+        .map(Command::Load)
+        .to_options()
+        .descr("Puts an open-loop load on running entries and compares every answer")
+        .command("load");
+    let bench = bench::arguments()
+        .map(Command::Bench)
+        .to_options()
+        .descr("Measures latency and throughput of the request path over real processes")
+        .command("bench");
+    construct!([platform, upstream, demo, load, bench])
         .to_options()
         .descr("Stand-ins for tests, demonstrations and measurements")
         .run()
@@ -47,5 +64,22 @@
         Command::Platform(arguments) => platform::run(arguments).await,
         Command::Upstream(arguments) => upstream::run(arguments).await,
         Command::Demo => demo::run().await,
+        Command::Bench(arguments) => bench::run(arguments).await,
+        Command::Load(arguments) => load::run(arguments).await,
+    }
+}
+
+/// Writes results as JSON, if a file was asked for.
+fn write_json(file: Option<&Path>, results: &impl Serialize) -> ExitCode {
+    let Some(file) = file else { return ExitCode::SUCCESS };
+    let written = serde_json::to_vec_pretty(results)
+        .map_err(std::io::Error::from)
+        .and_then(|json| std::fs::write(file, json));
+    match written {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("cannot write {}: {error}", file.display());
+            ExitCode::FAILURE
+        }
     }
 }
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -1,5 +1,8 @@
 //! Small stand-ins for the systems around yuccatrail, for tests, demonstrations and measurements.
 
+pub mod bench;
+pub mod load;
+pub mod measure;
 pub mod platform;
 pub mod stack;
 pub mod upstream;
--- a/crates/fakes/src/stack/caller.rs
+++ b/crates/fakes/src/stack/caller.rs
@@ -85,6 +85,21 @@
         entry: SocketAddr,
         name: &str,
         input: &str,
+    ) -> Result<StreamedAnswer, CallerError> {
+        self.pipeline_stream_observed(entry, name, input, |_| {}).await
+    }
+
+    /// Requests a pipeline as a stream and passes each text to `on_text` as it arrives.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the HTTP exchange breaks.
+    pub async fn pipeline_stream_observed(
+        &self,
+        entry: SocketAddr,
+        name: &str,
+        input: &str,
+        on_text: impl FnMut(&str),
     ) -> Result<StreamedAnswer, CallerError> {
         let body = json!({ "input": input }).to_string();
         let path = format!("/v1/pipelines/{name}");
@@ -94,7 +109,7 @@
             let answer = read_answer(response).await?;
             return Ok(StreamedAnswer { problem: Some(answer.body), ..StreamedAnswer::default() });
         }
-        read_stream(response).await
+        read_stream(response, on_text).await
     }
 
     /// Sends any request and waits for the whole answer.
@@ -114,7 +129,8 @@
         read_answer(response).await
     }
 
-    async fn open(
+    /// Sends any request and returns the answer with its body unread.
+    pub(crate) async fn open(
         &self,
         address: SocketAddr,
         method: &str,
@@ -143,7 +159,10 @@
     Ok(Answer { status, headers, body })
 }
 
-async fn read_stream(response: Response<Incoming>) -> Result<StreamedAnswer, CallerError> {
+async fn read_stream(
+    response: Response<Incoming>,
+    mut on_text: impl FnMut(&str),
+) -> Result<StreamedAnswer, CallerError> {
     let chunks = BodyStream::new(response.into_body())
         .filter_map(|frame| async move { frame.map(|it| it.into_data().ok()).transpose() });
     let mut events = std::pin::pin!(chunks.eventsource());
@@ -152,7 +171,11 @@
         let event = event.map_err(broken)?;
         let data: Value = serde_json::from_str(&event.data).map_err(broken)?;
         match event.event.as_str() {
-            "text" => answer.text.push_str(data["text"].as_str().unwrap_or_default()),
+            "text" => {
+                let text = data["text"].as_str().unwrap_or_default();
+                on_text(text);
+                answer.text.push_str(text);
+            }
             "done" => answer.done = Some(data),
             "problem" => answer.problem = Some(data),
             _ => {}
--- a/crates/fakes/src/stack/plan.rs
+++ b/crates/fakes/src/stack/plan.rs
@@ -4,6 +4,13 @@
 
 use crate::upstream::state::Switches;
 
+/// Data centres of every stack.
+pub const DATA_CENTRES: [&str; 2] = ["north", "south"];
+/// Pools of the demo document.
+const DEMO_POOLS: [&str; 5] = ["encoders", "retrievers", "rerankers", "engines", SERVICE_POOL];
+/// Pool of the demo document's plain service.
+const SERVICE_POOL: &str = "work-orders";
+
 /// Parts of a stack.
 #[derive(Clone, Debug)]
 pub struct StackPlan {
@@ -34,18 +41,25 @@
 impl StackPlan {
     /// Plans two entries and two upstreams for each pool of the demo document.
     pub fn demo() -> Self {
+        Self::sized(2, 2)
+    }
+
+    /// Plans entries and upstreams for each pool of the demo document, in two data centres in turn.
+    pub fn sized(entries: usize, upstreams_per_pool: usize) -> Self {
         let mut upstreams = Vec::new();
-        for pool in ["encoders", "retrievers", "rerankers", "engines", "work-orders"] {
-            for (number, data_centre) in ["north", "south"].into_iter().enumerate() {
-                upstreams.push(UpstreamPlan {
-                    name: format!("{pool}-{number}"),
-                    pool: pool.to_owned(),
-                    data_centre: data_centre.to_owned(),
-                    switches: Switches::default(),
-                });
+        for pool in DEMO_POOLS {
+            for number in 0..upstreams_per_pool {
+                upstreams.push(UpstreamPlan::new(pool, number));
             }
         }
-        let entries = vec!["north".to_owned(), "south".to_owned()];
+        let entries = (0..entries).map(|it| data_centre(it).to_owned()).collect();
+        Self { document: DEMO_DOCUMENT.to_owned(), entries, upstreams }
+    }
+
+    /// Plans one entry and upstreams of the demo document's service pool alone.
+    pub fn service_only(upstreams: usize) -> Self {
+        let upstreams = (0..upstreams).map(|it| UpstreamPlan::new(SERVICE_POOL, it)).collect();
+        let entries = vec![data_centre(0).to_owned()];
         Self { document: DEMO_DOCUMENT.to_owned(), entries, upstreams }
     }
 
@@ -59,6 +73,23 @@
     }
 }
 
+impl UpstreamPlan {
+    /// Plans upstream `number` of a pool; data centres take turns.
+    pub fn new(pool: &str, number: usize) -> Self {
+        Self {
+            name: format!("{pool}-{number}"),
+            pool: pool.to_owned(),
+            data_centre: data_centre(number).to_owned(),
+            switches: Switches::default(),
+        }
+    }
+}
+
+/// Returns the data centre of the instance `number` of a kind.
+fn data_centre(number: usize) -> &'static str {
+    DATA_CENTRES[number % DATA_CENTRES.len()]
+}
+
 /// Kinds of the demo pipeline's stages, in order.
 pub const DEMO_STAGES: [PoolKind; 4] =
     [PoolKind::Encode, PoolKind::Retrieve, PoolKind::Rerank, PoolKind::Generate];
--- a/crates/fakes/src/stack/process.rs
+++ b/crates/fakes/src/stack/process.rs
@@ -110,6 +110,11 @@
         Ok(Self { name: name.to_owned(), address, admin_address, log, child })
     }
 
+    /// Returns the operating system's id of the process, unless it has ended.
+    pub fn id(&self) -> Option<u32> {
+        self.child.id()
+    }
+
     /// Sends a signal.
     ///
     /// # Errors
@@ -178,7 +183,8 @@
 ) {
     let mut lines = BufReader::new(output).lines();
     while let Ok(Some(line)) = lines.next_line().await {
-        if let Some(addresses) = listening(&line) {
+        let is_known = found.borrow().is_some();
+        if !is_known && let Some(addresses) = listening(&line) {
             found.send_replace(Some(addresses));
         }
         log.lock().unwrap_or_else(PoisonError::into_inner).push(line);
--- a/crates/fakes/src/upstream/server.rs
+++ b/crates/fakes/src/upstream/server.rs
@@ -112,7 +112,10 @@
         return respond(StatusCode::SERVICE_UNAVAILABLE, JSON, r#"{"error":"engine restarted"}"#);
     }
     let running = Running(upstream);
-    tokio::time::sleep(Duration::from_millis(switches.delay_ms)).await;
+    // Even a sleep of zero lasts until the timer's next millisecond.
+    if switches.delay_ms > 0 {
+        tokio::time::sleep(Duration::from_millis(switches.delay_ms)).await;
+    }
     if let Some(status) = switches.fail_status {
         let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
         return respond(status, JSON, r#"{"error":"switched to fail"}"#);
