--- a/crates/agent/src/admin.rs
+++ b/crates/agent/src/admin.rs
@@ -6,10 +6,7 @@
 use prometheus_client::{encoding::text, registry::Registry};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
-use yuccatrail_runtime::http::{self, Body, respond};
-
-/// Content type of the metrics text.
-const METRICS_TEXT: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+use yuccatrail_runtime::http::{self, Body, METRICS_TEXT, respond};
 
 /// What the endpoint shows.
 #[derive(Clone)]
--- a/crates/agent/src/executor.rs
+++ b/crates/agent/src/executor.rs
@@ -16,7 +16,7 @@
     ids::{AttemptId, Incarnation},
 };
 use yuccatrail_rpc::messages::{
-    AttemptReply, AttemptState, CancelRequest, Echo, Feedback, ReadRequest, SubmitRequest,
+    Ages, AttemptReply, AttemptState, CancelRequest, Echo, Feedback, ReadRequest, SubmitRequest,
     SyncReply, SyncRequest, UpstreamCall,
 };
 use yuccatrail_runtime::{clock::Clock, control::SharedControl};
@@ -92,7 +92,7 @@
             state.core.merge_strikes(&request.strikes, now_ms);
             let holds_all = !request.versions.has_newer_than(self.control.versions());
             if let Some(sent_ms) = self.echoed_ms(request.echo)
-                && let Some(age_ms) = request.age_ms
+                && let Some(age_ms) = request.ages.operations_ms
                 && holds_all
             {
                 state.core.confirm_control(sent_ms, age_ms);
@@ -100,7 +100,11 @@
             self.wake(&mut state);
         }
         self.start_ready();
-        SyncReply { feedback: self.feedback(), update: self.control.update_for(request.versions) }
+        SyncReply {
+            feedback: self.feedback(),
+            update: self.control.update_for(request.versions),
+            ages: self.ages(),
+        }
     }
 
     /// Accepts or refuses an attempt and waits for its first output.
@@ -320,6 +324,12 @@
         }
     }
 
+    /// Returns the age of the agent's control state, as far as it is known.
+    fn ages(&self) -> Ages {
+        let operations_ms = self.lock().core.control_age_ms(self.clock.now_ms());
+        Ages { config_ms: None, operations_ms }
+    }
+
     /// Returns the time of the reply that a request follows, if it was made by this run.
     fn echoed_ms(&self, echo: Option<Echo>) -> Option<u64> {
         let echo = echo?;
--- a/crates/core/src/agent/core.rs
+++ b/crates/core/src/agent/core.rs
@@ -141,6 +141,11 @@
         self.gate.confirm(sent_ms, age_ms);
     }
 
+    /// Upper bound on the age of the control state, in milliseconds; none if it was never confirmed.
+    pub fn control_age_ms(&self, now_ms: u64) -> Option<u64> {
+        self.gate.age_ms(now_ms)
+    }
+
     /// Accepts or refuses an attempt.
     pub fn submit(&mut self, order: &SubmitOrder, now_ms: u64) -> AttemptLookup {
         if order.agent != self.settings.incarnation {
--- a/crates/core/src/routing/choose.rs
+++ b/crates/core/src/routing/choose.rs
@@ -119,6 +119,8 @@
     LocalLeastLoaded,
     /// The less loaded of two.
     LeastLoaded,
+    /// The upstream on which every entry runs a suspected request.
+    Suspect,
     /// A random pick of a baseline policy.
     Random,
     /// The next in turn of a baseline policy.
--- a/crates/entry/src/caller/answer.rs
+++ b/crates/entry/src/caller/answer.rs
@@ -7,33 +7,27 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::{Response, StatusCode, body::Frame, header};
 use serde_json::{Value, json};
-use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::{mpsc::UnboundedReceiver, oneshot};
 use yuccatrail_core::{document::Pipeline, ids::RequestId};
 use yuccatrail_runtime::http::{Body, respond};
 
-use super::problem::Problem;
-use crate::run::pipeline::PipelineAnswer;
+use crate::run::{pipeline::PipelineAnswer, stage_call};
 
-/// One event of a streamed answer.
+/// Last event of a streamed answer.
 #[derive(Clone, Debug, PartialEq)]
-pub(crate) enum AnswerEvent {
-    /// A part of the generated text.
-    Text(String),
+pub(crate) enum LastEvent {
     /// The whole answer; the stream is complete.
     Done(Value),
     /// The request failed; the stream ends without a complete answer.
     Problem(Value),
 }
 
-impl AnswerEvent {
-    fn to_frame(&self) -> Frame<Bytes> {
-        let text = match self {
-            Self::Text(text) => event("text", &json!({ "text": text })),
-            Self::Done(value) => event("done", value),
-            Self::Problem(value) => event("problem", value),
-        };
-        Frame::data(Bytes::from(text))
-    }
+/// A streamed answer in progress.
+pub(crate) struct AnswerStream {
+    /// Chunks of generated text as the upstream sent them.
+    pub(crate) chunks: UnboundedReceiver<Bytes>,
+    /// The last event, which follows all chunks.
+    pub(crate) last: oneshot::Receiver<LastEvent>,
 }
 
 /// Builds the JSON form of a pipeline's answer.
@@ -61,8 +55,8 @@
 }
 
 /// Answers with server-sent events.
-pub(crate) fn streamed(events: UnboundedReceiver<AnswerEvent>) -> Response<Body> {
-    let mut response = Response::new(StreamBody::new(frames(events)).boxed_unsync());
+pub(crate) fn streamed(stream: AnswerStream) -> Response<Body> {
+    let mut response = Response::new(StreamBody::new(frames(stream)).boxed_unsync());
     let content_type = header::HeaderValue::from_static("text/event-stream");
     response.headers_mut().insert(header::CONTENT_TYPE, content_type);
     let no_store = header::HeaderValue::from_static("no-store");
@@ -70,20 +64,30 @@
     response
 }
 
-/// Builds the event that reports a problem.
-pub(crate) fn problem_event(problem: &Problem, id: RequestId) -> AnswerEvent {
-    AnswerEvent::Problem(problem.to_json(id))
+fn frames(stream: AnswerStream) -> impl Stream<Item = Result<Frame<Bytes>, Infallible>> {
+    futures::stream::unfold(Some(stream), |stream| async move {
+        let mut stream = stream?;
+        if let Some(chunk) = stream.chunks.recv().await {
+            return Some((Ok(text_frame(&chunk)), Some(stream)));
+        }
+        let last = stream.last.await.ok()?;
+        Some((Ok(last_frame(&last)), None))
+    })
 }
 
-fn frames(
-    events: UnboundedReceiver<AnswerEvent>,
-) -> impl Stream<Item = Result<Frame<Bytes>, Infallible>> {
-    futures::stream::unfold(events, |mut events| async move {
-        let event = events.recv().await?;
-        Some((Ok(event.to_frame()), events))
-    })
+fn text_frame(chunk: &[u8]) -> Frame<Bytes> {
+    // A chunk without text is found when the stage ends, which fails the request.
+    let text = stage_call::chunk_text(chunk).unwrap_or_default();
+    event("text", &json!({ "text": text }))
+}
+
+fn last_frame(last: &LastEvent) -> Frame<Bytes> {
+    match last {
+        LastEvent::Done(value) => event("done", value),
+        LastEvent::Problem(value) => event("problem", value),
+    }
 }
 
-fn event(name: &str, data: &Value) -> String {
-    format!("event: {name}\ndata: {data}\n\n")
+fn event(name: &str, data: &Value) -> Frame<Bytes> {
+    Frame::data(Bytes::from(format!("event: {name}\ndata: {data}\n\n")))
 }
--- a/crates/entry/src/caller/head.rs
+++ b/crates/entry/src/caller/head.rs
@@ -10,6 +10,8 @@
 pub(crate) const DEADLINE_MS: &str = "x-deadline-ms";
 /// Header that names a request across resends.
 pub(crate) const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Header by which a caller states that no other copy of the call was or will be sent.
+pub(crate) const ONLY_COPY: &str = "x-only-copy";
 /// Header of an answer that carries the request identifier.
 pub(crate) const REQUEST_ID: &str = "x-request-id";
 /// Longest idempotency key in bytes.
@@ -24,6 +26,8 @@
     pub(crate) deadline_ms: Option<u64>,
     /// Name of the request across resends.
     pub(crate) idempotency_key: Option<String>,
+    /// Whether the caller states that this is the only copy of the call.
+    pub(crate) only_copy: bool,
     /// Whether the caller accepts a stream of events.
     pub(crate) streams: bool,
 }
@@ -48,7 +52,8 @@
         }
         let accept = text(headers, header::ACCEPT.as_str())?.unwrap_or_default();
         let streams = accept.contains("text/event-stream");
-        Ok(Self { customer, deadline_ms, idempotency_key, streams })
+        let only_copy = text(headers, ONLY_COPY)?.is_some_and(|it| it == "true");
+        Ok(Self { customer, deadline_ms, idempotency_key, only_copy, streams })
     }
 }
 
--- a/crates/entry/src/caller/routes.rs
+++ b/crates/entry/src/caller/routes.rs
@@ -5,16 +5,19 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
-use tokio::sync::mpsc;
+use log::info;
+use tokio::sync::{mpsc, oneshot};
 use yuccatrail_core::{
+    accounting::{RequestEnd, RequestLabel},
+    deadline::effective_deadline_ms,
     document::{Document, Limits, Pipeline},
     ids::RequestId,
-    outcome::Refusal,
+    outcome::{Execution, Refusal},
 };
 use yuccatrail_runtime::http::{Body, respond};
 
 use super::{
-    answer::{self, AnswerEvent},
+    answer::{self, AnswerStream, LastEvent},
     head::{CallerHead, REQUEST_ID},
     problem::Problem,
     service, status,
@@ -27,12 +30,32 @@
 /// Time after which a caller may try again when the entry has no configuration, in milliseconds.
 const NO_CONFIGURATION_RETRY_AFTER_MS: u64 = 1000;
 
+/// Arrival of a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Arrival {
+    /// Identity of the request.
+    pub(crate) id: RequestId,
+    /// Time of arrival on the entry's clock, in milliseconds.
+    pub(crate) arrived_ms: u64,
+}
+
+impl Arrival {
+    /// Returns the end of the deadline, which the caller may only shorten.
+    pub(crate) fn deadline_ms(self, asked_ms: Option<u64>, declared_ms: u64) -> u64 {
+        effective_deadline_ms(self.arrived_ms, declared_ms, asked_ms)
+    }
+}
+
 /// Answers one request.
 pub(crate) async fn handle(entry: Arc<Entry>, request: Request<Incoming>) -> Response<Body> {
-    let id = RequestId(rand::random());
-    let mut response = match route(&entry, id, request).await {
+    let arrival = Arrival { id: RequestId(rand::random()), arrived_ms: entry.clock.now_ms() };
+    let id = arrival.id;
+    let mut response = match route(&entry, arrival, request).await {
         Ok(response) => response,
-        Err(problem) => problem.to_response(id),
+        Err(problem) => {
+            info!(request:% = id, reason = problem.reason.as_str(), outcome:% = problem.outcome; "request refused");
+            problem.to_response(id)
+        }
     };
     if let Ok(value) = id.to_string().parse() {
         response.headers_mut().insert(REQUEST_ID, value);
@@ -42,39 +65,37 @@
 
 async fn route(
     entry: &Arc<Entry>,
-    id: RequestId,
+    arrival: Arrival,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Problem> {
     let path = request.uri().path().to_owned();
-    if path == "/healthz" {
-        return Ok(respond(StatusCode::OK, "text/plain", "ok\n"));
-    }
-    if path == "/readyz" {
-        return Ok(status::ready(entry));
-    }
-    if path == "/v1/status" {
-        return Ok(status::status(entry));
+    match path.as_str() {
+        "/healthz" => return Ok(respond(StatusCode::OK, "text/plain", "ok\n")),
+        "/readyz" => return Ok(status::ready(entry)),
+        "/metrics" => return Ok(status::metrics(entry)),
+        "/v1/status" => return Ok(status::status(entry)),
+        _ => {}
     }
+    let _work = entry.begin_work();
     if let Some(target) = path.strip_prefix("/v1/services/") {
-        return service::request(entry, id, target, request).await;
+        return service::request(entry, arrival, target, request).await;
     }
     if let Some(name) = path.strip_prefix("/v1/pipelines/") {
         if request.method() != Method::POST {
             let detail = "pipelines are requested with POST";
             return Err(Problem::bad_request(StatusCode::METHOD_NOT_ALLOWED, "bad_method", detail));
         }
-        return pipeline_request(entry, id, name, request).await;
+        return pipeline_request(entry, arrival, name, request).await;
     }
     Err(Problem::bad_request(StatusCode::NOT_FOUND, "unknown_path", format!("nothing at {path}")))
 }
 
 async fn pipeline_request(
     entry: &Arc<Entry>,
-    id: RequestId,
+    arrival: Arrival,
     name: &str,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Problem> {
-    let arrived_ms = entry.clock.now_ms();
     let head = CallerHead::parse(request.headers())?;
     let document = document(entry)?;
     check_customer(&document, &head)?;
@@ -85,21 +106,20 @@
     let body = read_body(request, &document.limits).await?;
     let input: PipelineInput = serde_json::from_slice(&body)
         .map_err(|it| Problem::bad_request(StatusCode::BAD_REQUEST, "bad_body", it.to_string()))?;
-    let allowed_ms = allowed_ms(head.deadline_ms, pipeline.deadline_ms);
     let context = RequestContext {
-        id,
+        id: arrival.id,
+        target: name.to_owned(),
         fingerprint: service::fingerprint(&head.customer, "POST", name, &body),
         customer: head.customer,
-        idempotency_key: head.idempotency_key,
-        deadline_ms: arrived_ms + allowed_ms,
+        deadline_ms: arrival.deadline_ms(head.deadline_ms, pipeline.deadline_ms),
     };
     if head.streams {
         return Ok(stream(entry.clone(), document, pipeline, context, input));
     }
-    match pipeline::run(entry, &document, &pipeline, &context, &input, |_| {}).await {
-        Ok(answer) => Ok(answer::whole(&answer::pipeline_json(id, &pipeline, &answer))),
-        Err(refusal) => Err(Problem::refused(refusal)),
-    }
+    let result = pipeline::run(entry, &document, &pipeline, &context, &input, None).await;
+    count(entry, &context, result.as_ref().err());
+    let answer = result.map_err(Problem::refused)?;
+    Ok(answer::whole(&answer::pipeline_json(context.id, &pipeline, &answer)))
 }
 
 fn stream(
@@ -109,20 +129,41 @@
     context: RequestContext,
     input: PipelineInput,
 ) -> Response<Body> {
-    let (sender, receiver) = mpsc::unbounded_channel();
+    let (sink, chunks) = mpsc::unbounded_channel();
+    let (sender, last) = oneshot::channel();
     tokio::spawn(async move {
-        let text_sender = sender.clone();
-        // A send fails only when the caller has gone away.
-        let on_text = move |text| drop(text_sender.send(AnswerEvent::Text(text)));
-        let event = match pipeline::run(&entry, &document, &pipeline, &context, &input, on_text)
-            .await
-        {
-            Ok(answer) => AnswerEvent::Done(answer::pipeline_json(context.id, &pipeline, &answer)),
-            Err(refusal) => answer::problem_event(&Problem::refused(refusal), context.id),
+        let _work = entry.begin_work();
+        let caller_gone = sink.clone();
+        let run = pipeline::run(&entry, &document, &pipeline, &context, &input, Some(sink));
+        let result = tokio::select! {
+            result = run => result,
+            () = caller_gone.closed() => return,
+        };
+        drop(caller_gone);
+        count(&entry, &context, result.as_ref().err());
+        let event = match result {
+            Ok(answer) => LastEvent::Done(answer::pipeline_json(context.id, &pipeline, &answer)),
+            Err(refusal) => LastEvent::Problem(Problem::refused(refusal).to_json(context.id)),
         };
-        drop(sender.send(event));
+        // A send fails only when the caller has gone away.
+        let _ = sender.send(event);
     });
-    answer::streamed(receiver)
+    answer::streamed(AnswerStream { chunks, last })
+}
+
+/// Counts the end of a request.
+pub(crate) fn count(entry: &Entry, context: &RequestContext, refusal: Option<&Refusal>) {
+    let label =
+        RequestLabel { pipeline: context.target.clone(), customer: context.customer.clone() };
+    let end = match refusal {
+        None if entry.clock.now_ms() <= context.deadline_ms => RequestEnd::OnTime,
+        None => RequestEnd::Late,
+        Some(refusal) if refusal.execution == Execution::NotRun => {
+            RequestEnd::Refused(refusal.reason)
+        }
+        Some(refusal) => RequestEnd::Failed(refusal.reason),
+    };
+    entry.metrics.on_request(&label, end);
 }
 
 /// Returns the document in force.
@@ -149,11 +190,6 @@
     Err(Problem::bad_request(StatusCode::FORBIDDEN, "unknown_customer", detail))
 }
 
-/// Returns the time that a request may take, in milliseconds; the caller may only shorten it.
-pub(crate) fn allowed_ms(asked_ms: Option<u64>, declared_ms: u64) -> u64 {
-    asked_ms.unwrap_or(declared_ms).min(declared_ms)
-}
-
 /// Reads a request's body within the limits on size and time.
 ///
 /// # Errors
--- a/crates/entry/src/caller/service.rs
+++ b/crates/entry/src/caller/service.rs
@@ -2,20 +2,30 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use hyper::{Request, Response, StatusCode, body::Incoming, header};
 use yuccatrail_core::{
+    at_most_once::{AnswerBody, CallAnswer, ClaimReply},
     document::{Document, Service},
-    ids::{Digest, RequestId},
+    ids::Digest,
 };
 use yuccatrail_rpc::messages::{ResponseForm, UpstreamCall};
 use yuccatrail_runtime::http::{Body, full};
 
-use super::{head::CallerHead, problem::Problem, routes};
+use super::{head::CallerHead, problem::Problem, routes, routes::Arrival};
 use crate::{
     entry::Entry,
-    run::{RequestContext, attempt::Output, service},
+    run::{
+        RequestContext,
+        attempt::Output,
+        claim::{self, ClaimedCall},
+        service,
+    },
 };
 
+/// Header of an answer that was recorded for an earlier copy or whose body was too large to keep.
+const BODY_OMITTED: &str = "x-body-omitted";
+
 /// Answers a call of `POST or GET /v1/services/{service}/...`.
 ///
 /// # Errors
@@ -23,16 +33,15 @@
 /// Returns a problem when the call is wrong or was not completed.
 pub(crate) async fn request(
     entry: &Arc<Entry>,
-    id: RequestId,
+    arrival: Arrival,
     target: &str,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Problem> {
-    let arrived_ms = entry.clock.now_ms();
     let head = CallerHead::parse(request.headers())?;
     let document = routes::document(entry)?;
     routes::check_customer(&document, &head)?;
     let (name, path) = split_target(target, request.uri().query());
-    let service = find(&document, &name)?;
+    let service = find(&document, &name)?.clone();
     let method = request.method().to_string();
     let idempotent = service.is_idempotent(&method, &path);
     if !idempotent && head.idempotency_key.is_none() {
@@ -42,24 +51,50 @@
     let content_type = content_type(&request);
     let body = routes::read_body(request, &document.limits).await?;
     let context = RequestContext {
-        id,
+        id: arrival.id,
+        target: name,
         fingerprint: fingerprint(&head.customer, &method, target, &body),
         customer: head.customer,
-        idempotency_key: head.idempotency_key.clone(),
-        deadline_ms: arrived_ms + routes::allowed_ms(head.deadline_ms, service.deadline_ms),
+        deadline_ms: arrival.deadline_ms(head.deadline_ms, service.deadline_ms),
     };
     let call = UpstreamCall {
         method,
         path,
         content_type,
-        idempotency_key: head.idempotency_key,
+        idempotency_key: head.idempotency_key.clone(),
         body,
         response: ResponseForm::Whole,
     };
-    match service::run(entry, &document, service, &context, idempotent, call).await {
-        Ok(output) => Ok(pass_through(output)),
-        Err(refusal) => Err(Problem::refused(refusal)),
+    if !idempotent {
+        let key = head.idempotency_key.unwrap_or_default();
+        let only_copy = head.only_copy;
+        let call = ClaimedCall { document, service, request: context, key, only_copy, call };
+        return claimed(entry, call).await;
     }
+    let result = match service::work(&document, &service, call) {
+        Ok(work) => service::run(entry, &document, &context, &work).await,
+        Err(refusal) => Err(refusal),
+    };
+    routes::count(entry, &context, result.as_ref().err());
+    Ok(pass_through(result.map_err(Problem::refused)?))
+}
+
+async fn claimed(entry: &Arc<Entry>, call: ClaimedCall) -> Result<Response<Body>, Problem> {
+    let context = call.request.clone();
+    let reply = claim::run(entry, call).await;
+    let refusal = match reply {
+        Ok(ClaimReply::Answer(answer)) => {
+            routes::count(entry, &context, None);
+            return Ok(recorded(answer));
+        }
+        Ok(ClaimReply::KeyReused) => {
+            let detail = "the idempotency key belongs to another call";
+            return Err(Problem::bad_request(StatusCode::CONFLICT, "key_reused", detail));
+        }
+        Ok(ClaimReply::Refused(refusal)) | Err(refusal) => refusal,
+    };
+    routes::count(entry, &context, Some(&refusal));
+    Err(Problem::refused(refusal))
 }
 
 fn split_target(target: &str, query: Option<&str>) -> (String, String) {
@@ -96,11 +131,25 @@
 }
 
 fn pass_through(output: Output) -> Response<Body> {
-    let mut response = Response::new(full(output.chunks.concat()));
-    *response.status_mut() =
-        StatusCode::from_u16(output.completion.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    let content_type = output.completion.content_type.and_then(|it| it.parse().ok());
-    if let Some(content_type) = content_type {
+    let completion = output.completion;
+    respond(completion.status, completion.content_type, output.chunks.concat().into())
+}
+
+fn recorded(answer: CallAnswer) -> Response<Body> {
+    match answer.body {
+        AnswerBody::Whole(body) => respond(answer.status, answer.content_type, body),
+        AnswerBody::Omitted { length_bytes, .. } => {
+            let mut response = respond(answer.status, None, Bytes::new());
+            response.headers_mut().insert(BODY_OMITTED, length_bytes.into());
+            response
+        }
+    }
+}
+
+fn respond(status: u16, content_type: Option<String>, body: Bytes) -> Response<Body> {
+    let mut response = Response::new(full(body));
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    if let Some(content_type) = content_type.and_then(|it| it.parse().ok()) {
         response.headers_mut().insert(header::CONTENT_TYPE, content_type);
     }
     response
--- a/crates/entry/src/caller/status.rs
+++ b/crates/entry/src/caller/status.rs
@@ -2,42 +2,59 @@
 
 use hyper::{Response, StatusCode};
 use serde_json::{Value, json};
-use yuccatrail_runtime::http::{Body, respond};
+use yuccatrail_runtime::http::{Body, METRICS_TEXT, respond};
 
-use crate::{entry::Entry, link::Link};
+use crate::{entry::Entry, fleet::MemberStatus};
 
 /// Answers the readiness check of the platform's balancer.
 pub(crate) fn ready(entry: &Entry) -> Response<Body> {
-    if entry.document().is_err() {
-        return respond(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "no configuration\n");
+    match entry.document() {
+        Ok(_) => respond(StatusCode::OK, "text/plain", "ready\n"),
+        Err(reason) => {
+            respond(StatusCode::SERVICE_UNAVAILABLE, "text/plain", format!("{reason}\n"))
+        }
+    }
+}
+
+/// Answers with all metrics.
+pub(crate) fn metrics(entry: &Entry) -> Response<Body> {
+    match entry.metrics.encode() {
+        Some(body) => respond(StatusCode::OK, METRICS_TEXT, body),
+        None => respond(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", "metrics failed\n"),
     }
-    respond(StatusCode::OK, "text/plain", "ready\n")
 }
 
 /// Answers with the entry's view of the fleet.
 pub(crate) fn status(entry: &Entry) -> Response<Body> {
     let mut upstreams = Vec::new();
-    for link in entry.fleet.all() {
-        upstreams.push(upstream(&link));
+    for member in entry.fleet.status() {
+        upstreams.push(upstream(&member));
     }
+    let ages = entry.control.ages(entry.clock.now_ms());
     let body = json!({
         "name": entry.name,
         "data_centre": entry.data_centre,
         "incarnation": entry.incarnation.to_string(),
+        "ready": entry.document().is_ok(),
         "versions": entry.versions(),
+        "config_age_ms": ages.config_ms,
+        "operations_age_ms": ages.operations_ms,
+        "peers": entry.fleet.entries().len(),
+        "in_progress": entry.in_progress(),
         "upstreams": upstreams,
     });
     respond(StatusCode::OK, "application/json", body.to_string())
 }
 
-fn upstream(link: &Link) -> Value {
+fn upstream(member: &MemberStatus) -> Value {
+    let link = &member.link;
     let report = link.report();
     json!({
-        "name": link.instance.name,
-        "pool": link.instance.pool,
-        "data_centre": link.instance.data_centre,
-        "state": link.instance.state,
+        "name": link.name,
+        "pool": link.pool,
+        "data_centre": link.data_centre,
         "connected": report.is_some(),
+        "refusal": member.refusal,
         "load": report.as_ref().map(|it| it.feedback.load),
         "versions": report.as_ref().map(|it| it.feedback.versions),
     })
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -1,11 +1,17 @@
 //! State that all requests of the entry share.
 
-use std::sync::Arc;
+use std::sync::{
+    Arc, Mutex, MutexGuard, PoisonError,
+    atomic::{AtomicBool, AtomicU32, Ordering},
+};
 
-use yuccatrail_core::{control::Versions, document::Document, ids::Incarnation, outcome::Reason};
+use yuccatrail_core::{
+    control::Versions, document::Document, hedge::RetryBudget, ids::Incarnation, outcome::Reason,
+};
+use yuccatrail_platform::Client;
 use yuccatrail_runtime::{clock::Clock, control::SharedControl};
 
-use crate::{fleet::Fleet, settings::Settings};
+use crate::{fleet::Fleet, metrics::Metrics, policy::Policy, settings::Settings, strikes::Strikes};
 
 /// The running entry.
 pub(crate) struct Entry {
@@ -19,23 +25,51 @@
     pub(crate) clock: Clock,
     /// Configuration and operational state in force.
     pub(crate) control: Arc<SharedControl>,
+    /// Requests that stopped upstreams.
+    pub(crate) strikes: Arc<Strikes>,
     /// Upstreams that the entry is connected to.
-    pub(crate) fleet: Fleet,
+    pub(crate) fleet: Arc<Fleet>,
+    /// Client of the platform.
+    pub(crate) platform: Client,
+    /// Admission and estimates.
+    pub(crate) policy: Policy,
+    /// Metrics.
+    pub(crate) metrics: Metrics,
+    retry_budget: Mutex<RetryBudget>,
+    stopping: AtomicBool,
+    in_progress: AtomicU32,
 }
 
 impl Entry {
     /// Creates an entry without configuration and upstreams.
-    pub(crate) fn new(settings: &Settings, incarnation: Incarnation) -> Self {
+    pub(crate) fn new(settings: &Settings, platform: Client, metrics: Metrics) -> Arc<Self> {
         let clock = Clock::new();
+        let incarnation = Incarnation(rand::random());
         let control = Arc::new(SharedControl::new());
-        Self {
+        let strikes = Strikes::new();
+        let fleet = Fleet::new(
+            clock,
+            incarnation,
+            settings.name.clone(),
+            settings.data_centre.clone(),
+            control.clone(),
+            strikes.clone(),
+        );
+        Arc::new(Self {
             name: settings.name.clone(),
             data_centre: settings.data_centre.clone(),
             incarnation,
             clock,
-            fleet: Fleet::new(clock, incarnation, control.clone()),
             control,
-        }
+            strikes,
+            fleet,
+            platform,
+            policy: Policy::new(),
+            metrics,
+            retry_budget: Mutex::new(RetryBudget::new(0)),
+            stopping: AtomicBool::new(false),
+            in_progress: AtomicU32::new(0),
+        })
     }
 
     /// Returns the versions of the control state in force.
@@ -47,8 +81,41 @@
     ///
     /// # Errors
     ///
-    /// Returns the reason to refuse every request while the entry lacks a part of the state.
+    /// Returns the reason to refuse every request: the entry stops, or lacks a part of the state.
     pub(crate) fn document(&self) -> Result<Arc<Document>, Reason> {
+        if self.stopping.load(Ordering::Acquire) {
+            return Err(Reason::Stopping);
+        }
         self.control.may_serve()
     }
+
+    /// Returns the budget of retries and hedges.
+    pub(crate) fn retry_budget(&self) -> MutexGuard<'_, RetryBudget> {
+        self.retry_budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Refuses new requests from now on.
+    pub(crate) fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::Release);
+    }
+
+    /// Counts a request or a claim in progress until the guard is dropped.
+    pub(crate) fn begin_work(self: &Arc<Self>) -> WorkGuard {
+        self.in_progress.fetch_add(1, Ordering::AcqRel);
+        WorkGuard(self.clone())
+    }
+
+    /// Returns the number of requests and claims in progress.
+    pub(crate) fn in_progress(&self) -> u32 {
+        self.in_progress.load(Ordering::Acquire)
+    }
+}
+
+/// Counts one piece of work in progress.
+pub(crate) struct WorkGuard(Arc<Entry>);
+
+impl Drop for WorkGuard {
+    fn drop(&mut self) {
+        self.0.in_progress.fetch_sub(1, Ordering::AcqRel);
+    }
 }
--- /dev/null
+++ b/crates/entry/src/gossip.rs
@@ -0,0 +1,163 @@
+//! Exchange of control state and strikes among entries.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use futures::StreamExt;
+use tarpc::{
+    client::Config,
+    context::Context,
+    server::{BaseChannel, Channel},
+};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+use yuccatrail_core::{
+    FastMap,
+    control::Versions,
+    membership::{InstanceRecord, gossip_peers},
+    routing::LoadReport,
+};
+use yuccatrail_rpc::{
+    messages::{Feedback, SyncReply, SyncRequest},
+    service::{Peer, PeerClient},
+    transport,
+};
+
+use crate::{entry::Entry, link::context_for};
+
+/// Time between two rounds.
+const ROUND_INTERVAL: Duration = Duration::from_millis(500);
+/// Peers asked in each round.
+const PEERS_A_ROUND: usize = 2;
+/// Time after which an unanswered peer is given up.
+const PEER_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// Connection to a peer with the versions that it held last.
+struct PeerLink {
+    client: PeerClient,
+    known: Versions,
+}
+
+/// Exchanges with a few peers in each round until `stop` is cancelled.
+///
+/// A change of the control state starts a round at once.
+pub(crate) async fn run(entry: Arc<Entry>, stop: CancellationToken) {
+    let mut links: FastMap<SocketAddr, PeerLink> = FastMap::default();
+    let mut changed = entry.control.subscribe();
+    while !stop.is_cancelled() {
+        let peers = peers(&entry);
+        links.retain(|address, _| peers.iter().any(|it| it.address == *address));
+        for address in select(&entry, &peers) {
+            let link = links.remove(&address);
+            if let Some(link) = exchange(&entry, address, link).await {
+                links.insert(address, link);
+            }
+        }
+        entry.strikes.expire(entry.clock.now_ms());
+        tokio::select! {
+            () = tokio::time::sleep(ROUND_INTERVAL) => {}
+            _ = changed.changed() => {}
+            () = stop.cancelled() => {}
+        }
+    }
+}
+
+fn peers(entry: &Entry) -> Vec<InstanceRecord> {
+    let mut peers = entry.fleet.entries();
+    peers.retain(|it| it.name != entry.name);
+    peers
+}
+
+fn select(entry: &Entry, peers: &[InstanceRecord]) -> Vec<SocketAddr> {
+    let data_centres: Vec<&str> = peers.iter().map(|it| it.data_centre.as_str()).collect();
+    let random: [u64; PEERS_A_ROUND] = rand::random();
+    let mut selected = Vec::new();
+    for index in gossip_peers(&data_centres, &entry.data_centre, PEERS_A_ROUND, &random) {
+        selected.push(peers[index].address);
+    }
+    selected
+}
+
+/// Exchanges with one peer; returns the connection if it still works.
+async fn exchange(entry: &Entry, address: SocketAddr, link: Option<PeerLink>) -> Option<PeerLink> {
+    let mut link = match link {
+        Some(link) => link,
+        None => PeerLink { client: connect(address).await?, known: entry.control.versions() },
+    };
+    let sent_ms = entry.clock.now_ms();
+    let request = SyncRequest {
+        from: entry.incarnation,
+        versions: entry.control.versions(),
+        update: entry.control.update_for(link.known),
+        ages: entry.control.ages(sent_ms),
+        echo: None,
+        strikes: entry.strikes.recent(sent_ms),
+    };
+    let reply = link.client.sync(context_for(PEER_TIMEOUT), request).await.ok()?;
+    link.known = reply.feedback.versions;
+    entry.control.adopt(reply.update, "peer");
+    entry.strikes.merge(&reply.feedback.strikes, entry.clock.now_ms());
+    // Only a process that holds all that the peer holds shares the peer's knowledge of its age.
+    if !reply.feedback.versions.has_newer_than(entry.control.versions()) {
+        entry.control.confirm(sent_ms, reply.ages);
+    }
+    Some(link)
+}
+
+async fn connect(address: SocketAddr) -> Option<PeerClient> {
+    let transport =
+        tokio::time::timeout(PEER_TIMEOUT, transport::connect(address)).await.ok()?.ok()?;
+    Some(PeerClient::new(Config::default(), Box::pin(transport)).spawn())
+}
+
+/// Answers the calls of one peer.
+#[derive(Clone)]
+struct Connection {
+    entry: Arc<Entry>,
+}
+
+impl Peer for Connection {
+    async fn sync(self, _: Context, request: SyncRequest) -> SyncReply {
+        let entry = &self.entry;
+        let now_ms = entry.clock.now_ms();
+        entry.control.adopt(request.update, "peer");
+        entry.strikes.merge(&request.strikes, now_ms);
+        SyncReply {
+            feedback: Feedback {
+                incarnation: entry.incarnation,
+                now_ms,
+                versions: entry.control.versions(),
+                load: LoadReport::default(),
+                strikes: entry.strikes.recent(now_ms),
+            },
+            update: entry.control.update_for(request.versions),
+            ages: entry.control.ages(now_ms),
+        }
+    }
+}
+
+/// Accepts connections of peers until `stop` is cancelled.
+pub(crate) async fn serve(listener: TcpListener, entry: Arc<Entry>, stop: CancellationToken) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.cancelled() => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            // Accepting fails when file descriptors run out; waiting lets connections close.
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        tokio::spawn(serve_connection(stream, entry.clone()));
+    }
+}
+
+async fn serve_connection(stream: TcpStream, entry: Arc<Entry>) {
+    let Ok(transport) = transport::accept(stream).await else { return };
+    let channel = BaseChannel::with_defaults(Box::pin(transport));
+    channel
+        .execute(Connection { entry }.serve())
+        .for_each(|response| async {
+            tokio::spawn(response);
+        })
+        .await;
+}
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -1,6 +1,7 @@
 //! Connection of the entry to one agent.
 
 use std::{
+    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
@@ -8,13 +9,17 @@
 use log::info;
 use tarpc::{client::Config, context};
 use tokio_util::sync::CancellationToken;
-use yuccatrail_core::{ids::Incarnation, membership::InstanceRecord};
+use yuccatrail_core::{
+    control::Versions,
+    membership::{Upstream, UpstreamKey},
+};
 use yuccatrail_rpc::{
     messages::{Echo, Feedback, SyncReply, SyncRequest},
     service::AgentClient,
     transport::{self, TransportError},
 };
-use yuccatrail_runtime::{clock::Clock, control::SharedControl};
+
+use crate::fleet::Fleet;
 
 /// Time between two heartbeats on a connection.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
@@ -33,11 +38,6 @@
 }
 
 impl Report {
-    /// Names the report in a later request.
-    fn echo(&self) -> Echo {
-        Echo { incarnation: self.feedback.incarnation, now_ms: self.feedback.now_ms }
-    }
-
     /// Converts a time on the entry's clock to the agent's clock.
     ///
     /// The agent read its clock before the entry received the report, so the result is never later
@@ -45,39 +45,45 @@
     pub(crate) fn agent_time_ms(&self, entry_time_ms: u64) -> u64 {
         (self.feedback.now_ms + entry_time_ms).saturating_sub(self.received_ms)
     }
+
+    /// Names the report in a later request.
+    fn echo(&self) -> Echo {
+        Echo { incarnation: self.feedback.incarnation, now_ms: self.feedback.now_ms }
+    }
 }
 
 #[derive(Default)]
 struct State {
     client: Option<AgentClient>,
     report: Option<Report>,
-    in_flight: u32,
 }
 
 /// Connection to one agent, which is opened again whenever it breaks.
 pub(crate) struct Link {
-    /// The instance that the agent stands on.
-    pub(crate) instance: InstanceRecord,
-    clock: Clock,
-    entry: Incarnation,
-    control: Arc<SharedControl>,
+    /// Name of the upstream.
+    pub(crate) name: String,
+    /// Pool of the upstream.
+    pub(crate) pool: String,
+    /// Data centre of the upstream.
+    pub(crate) data_centre: String,
+    /// Address of the agent.
+    pub(crate) address: SocketAddr,
+    key: UpstreamKey,
+    fleet: Arc<Fleet>,
     state: Mutex<State>,
     stop: CancellationToken,
 }
 
 impl Link {
-    /// Starts to connect to the agent of `instance`.
-    pub(crate) fn open(
-        instance: InstanceRecord,
-        clock: Clock,
-        entry: Incarnation,
-        control: Arc<SharedControl>,
-    ) -> Arc<Self> {
+    /// Starts to connect to the agent of an upstream.
+    pub(crate) fn open(fleet: Arc<Fleet>, key: UpstreamKey, upstream: &Upstream) -> Arc<Self> {
         let link = Arc::new(Self {
-            instance,
-            clock,
-            entry,
-            control,
+            name: upstream.name().to_owned(),
+            pool: upstream.pool().unwrap_or_default().to_owned(),
+            data_centre: upstream.data_centre().to_owned(),
+            address: upstream.address(),
+            key,
+            fleet,
             state: Mutex::new(State::default()),
             stop: CancellationToken::new(),
         });
@@ -85,8 +91,8 @@
         link
     }
 
-    /// Stops heartbeats; attempts in progress keep their client.
-    pub(crate) fn close(&self) {
+    /// Ends the heartbeats; an attempt in progress keeps the client that it holds.
+    pub(crate) fn stop(&self) {
         self.stop.cancel();
     }
 
@@ -103,59 +109,59 @@
         state.report.clone()
     }
 
-    /// Returns the number of this entry's attempts in progress on the upstream.
-    pub(crate) fn in_flight(&self) -> u32 {
-        self.lock().in_flight
+    /// Takes in the feedback of a reply to a question that was sent at `sent_ms`.
+    pub(crate) fn observe(&self, feedback: Feedback, sent_ms: u64) {
+        self.fleet.on_reply(self.key, &feedback, sent_ms);
+        let report = Report { feedback, received_ms: self.fleet.clock.now_ms() };
+        self.lock().report = Some(report);
     }
 
-    /// Counts an attempt until the guard is dropped.
-    pub(crate) fn begin_attempt(self: &Arc<Self>) -> InFlight {
-        self.lock().in_flight += 1;
-        InFlight(self.clone())
-    }
-
-    /// Takes in the feedback of a reply.
-    pub(crate) fn observe(&self, feedback: Feedback) {
-        let received_ms = self.clock.now_ms();
-        self.lock().report = Some(Report { feedback, received_ms });
+    /// Sends the agent what it lacks of the control state, and takes what the entry lacks.
+    ///
+    /// Returns false when the agent cannot be reached.
+    pub(crate) async fn exchange(&self, client: &AgentClient, known: Versions) -> bool {
+        let sent_ms = self.fleet.clock.now_ms();
+        let request = self.sync_request(known, sent_ms);
+        let Ok(reply) = client.sync(context_for(HEARTBEAT_TIMEOUT), request).await else {
+            return false;
+        };
+        self.take_sync(client, reply, sent_ms);
+        true
     }
 
     async fn maintain(self: Arc<Self>) {
         while !self.stop.is_cancelled() {
             let Ok(client) = self.connect().await else {
+                self.fleet.on_contact_failed(self.key);
                 tokio::time::sleep(RECONNECT_INTERVAL).await;
                 continue;
             };
             self.beat(&client).await;
             self.lock().client = None;
-            info!(upstream:% = self.instance.name; "connection to agent closed");
+            self.fleet.on_contact_failed(self.key);
+            info!(upstream:% = self.name; "connection to agent closed");
         }
     }
 
     async fn connect(&self) -> Result<AgentClient, TransportError> {
-        let transport = transport::connect(self.instance.address).await?;
+        let connecting = transport::connect(self.address);
+        let transport = match tokio::time::timeout(HEARTBEAT_TIMEOUT, connecting).await {
+            Ok(transport) => transport?,
+            Err(_) => return Err(TransportError::TimedOut),
+        };
         Ok(AgentClient::new(Config::default(), Box::pin(transport)).spawn())
     }
 
     /// Sends heartbeats until one stays unanswered; a change of the control state is sent at once.
     async fn beat(&self, client: &AgentClient) {
-        let mut changed = self.control.subscribe();
-        let mut known = self.control.versions();
+        let mut changed = self.fleet.control.subscribe();
+        let mut known = self.fleet.control.versions();
         while !self.stop.is_cancelled() {
-            let request = SyncRequest {
-                from: self.entry,
-                versions: self.control.versions(),
-                update: self.control.update_for(known),
-                age_ms: self.control.age_ms(self.clock.now_ms()),
-                echo: self.lock().report.as_ref().map(Report::echo),
-                strikes: Vec::new(),
-            };
-            let Ok(reply) = client.sync(context_for(HEARTBEAT_TIMEOUT), request).await else {
+            if !self.exchange(client, known).await {
                 return;
-            };
-            known = reply.feedback.versions;
-            self.take_heartbeat(client, reply);
-            if self.control.versions().has_newer_than(known) {
+            }
+            known = self.lock().report.as_ref().map(|it| it.feedback.versions).unwrap_or_default();
+            if self.fleet.control.versions().has_newer_than(known) {
                 continue;
             }
             tokio::select! {
@@ -166,13 +172,25 @@
         }
     }
 
-    fn take_heartbeat(&self, client: &AgentClient, reply: SyncReply) {
-        self.control.adopt(reply.update, &self.instance.name);
-        self.observe(reply.feedback);
+    fn sync_request(&self, known: Versions, now_ms: u64) -> SyncRequest {
+        let control = &self.fleet.control;
+        SyncRequest {
+            from: self.fleet.incarnation,
+            versions: control.versions(),
+            update: control.update_for(known),
+            ages: control.ages(now_ms),
+            echo: self.lock().report.as_ref().map(Report::echo),
+            strikes: self.fleet.strikes.recent(now_ms),
+        }
+    }
+
+    fn take_sync(&self, client: &AgentClient, reply: SyncReply, sent_ms: u64) {
+        self.fleet.control.adopt(reply.update, &self.name);
+        self.observe(reply.feedback, sent_ms);
         let mut state = self.lock();
         if state.client.is_none() {
             state.client = Some(client.clone());
-            info!(upstream:% = self.instance.name, address:% = self.instance.address; "connected to agent");
+            info!(upstream:% = self.name, address:% = self.address; "connected to agent");
         }
     }
 
@@ -181,15 +199,6 @@
     }
 }
 
-/// Counts one attempt in progress on a link.
-pub(crate) struct InFlight(Arc<Link>);
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.0.lock().in_flight -= 1;
-    }
-}
-
 /// Builds a call context that times out after `timeout`.
 pub(crate) fn context_for(timeout: Duration) -> context::Context {
     let mut context = context::current();
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -3,11 +3,15 @@
 mod caller;
 mod entry;
 mod fleet;
+mod gossip;
 mod link;
+mod metrics;
 mod platform_feed;
+mod policy;
 mod run;
 mod serve;
 mod settings;
+mod strikes;
 
 use std::process::ExitCode;
 
--- a/crates/entry/src/platform_feed.rs
+++ b/crates/entry/src/platform_feed.rs
@@ -1,51 +1,114 @@
 //! Feeds the control state and the instance list from the platform.
+//!
+//! The instance list is watched. The control state is read only when it has grown stale, that is,
+//! when no peer has passed on a recent confirmation either. So the reads of the platform do not grow
+//! with the number of entries.
 
 use std::{sync::Arc, time::Duration};
 
 use log::warn;
 use tokio_util::sync::CancellationToken;
 use yuccatrail_core::{
+    FastMap,
     control::{ControlUpdate, OperationsRecord, StoredConfig, StoredOperations},
     membership::InstanceRecord,
 };
-use yuccatrail_platform::{Client, Kind, PlatformError};
+use yuccatrail_platform::{Client, Kind, PlatformError, WatchUpdate, Watcher, WatcherSettings};
+use yuccatrail_rpc::messages::Ages;
 
 use crate::entry::Entry;
 
-/// Time between two reads.
-const READ_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two checks of the control state's age.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Age from which on the operational state is read again, in milliseconds.
+const OPERATIONS_STALE_MS: u64 = 1_000;
+/// Age from which on the environment document is read again, in milliseconds.
+const CONFIG_STALE_MS: u64 = 2_000;
+/// Largest random addition to a stale age, in milliseconds, so that one entry reads for all.
+const STALE_JITTER_MS: u64 = 400;
 /// Name of the one environment object and of the one operations object.
 const CURRENT: &str = "current";
 /// Source named in the log.
 const SOURCE: &str = "platform";
 
-/// Reads the platform until `stop` is cancelled.
-pub(crate) async fn run(entry: Arc<Entry>, client: Client, stop: CancellationToken) {
+/// Reads the control state whenever it is stale, until `stop` is cancelled.
+pub(crate) async fn read_control(entry: Arc<Entry>, client: Client, stop: CancellationToken) {
     while !stop.is_cancelled() {
-        if let Err(error) = read(&entry, &client).await {
+        if let Err(error) = read_stale(&entry, &client).await {
             warn!(error:% = error; "platform read failed");
         }
         tokio::select! {
-            () = tokio::time::sleep(READ_INTERVAL) => {}
+            () = tokio::time::sleep(CHECK_INTERVAL) => {}
             () = stop.cancelled() => {}
         }
     }
 }
 
-async fn read(entry: &Arc<Entry>, client: &Client) -> Result<(), PlatformError> {
-    let sent_ms = entry.clock.now_ms();
-    let config = client.get::<StoredConfig>(Kind::Environments, CURRENT).await?;
-    let operations = client.get::<StoredOperations>(Kind::Operations, CURRENT).await?;
-    let operations = operations.map_or_else(OperationsRecord::initial, |it| it.spec.record);
-    let update =
-        ControlUpdate { config: config.map(|it| it.spec.record), operations: Some(operations) };
-    entry.control.adopt(update, SOURCE);
-    entry.control.confirm(sent_ms, 0);
-    let listed = client.list::<InstanceRecord>(Kind::Instances).await?;
-    let mut instances = Vec::new();
-    for object in listed.objects {
-        instances.push(object.spec);
+/// Follows the instance list until `stop` is cancelled.
+pub(crate) async fn follow_instances(entry: Arc<Entry>, client: Client, stop: CancellationToken) {
+    let (watcher, mut updates) = Watcher::start::<InstanceRecord>(
+        client,
+        Kind::Instances,
+        WatcherSettings::default(),
+        &stop,
+    );
+    let mut listed = FastMap::default();
+    while let Some(update) = updates.recv().await {
+        match update {
+            WatchUpdate::Snapshot(objects) => {
+                listed = objects.into_iter().map(|it| (it.name, it.spec)).collect();
+            }
+            WatchUpdate::Changed(object) => {
+                listed.insert(object.name, object.spec);
+            }
+            WatchUpdate::Deleted(object) => {
+                listed.remove(&object.name);
+            }
+            WatchUpdate::Unavailable(error) => {
+                warn!(error:% = error; "instance list unavailable; the last one stays in use");
+                continue;
+            }
+            WatchUpdate::Available => continue,
+        }
+        entry.fleet.apply_list(listed.values().cloned().collect());
+    }
+    watcher.close().await;
+}
+
+async fn read_stale(entry: &Entry, client: &Client) -> Result<(), PlatformError> {
+    let now_ms = entry.clock.now_ms();
+    let ages = entry.control.ages(now_ms);
+    if is_stale(ages.operations_ms, OPERATIONS_STALE_MS) {
+        read_operations(entry, client, now_ms).await?;
+    }
+    if is_stale(ages.config_ms, CONFIG_STALE_MS) {
+        read_config(entry, client, now_ms).await?;
     }
-    entry.fleet.apply(&instances);
+    Ok(())
+}
+
+fn is_stale(age_ms: Option<u64>, limit_ms: u64) -> bool {
+    let jitter_ms = rand::random::<u64>() % STALE_JITTER_MS;
+    age_ms.is_none_or(|it| it > limit_ms + jitter_ms)
+}
+
+async fn read_operations(
+    entry: &Entry,
+    client: &Client,
+    sent_ms: u64,
+) -> Result<(), PlatformError> {
+    let stored = client.get::<StoredOperations>(Kind::Operations, CURRENT).await?;
+    let record = stored.map_or_else(OperationsRecord::initial, |it| it.spec.record);
+    let update = ControlUpdate { config: None, operations: Some(record) };
+    entry.control.adopt(update, SOURCE);
+    entry.control.confirm(sent_ms, Ages { config_ms: None, operations_ms: Some(0) });
+    Ok(())
+}
+
+async fn read_config(entry: &Entry, client: &Client, sent_ms: u64) -> Result<(), PlatformError> {
+    let stored = client.get::<StoredConfig>(Kind::Environments, CURRENT).await?;
+    let update = ControlUpdate { config: stored.map(|it| it.spec.record), operations: None };
+    entry.control.adopt(update, SOURCE);
+    entry.control.confirm(sent_ms, Ages { config_ms: Some(0), operations_ms: None });
     Ok(())
 }
--- a/crates/entry/src/run/service.rs
+++ b/crates/entry/src/run/service.rs
@@ -1,6 +1,9 @@
 //! A plain service call: one stage, passed through as it is.
 
+use std::sync::Arc;
+
 use yuccatrail_core::{
+    accounting::{StageLabel, Worth},
     document::{Document, Service},
     ids::StageIndex,
     outcome::{Reason, Refusal},
@@ -12,25 +15,55 @@
     attempt::Output,
     stage::{self, StageWork},
 };
-use crate::entry::Entry;
+use crate::{
+    entry::Entry,
+    policy::{self, StageDemand},
+};
+
+/// Returns the work of a service call.
+///
+/// # Errors
+///
+/// Returns a refusal when the document does not name the pool.
+pub(crate) fn work<'a>(
+    document: &'a Document,
+    service: &Service,
+    call: UpstreamCall,
+) -> Result<StageWork<'a>, Refusal> {
+    let Some(pool) = document.pool(&service.pool) else {
+        return Err(Refusal::not_run(Reason::NoConfiguration, 0));
+    };
+    let demand = StageDemand { pool, max_tokens: 0 };
+    Ok(StageWork { index: StageIndex(0), demand, prefix: None, call, sink: None })
+}
 
-/// Runs a service call to its complete output.
+/// Runs a call that may be repeated to its complete output.
 ///
 /// # Errors
 ///
 /// Returns a refusal that covers all attempts.
 pub(crate) async fn run(
-    entry: &Entry,
+    entry: &Arc<Entry>,
     document: &Document,
-    service: &Service,
     request: &RequestContext,
-    idempotent: bool,
-    call: UpstreamCall,
+    work: &StageWork<'_>,
 ) -> Result<Output, Refusal> {
-    let Some(pool) = document.pool(&service.pool) else {
-        return Err(Refusal::not_run(Reason::NoConfiguration, 0));
+    let _in_progress = entry.strikes.start(request.fingerprint, entry.clock.now_ms())?;
+    let admitted = policy::admit(entry, document, request, &[work.demand])?;
+    admitted.stage_sent();
+    let output = stage::run(entry, request, work).await?;
+    account(entry, request, &output);
+    Ok(output)
+}
+
+/// Counts the cost of a completed call.
+pub(crate) fn account(entry: &Entry, request: &RequestContext, output: &Output) {
+    let label = StageLabel {
+        pipeline: request.target.clone(),
+        customer: request.customer.clone(),
+        stage: StageIndex(0),
     };
-    let work =
-        StageWork { index: StageIndex(0), pool, idempotent, estimate_ms: pool.estimate_ms, call };
-    stage::run(entry, request, work, |_| {}).await
+    let on_time = entry.clock.now_ms() <= request.deadline_ms;
+    let worth = if on_time { Worth::Used } else { Worth::Wasted };
+    entry.metrics.on_attempt(&label, output.completion.usage, worth);
 }
--- a/crates/entry/src/run/stage.rs
+++ b/crates/entry/src/run/stage.rs
@@ -1,103 +1,359 @@
-//! One stage of a request, with retries on other upstreams.
+//! One stage of a request, with retries and hedges on other upstreams.
 
-use std::sync::Arc;
+use std::{pin::Pin, sync::Arc, time::Duration};
 
-use bytes::Bytes;
+use futures::future::{Either, select};
 use log::info;
 use yuccatrail_core::{
-    document::Pool,
+    accounting::{StageLabel, Worth},
+    hedge::{HedgeDecision, HedgeQuery, decide},
     ids::{AttemptId, StageIndex},
+    membership::UpstreamKey,
     outcome::{Execution, Reason, Refusal},
+    routing::{AttemptEnd, RandomNumbers, RouteContext},
 };
 use yuccatrail_rpc::messages::UpstreamCall;
 
 use super::{
-    RequestContext,
+    ChunkSink, Failure, RequestContext,
     attempt::{self, AttemptPlan, Output},
 };
-use crate::{entry::Entry, link::Link};
+use crate::{
+    entry::Entry,
+    fleet::{Chosen, Fleet},
+    policy::StageDemand,
+};
 
 /// Attempts of one stage, over all upstreams.
-const MAX_ATTEMPTS: u16 = 4;
+const MAX_ATTEMPTS: u16 = 6;
 /// Time after which a caller may try again when no upstream is left, in milliseconds.
 const NO_UPSTREAM_RETRY_AFTER_MS: u64 = 500;
 
 /// Work of one stage.
+#[derive(Clone)]
 pub(crate) struct StageWork<'a> {
     /// Position in the pipeline.
     pub(crate) index: StageIndex,
-    /// Pool that runs the stage.
-    pub(crate) pool: &'a Pool,
-    /// Whether the call may be repeated.
-    pub(crate) idempotent: bool,
-    /// Expected run time, in milliseconds.
-    pub(crate) estimate_ms: u64,
+    /// Pool and size of the work.
+    pub(crate) demand: StageDemand<'a>,
+    /// Hash of the prompt prefix, if the stage has one worth keeping together.
+    pub(crate) prefix: Option<u64>,
     /// The upstream call.
     pub(crate) call: UpstreamCall,
+    /// Receives the chunks as they arrive; such a stage is neither hedged nor retried once begun.
+    pub(crate) sink: Option<ChunkSink>,
+}
+
+/// A stage while it runs.
+struct StageRun<'a> {
+    entry: &'a Arc<Entry>,
+    request: &'a RequestContext,
+    work: &'a StageWork<'a>,
+    tried: Vec<UpstreamKey>,
+    next_number: u16,
+    estimate_ms: u64,
+}
+
+/// An attempt that counts as in progress at its upstream until it ends or is dropped.
+struct Begun {
+    fleet: Arc<Fleet>,
+    key: UpstreamKey,
+    end: AttemptEnd,
+}
+
+impl Begun {
+    /// Notes how the attempt ended.
+    fn ends(&mut self, end: AttemptEnd) {
+        self.end = end;
+    }
+}
+
+impl Drop for Begun {
+    fn drop(&mut self) {
+        self.fleet.end(self.key, self.end);
+    }
 }
 
-/// Runs a stage to its complete output.
+type AttemptFuture<'a> = Pin<Box<dyn Future<Output = Result<Output, Failure>> + Send + 'a>>;
+
+/// Runs an idempotent stage to its complete output.
 ///
 /// # Errors
 ///
 /// Returns a refusal that covers all attempts of the stage.
 pub(crate) async fn run(
-    entry: &Entry,
+    entry: &Arc<Entry>,
     request: &RequestContext,
-    work: StageWork<'_>,
-    mut on_chunk: impl FnMut(&Bytes) + Send,
+    work: &StageWork<'_>,
 ) -> Result<Output, Refusal> {
+    let estimate_ms = entry.policy.expected_ms(work.demand);
+    let mut run = StageRun { entry, request, work, tried: Vec::new(), next_number: 0, estimate_ms };
     let mut execution = Execution::NotRun;
-    let mut tried: Vec<String> = Vec::new();
     let mut last = Refusal::not_run(Reason::NoUpstream, NO_UPSTREAM_RETRY_AFTER_MS);
-    for number in 0..MAX_ATTEMPTS {
-        let Some(link) = choose(entry, work.pool, &tried) else { break };
-        let id =
-            AttemptId { request: request.id, stage: work.index, number, entry: entry.incarnation };
-        let plan = AttemptPlan {
-            id,
-            pool: work.pool.name.clone(),
-            idempotent: work.idempotent,
-            estimate_ms: work.estimate_ms,
-            call: work.call.clone(),
+    while run.next_number < MAX_ATTEMPTS {
+        let alone = match entry.strikes.admit_attempt(request.fingerprint, entry.clock.now_ms()) {
+            Ok(alone) => alone,
+            Err(refusal) => {
+                last = refusal;
+                break;
+            }
         };
-        info!(attempt:% = id, pool:% = work.pool.name, upstream:% = link.instance.name; "upstream chosen");
-        let mut delivered = false;
-        let mut deliver = |chunk: &Bytes| {
-            delivered = true;
-            on_chunk(chunk);
+        let (chosen, id) = match run.choose(alone) {
+            Ok(chosen) => chosen,
+            Err(reason) => {
+                // The refusal of an earlier attempt says more than that nothing is left to try.
+                if run.next_number == 0 {
+                    last = Refusal::not_run(reason, NO_UPSTREAM_RETRY_AFTER_MS);
+                }
+                break;
+            }
         };
-        let refusal = match attempt::run(entry, &link, request, plan, &mut deliver).await {
+        let failure = match run.attempt_hedged(chosen, id, alone).await {
             Ok(output) => return Ok(output),
-            Err(refusal) => refusal,
+            Err(failure) => failure,
         };
-        info!(attempt:% = id, reason:% = refusal.reason, execution:% = refusal.execution; "attempt ended");
-        execution = execution.and(refusal.execution);
-        last = refusal;
-        tried.push(link.instance.name.clone());
-        // Output that the caller has seen cannot be replaced by that of another run.
-        if delivered || refusal.reason == Reason::DeadlineExpired {
-            break;
-        }
-        if !work.idempotent && refusal.execution != Execution::NotRun {
+        execution = execution.and(failure.refusal.execution);
+        last = failure.refusal;
+        if !run.may_retry(&failure) {
             break;
         }
     }
     Err(Refusal { execution, ..last })
 }
 
-fn choose(entry: &Entry, pool: &Pool, tried: &[String]) -> Option<Arc<Link>> {
-    let mut best: Option<(u32, Arc<Link>)> = None;
-    for link in entry.fleet.pool(&pool.name) {
-        if tried.contains(&link.instance.name) {
-            continue;
+/// Runs one attempt of a call that may not be repeated.
+///
+/// # Errors
+///
+/// Returns a failure that states what is known about the execution.
+pub(crate) async fn run_once(
+    entry: &Arc<Entry>,
+    request: &RequestContext,
+    work: &StageWork<'_>,
+    number: u16,
+    tried: &mut Vec<UpstreamKey>,
+    dispatch_by_ms: u64,
+) -> Result<Output, Failure> {
+    let alone = entry.strikes.admit_attempt(request.fingerprint, entry.clock.now_ms())?;
+    let estimate_ms = entry.policy.expected_ms(work.demand);
+    let mut run = StageRun {
+        entry,
+        request,
+        work,
+        tried: std::mem::take(tried),
+        next_number: number,
+        estimate_ms,
+    };
+    let chosen = run.choose(alone);
+    *tried = run.tried.clone();
+    let (chosen, id) = match chosen {
+        Ok(chosen) => chosen,
+        Err(reason) => {
+            return Err(Refusal::not_run(reason, NO_UPSTREAM_RETRY_AFTER_MS).into());
         }
-        let Some(report) = link.report() else { continue };
-        let load = report.feedback.load.queued + link.in_flight();
-        if best.as_ref().is_some_and(|it| it.0 <= load) {
-            continue;
+    };
+    run.attempt(chosen, id, false, dispatch_by_ms).await
+}
+
+impl<'a> StageRun<'a> {
+    fn choose(&mut self, alone: bool) -> Result<(Chosen, AttemptId), Reason> {
+        let pool = &self.work.demand.pool.name;
+        let chosen = match alone {
+            true => self.entry.fleet.choose_alone(pool, self.request.fingerprint),
+            false => {
+                let context = RouteContext { prefix: self.work.prefix, ..RouteContext::default() };
+                let [first, second, probe] = rand::random();
+                let random = RandomNumbers { first, second, probe };
+                self.entry.fleet.choose(pool, &self.tried, context, random)
+            }
+        };
+        let id = AttemptId {
+            request: self.request.id,
+            stage: self.work.index,
+            number: self.next_number,
+            entry: self.entry.incarnation,
+        };
+        self.next_number += 1;
+        let chosen = match chosen {
+            Ok(chosen) => chosen,
+            Err(reason) => {
+                info!(attempt:% = id, pool = pool.as_str(), reason:% = reason; "no upstream chosen");
+                return Err(reason);
+            }
+        };
+        info!(
+            attempt:% = id,
+            pool = pool.as_str(),
+            upstream = chosen.link.name.as_str(),
+            candidates = chosen.considered,
+            reason:% = chosen.reason;
+            "upstream chosen"
+        );
+        self.tried.push(chosen.key);
+        Ok((chosen, id))
+    }
+
+    /// Runs an attempt, and a second one beside it when it takes unusually long.
+    async fn attempt_hedged(
+        &mut self,
+        chosen: Chosen,
+        id: AttemptId,
+        alone: bool,
+    ) -> Result<Output, Failure> {
+        let sent_ms = self.entry.clock.now_ms();
+        let deadline_ms = self.request.deadline_ms;
+        let primary = self.attempt(chosen, id, true, deadline_ms);
+        if alone || self.work.sink.is_some() {
+            return primary.await;
+        }
+        let hedge = Box::pin(self.wait_for_hedge(sent_ms));
+        let primary = match select(primary, hedge).await {
+            Either::Left((result, _)) => return result,
+            Either::Right((false, primary)) => return primary.await,
+            Either::Right((true, primary)) => primary,
+        };
+        let Ok((second, second_id)) = self.choose(false) else { return primary.await };
+        self.entry.metrics.hedges.inc();
+        info!(attempt:% = second_id, beside:% = id; "hedging a slow attempt");
+        let secondary = self.attempt(second, second_id, true, deadline_ms);
+        first_complete(primary, secondary).await
+    }
+
+    /// Waits until the attempt is to be hedged; returns false if it never is.
+    async fn wait_for_hedge(&self, sent_ms: u64) -> bool {
+        let pool = self.work.demand.pool;
+        loop {
+            let now_ms = self.entry.clock.now_ms();
+            let load = self.entry.fleet.pool_load(&pool.name);
+            let query = HedgeQuery {
+                idempotent: true,
+                hedged: false,
+                sent_ms,
+                expected_ms: self.estimate_ms,
+                finish_by_ms: self.request.deadline_ms,
+                other_has_room: load.upstreams > 1 && load.outstanding < load.limit,
+            };
+            let decision = self.entry.policy.with_latency(pool, |latency| {
+                decide(now_ms, &query, latency, &mut self.entry.retry_budget())
+            });
+            match decision {
+                HedgeDecision::Hedge => return true,
+                HedgeDecision::No(_) => return false,
+                HedgeDecision::WaitUntil(at_ms) => {
+                    tokio::time::sleep(Duration::from_millis(at_ms - now_ms)).await;
+                }
+            }
+        }
+    }
+
+    /// Returns the future of one attempt, which accounts for itself however it ends.
+    fn attempt(
+        &self,
+        chosen: Chosen,
+        id: AttemptId,
+        idempotent: bool,
+        dispatch_by_ms: u64,
+    ) -> AttemptFuture<'a> {
+        let (entry, request, work) = (self.entry, self.request, self.work);
+        let estimate_ms = self.estimate_ms;
+        let mut begun =
+            Begun { fleet: entry.fleet.clone(), key: chosen.key, end: AttemptEnd::NotRun };
+        let plan = AttemptPlan {
+            id,
+            pool: work.demand.pool.name.clone(),
+            idempotent,
+            dispatch_by_ms,
+            estimate_ms,
+            call: work.call.clone(),
+            sink: work.sink.clone(),
+        };
+        Box::pin(async move {
+            let sent_ms = entry.clock.now_ms();
+            let result = attempt::run(entry, &chosen.link, request, plan).await;
+            let latency_ms = entry.clock.now_ms().saturating_sub(sent_ms);
+            begun.ends(attempt_end(&result, estimate_ms));
+            match &result {
+                Ok(output) => {
+                    let usage = output.completion.usage;
+                    entry.policy.on_complete(work.demand, usage, latency_ms);
+                    entry.strikes.complete(request.fingerprint);
+                    entry.retry_budget().on_complete();
+                }
+                Err(failure) => report_failure(entry, request, work, id, failure),
+            }
+            result
+        })
+    }
+
+    /// Decides whether another attempt may follow a failed one.
+    fn may_retry(&self, failure: &Failure) -> bool {
+        let refusal = failure.refusal;
+        let now_ms = self.entry.clock.now_ms();
+        if now_ms + self.estimate_ms > self.request.deadline_ms {
+            return false;
+        }
+        match refusal.reason {
+            Reason::DeadlineExpired | Reason::Quarantined | Reason::DeadlineUnreachable => false,
+            _ if refusal.execution == Execution::NotRun => true,
+            // Output that the caller has seen cannot be replaced by that of another run.
+            _ if self.work.sink.is_some() => false,
+            _ => {
+                let allowed = self.entry.retry_budget().try_spend();
+                if allowed {
+                    self.entry.metrics.retries.inc();
+                }
+                allowed
+            }
+        }
+    }
+}
+
+fn report_failure(
+    entry: &Entry,
+    request: &RequestContext,
+    work: &StageWork<'_>,
+    id: AttemptId,
+    failure: &Failure,
+) {
+    let refusal = failure.refusal;
+    info!(attempt:% = id, reason:% = refusal.reason, execution:% = refusal.execution; "attempt ended");
+    let Some(usage) = failure.usage else { return };
+    let label = StageLabel {
+        pipeline: request.target.clone(),
+        customer: request.customer.clone(),
+        stage: work.index,
+    };
+    entry.metrics.on_attempt(&label, usage, Worth::Wasted);
+}
+
+/// Returns the first complete output of two attempts, or the failure of both.
+async fn first_complete(
+    primary: AttemptFuture<'_>,
+    secondary: AttemptFuture<'_>,
+) -> Result<Output, Failure> {
+    let (first, other) = match select(primary, secondary).await {
+        Either::Left((result, other)) => (result, other),
+        Either::Right((result, other)) => (result, other),
+    };
+    let first = match first {
+        Ok(output) => return Ok(output),
+        Err(failure) => failure,
+    };
+    let second = match other.await {
+        Ok(output) => return Ok(output),
+        Err(failure) => failure,
+    };
+    let execution = first.refusal.execution.and(second.refusal.execution);
+    Err(Failure { refusal: Refusal { execution, ..second.refusal }, usage: None })
+}
+
+fn attempt_end(result: &Result<Output, Failure>, estimate_ms: u64) -> AttemptEnd {
+    match result {
+        Ok(output) => {
+            let engine_ms = output.completion.usage.engine_ms as f64;
+            AttemptEnd::Completed { ratio: engine_ms / estimate_ms.max(1) as f64 }
         }
-        best = Some((load, link));
+        Err(failure) if failure.refusal.execution == Execution::NotRun => AttemptEnd::NotRun,
+        Err(_) => AttemptEnd::Failed,
     }
-    best.map(|it| it.1)
 }
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -1,14 +1,20 @@
-//! The `serve` subcommand: wires the entry's parts together.
+//! The `serve` subcommand: wires the entry's parts together and carries it through a planned stop.
 
-use std::{io, process::ExitCode, sync::Arc};
+use std::{io, process::ExitCode, sync::Arc, time::Duration};
 
-use log::{LevelFilter, error, info};
-use tokio::net::TcpListener;
-use yuccatrail_core::ids::Incarnation;
+use log::{LevelFilter, error, info, warn};
+use tokio::{net::TcpListener, task::JoinSet};
+use tokio_util::sync::CancellationToken;
+use yuccatrail_core::drain::{PlannedStop, StopPhase, StopSettings};
 use yuccatrail_platform::{Client, ClientSettings};
 use yuccatrail_runtime::{http, logging, shutdown};
 
-use crate::{caller::routes, entry::Entry, platform_feed, settings::Settings};
+use crate::{
+    caller::routes, entry::Entry, gossip, metrics::Metrics, platform_feed, settings::Settings,
+};
+
+/// Time between two looks at the work in progress of a stopping entry.
+const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Serves callers until a planned stop has finished.
 pub(crate) async fn run(settings: Settings) -> ExitCode {
@@ -26,18 +32,72 @@
 }
 
 async fn serve(settings: Settings) -> io::Result<()> {
-    let stop = shutdown::stop_signal()?;
+    let signal = shutdown::stop_signal()?;
     let listener = TcpListener::bind(settings.listen).await?;
-    let entry = Arc::new(Entry::new(&settings, Incarnation(rand::random())));
+    let peer_listener = TcpListener::bind(settings.peer_listen).await?;
     let client = Client::new(ClientSettings {
         address: settings.platform,
         environment: settings.environment.clone(),
         ..ClientSettings::default()
     });
-    let feed = tokio::spawn(platform_feed::run(entry.clone(), client, stop.clone()));
-    info!(address:% = listener.local_addr()?, name:% = settings.name; "listening");
-    http::serve(listener, stop, move |request| routes::handle(entry.clone(), request)).await;
-    // The feed ends with the stop signal; a failure of its task changes nothing any more.
-    let _ = feed.await;
+    let entry = Entry::new(&settings, client.clone(), Metrics::new(client.clone()));
+    info!(
+        address:% = listener.local_addr()?,
+        admin_address:% = peer_listener.local_addr()?,
+        name:% = settings.name,
+        data_centre:% = settings.data_centre,
+        incarnation:% = entry.incarnation;
+        "listening"
+    );
+    let finished = CancellationToken::new();
+    let mut tasks = JoinSet::new();
+    tasks.spawn(platform_feed::read_control(entry.clone(), client.clone(), finished.clone()));
+    tasks.spawn(platform_feed::follow_instances(entry.clone(), client, finished.clone()));
+    tasks.spawn(gossip::run(entry.clone(), finished.clone()));
+    tasks.spawn(gossip::serve(peer_listener, entry.clone(), finished.clone()));
+    tasks.spawn(apply_operations(entry.clone(), finished.clone()));
+    let handler_entry = entry.clone();
+    let handler = move |request| routes::handle(handler_entry.clone(), request);
+    let callers = tokio::spawn(http::serve(listener, finished.clone(), handler));
+    signal.cancelled().await;
+    stop(&entry, &settings).await;
+    finished.cancel();
+    // Connections that only wait for another request end at once; the others were awaited above.
+    let _ = callers.await;
+    tasks.join_all().await;
+    info!("planned stop ends");
     Ok(())
 }
+
+/// Passes each change of the operational state on to the fleet.
+async fn apply_operations(entry: Arc<Entry>, finished: CancellationToken) {
+    let mut changed = entry.control.subscribe();
+    while !finished.is_cancelled() {
+        entry.fleet.apply_operations();
+        tokio::select! {
+            _ = changed.changed() => {}
+            () = finished.cancelled() => {}
+        }
+    }
+}
+
+/// Refuses new requests and waits for those in progress.
+async fn stop(entry: &Entry, settings: &Settings) {
+    info!("planned stop begins");
+    entry.begin_stop();
+    let mut planned = PlannedStop::new(StopSettings {
+        notice_ms: settings.stop_notice_ms,
+        time_limit_ms: Some(settings.stop_limit_ms),
+    });
+    planned.begin(entry.clock.now_ms());
+    loop {
+        let phase = planned.advance(entry.clock.now_ms(), entry.in_progress());
+        if let StopPhase::Finished { cut } = phase {
+            if cut > 0 {
+                warn!(cut = cut; "the time limit of the planned stop cuts work in progress");
+            }
+            return;
+        }
+        tokio::time::sleep(STOP_CHECK_INTERVAL).await;
+    }
+}
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -19,6 +19,8 @@
     pub(crate) platform: SocketAddr,
     /// Environment whose configuration is served.
     pub(crate) environment: String,
+    /// Shortest time for which a stopping entry refuses requests before it exits, in milliseconds.
+    pub(crate) stop_notice_ms: u64,
     /// Longest time that a planned stop waits for work in progress, in milliseconds.
     pub(crate) stop_limit_ms: u64,
 }
@@ -53,6 +55,11 @@
         .argument::<String>("NAME")
         .guard(not_empty, "environment must not be empty")
         .fallback("production".to_owned());
+    let stop_notice_ms = long("stop-notice-ms")
+        .env("YUCCATRAIL_STOP_NOTICE_MS")
+        .help("Shortest time for which a stopping entry refuses requests, in milliseconds")
+        .argument("MS")
+        .fallback(500);
     let stop_limit_ms = long("stop-limit-ms")
         .env("YUCCATRAIL_STOP_LIMIT_MS")
         .help("Longest wait of a planned stop for work in progress in milliseconds")
@@ -65,6 +72,7 @@
         peer_listen,
         platform,
         environment,
+        stop_notice_ms,
         stop_limit_ms
     })
 }
--- a/crates/fakes/src/stack/run.rs
+++ b/crates/fakes/src/stack/run.rs
@@ -199,6 +199,18 @@
     }
 }
 
+/// Returns the instance record that the platform lists for an entry.
+pub fn entry_instance(entry: &Process, data_centre: &str) -> InstanceRecord {
+    InstanceRecord {
+        name: entry.name.clone(),
+        role: InstanceRole::Entry,
+        pool: None,
+        data_centre: data_centre.to_owned(),
+        address: entry.admin_address.unwrap_or(entry.address),
+        state: InstanceState::Live,
+    }
+}
+
 /// Writes an environment document as the first accepted configuration.
 ///
 /// # Errors
--- a/crates/rpc/src/messages.rs
+++ b/crates/rpc/src/messages.rs
@@ -22,14 +22,23 @@
     pub versions: Versions,
     /// Newer state that the receiver is known to lack.
     pub update: ControlUpdate,
-    /// Upper bound on the age of the sender's control state in milliseconds, if it was ever confirmed.
-    pub age_ms: Option<u64>,
+    /// Age of the sender's control state.
+    pub ages: Ages,
     /// The receiver's last reply, after which this request was made.
     pub echo: Option<Echo>,
     /// Strikes against requests that the receiver may not know yet.
     pub strikes: Vec<Strike>,
 }
 
+/// Upper bounds on the age of a process's control state; none where it was never confirmed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ages {
+    /// Age of the environment document, in milliseconds.
+    pub config_ms: Option<u64>,
+    /// Age of the operational state, in milliseconds.
+    pub operations_ms: Option<u64>,
+}
+
 /// Names the reply that a request follows, so that the receiver can tell how old the request is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Echo {
@@ -46,6 +55,8 @@
     pub feedback: Feedback,
     /// Newer state that the sender lacked.
     pub update: ControlUpdate,
+    /// Age of the answering process's control state.
+    pub ages: Ages,
 }
 
 /// State of an answering process, which every reply carries.
--- a/crates/rpc/src/transport.rs
+++ b/crates/rpc/src/transport.rs
@@ -20,6 +20,9 @@
     /// The connection could not be opened.
     #[display("cannot connect: {_0}")]
     Connect(io::Error),
+    /// The connection was not opened in time.
+    #[display("connecting timed out")]
+    TimedOut,
     /// The WebSocket layer failed.
     #[display("WebSocket: {_0}")]
     WebSocket(tungstenite::Error),
--- a/crates/runtime/src/control.rs
+++ b/crates/runtime/src/control.rs
@@ -10,12 +10,14 @@
     drain::{Freshness, FreshnessSettings},
     outcome::Reason,
 };
+use yuccatrail_rpc::messages::Ages;
 
 /// Control state with notification of changes.
 #[derive(Debug)]
 pub struct SharedControl {
     state: Mutex<ControlState>,
-    freshness: Mutex<Freshness>,
+    config_freshness: Mutex<Freshness>,
+    operations_freshness: Mutex<Freshness>,
     changed: watch::Sender<Versions>,
 }
 
@@ -23,8 +25,12 @@
     /// Creates the state of a process that has just started and holds nothing.
     pub fn new() -> Self {
         let (changed, _) = watch::channel(Versions::default());
-        let freshness = Mutex::new(Freshness::new(FreshnessSettings::default(), 0));
-        Self { state: Mutex::new(ControlState::new()), freshness, changed }
+        Self {
+            state: Mutex::new(ControlState::new()),
+            config_freshness: new_freshness(),
+            operations_freshness: new_freshness(),
+            changed,
+        }
     }
 
     /// Returns the versions that the process holds.
@@ -67,14 +73,24 @@
         }
     }
 
-    /// Notes an answer about the control state; see [`Freshness::confirm`].
-    pub fn confirm(&self, sent_ms: u64, age_ms: u64) {
-        self.freshness.lock().unwrap_or_else(PoisonError::into_inner).confirm(sent_ms, age_ms);
+    /// Notes an answer to a question that was sent at `sent_ms`, with the ages that it states.
+    ///
+    /// The process has to hold everything that the answering side holds.
+    pub fn confirm(&self, sent_ms: u64, ages: Ages) {
+        if let Some(age_ms) = ages.config_ms {
+            lock(&self.config_freshness).confirm(sent_ms, age_ms);
+        }
+        if let Some(age_ms) = ages.operations_ms {
+            lock(&self.operations_freshness).confirm(sent_ms, age_ms);
+        }
     }
 
-    /// Upper bound on the age of the control state, in milliseconds, if it was ever confirmed.
-    pub fn age_ms(&self, now_ms: u64) -> Option<u64> {
-        self.freshness.lock().unwrap_or_else(PoisonError::into_inner).age_ms(now_ms)
+    /// Returns the ages of the control state.
+    pub fn ages(&self, now_ms: u64) -> Ages {
+        Ages {
+            config_ms: lock(&self.config_freshness).age_ms(now_ms),
+            operations_ms: lock(&self.operations_freshness).age_ms(now_ms),
+        }
     }
 
     /// Passes the state to `read`, which must not block.
@@ -88,10 +104,18 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, ControlState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 }
 
+fn new_freshness() -> Mutex<Freshness> {
+    Mutex::new(Freshness::new(FreshnessSettings::default(), 0))
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 impl Default for SharedControl {
     fn default() -> Self {
         Self::new()
--- a/crates/runtime/src/http.rs
+++ b/crates/runtime/src/http.rs
@@ -17,6 +17,9 @@
 /// Largest number of concurrent HTTP/2 streams on one connection.
 const MAX_CONCURRENT_STREAMS: u32 = 1024;
 
+/// Content type of metrics in the OpenMetrics text format.
+pub const METRICS_TEXT: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
 /// Body of an answer, whole or streamed.
 pub type Body = UnsyncBoxBody<Bytes, Infallible>;
 
