Add the operators' commands and their process tests

Cause: operators need check, trial, promote, status, data-centre and upstream commands with clear results for races, lost answers and outages. Ruled out: reading YUCCATRAIL_ENVIRONMENT in trial. It usually names production, so a trial would have changed production. Errors of the platform client now name the environment beside the object, because a promotion touches two.

--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -4,6 +4,7 @@
 mod entry;
 mod fleet;
 mod link;
+mod operator;
 mod platform_feed;
 mod run;
 mod serve;
@@ -20,6 +21,8 @@
 enum Command {
     /// Runs the entry instance.
     Serve(Settings),
+    /// Runs an operators' command.
+    Operator(operator::Command),
 }
 
 fn options() -> OptionParser<Command> {
@@ -28,12 +31,16 @@
         .descr("Serve callers: the entry instance behind the platform's balancer")
         .command("serve")
         .map(Command::Serve);
-    construct!([serve]).to_options().descr("Serving system for multi-stage model pipelines")
+    let operator = operator::command().map(Command::Operator);
+    construct!([serve, operator])
+        .to_options()
+        .descr("Serving system for multi-stage model pipelines")
 }
 
 #[tokio::main]
 async fn main() -> ExitCode {
     match options().run() {
         Command::Serve(settings) => serve::run(settings).await,
+        Command::Operator(command) => operator::run(command).await,
     }
 }
--- /dev/null
+++ b/crates/entry/src/operator/mod.rs
@@ -0,0 +1,59 @@
+//! Operators' commands: each runs once, prints what happened and says so in its exit code.
+
+mod change;
+mod check;
+mod confirm;
+mod data_centre;
+mod document_file;
+mod entry_status;
+mod operate;
+mod options;
+mod outcome;
+mod promote;
+mod status;
+mod trial;
+mod upstream;
+
+use std::process::ExitCode;
+
+use bpaf::{Parser, construct};
+
+/// An operators' command with its arguments.
+#[derive(Clone, Debug)]
+pub(crate) enum Command {
+    /// Checks a document without contacting anything.
+    Check(check::Arguments),
+    /// Puts a document into force in the trial environment.
+    Trial(trial::Arguments),
+    /// Puts the document of one environment into force in another.
+    Promote(promote::Arguments),
+    /// Shows what is in force and what each entry reports.
+    Status(status::Arguments),
+    /// Takes a data centre out or brings it back.
+    DataCentre(data_centre::Arguments),
+    /// Makes an upstream leave or return.
+    Upstream(upstream::Arguments),
+}
+
+/// Parses the commands.
+pub(crate) fn command() -> impl Parser<Command> {
+    let check = check::command().map(Command::Check);
+    let trial = trial::command().map(Command::Trial);
+    let promote = promote::command().map(Command::Promote);
+    let status = status::command().map(Command::Status);
+    let data_centre = data_centre::command().map(Command::DataCentre);
+    let upstream = upstream::command().map(Command::Upstream);
+    construct!([check, trial, promote, status, data_centre, upstream])
+}
+
+/// Runs a command.
+pub(crate) async fn run(command: Command) -> ExitCode {
+    match command {
+        Command::Check(arguments) => check::run(&arguments),
+        Command::Trial(arguments) => trial::run(arguments).await,
+        Command::Promote(arguments) => promote::run(arguments).await,
+        Command::Status(arguments) => status::run(arguments).await,
+        Command::DataCentre(arguments) => data_centre::run(arguments).await,
+        Command::Upstream(arguments) => upstream::run(arguments).await,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/operator/status.rs
@@ -0,0 +1,189 @@
+//! `status`: shows what is in force and what each entry reports.
+
+use std::{net::SocketAddr, process::ExitCode};
+
+use bpaf::{Parser, construct, long};
+use serde::Serialize;
+use yuccatrail_core::control::{StoredConfig, StoredOperations, Versions};
+use yuccatrail_platform::{CURRENT, Client, Kind, PlatformError};
+
+use super::{
+    confirm::{self, EntryReport, Part},
+    entry_status, options,
+    outcome::{eprint_line, print_line},
+};
+
+/// Exit code when the platform does not answer.
+const EXIT_NOT_AVAILABLE: u8 = 4;
+
+/// Exit code when some entry does not report the versions in force.
+const EXIT_NOT_CONFIRMED: u8 = 6;
+
+/// Arguments of the command.
+#[derive(Clone, Debug)]
+pub(crate) struct Arguments {
+    platform: SocketAddr,
+    json: bool,
+    environment: String,
+    entries: Vec<SocketAddr>,
+}
+
+/// State of an environment as the platform holds it and as entries report it.
+#[derive(Debug, Default, Serialize)]
+struct Report {
+    /// What the platform holds, if it answered.
+    platform: Option<InForce>,
+    /// What the entries report.
+    entries: Vec<EntryLine>,
+    /// Why the platform's state is not known.
+    platform_error: Option<String>,
+}
+
+/// Control state in force.
+#[derive(Debug, Serialize)]
+struct InForce {
+    versions: Versions,
+    digest: Option<String>,
+    data_centres_out: Vec<String>,
+    upstreams_leaving: Vec<String>,
+}
+
+/// What one entry reports.
+#[derive(Debug, Serialize)]
+struct EntryLine {
+    name: String,
+    address: SocketAddr,
+    versions: Option<Versions>,
+    upstreams: usize,
+    upstreams_connected: usize,
+    error: Option<String>,
+}
+
+/// Parses the command.
+pub(crate) fn command() -> impl Parser<Arguments> {
+    let platform = options::platform();
+    let json = options::json();
+    let environment = options::environment();
+    let entries = long("entry")
+        .help("Ask the entry at this address as well; works while the platform is down")
+        .argument("ADDRESS")
+        .many();
+    construct!(Arguments { platform, json, environment, entries })
+        .to_options()
+        .descr("Show what is in force and what each entry reports")
+        .footer(options::EXIT_CODES)
+        .command("status")
+}
+
+/// Runs the command.
+pub(crate) async fn run(arguments: Arguments) -> ExitCode {
+    let client = options::client(arguments.platform, &arguments.environment);
+    let mut reports = Vec::new();
+    for address in &arguments.entries {
+        let status = entry_status::read(*address).await;
+        reports.push(EntryReport { name: address.to_string(), address: *address, status });
+    }
+    let (platform, platform_error) = match in_force(&client, &mut reports).await {
+        Ok(platform) => (Some(platform), None),
+        Err(error) => (None, Some(error.to_string())),
+    };
+    let code = exit_code(platform.as_ref(), &reports);
+    let entries = reports.iter().map(entry_line).collect();
+    print(&Report { platform, entries, platform_error }, arguments.json);
+    ExitCode::from(code)
+}
+
+/// Reads the state in force and adds the reports of the listed entries.
+async fn in_force(
+    client: &Client,
+    reports: &mut Vec<EntryReport>,
+) -> Result<InForce, PlatformError> {
+    let config = client.get::<StoredConfig>(Kind::Environments, CURRENT).await?;
+    let operations = client.get::<StoredOperations>(Kind::Operations, CURRENT).await?;
+    reports.extend(confirm::reports(client).await?);
+    let config = config.map(|it| it.spec.record);
+    let operations = operations.map(|it| it.spec.record).unwrap_or_default();
+    let versions = Versions {
+        config: config.as_ref().map_or(0, |it| it.version),
+        operations: operations.version,
+    };
+    Ok(InForce {
+        versions,
+        digest: config.map(|it| it.digest.to_string()),
+        data_centres_out: operations.data_centres_out,
+        upstreams_leaving: operations.upstreams_leaving,
+    })
+}
+
+fn exit_code(platform: Option<&InForce>, reports: &[EntryReport]) -> u8 {
+    let Some(platform) = platform else { return EXIT_NOT_AVAILABLE };
+    let versions = platform.versions;
+    let config = confirm::lacking(reports, Part::Config, versions.config);
+    let operations = confirm::lacking(reports, Part::Operations, versions.operations);
+    if config.is_empty() && operations.is_empty() { 0 } else { EXIT_NOT_CONFIRMED }
+}
+
+fn entry_line(report: &EntryReport) -> EntryLine {
+    let mut line = EntryLine {
+        name: report.name.clone(),
+        address: report.address,
+        versions: None,
+        upstreams: 0,
+        upstreams_connected: 0,
+        error: None,
+    };
+    match &report.status {
+        Ok(status) => {
+            line.versions = Some(status.versions);
+            line.upstreams = status.upstreams.len();
+            line.upstreams_connected = status.upstreams.iter().filter(|it| it.connected).count();
+        }
+        Err(error) => line.error = Some(error.to_string()),
+    }
+    line
+}
+
+fn print(report: &Report, json: bool) {
+    if json {
+        // All members are numbers and texts, which always encode.
+        print_line(&serde_json::to_string(report).unwrap_or_default());
+        return;
+    }
+    if let Some(error) = &report.platform_error {
+        eprint_line(error);
+    }
+    if let Some(platform) = &report.platform {
+        print_in_force(platform);
+    }
+    for entry in &report.entries {
+        print_entry(entry);
+    }
+}
+
+fn print_in_force(platform: &InForce) {
+    let Versions { config, operations } = platform.versions;
+    let digest = platform.digest.as_deref().unwrap_or("none");
+    print_line(&format!("configuration: version {config}, digest {digest}"));
+    print_line(&format!("operational state: version {operations}"));
+    print_line(&format!("data centres out: {}", names(&platform.data_centres_out)));
+    print_line(&format!("upstreams leaving: {}", names(&platform.upstreams_leaving)));
+}
+
+fn print_entry(entry: &EntryLine) {
+    let state = match (&entry.error, entry.versions) {
+        (Some(error), _) => error.clone(),
+        (None, Some(Versions { config, operations })) => format!(
+            "configuration {config}, operational state {operations}, {} of {} upstreams connected",
+            entry.upstreams_connected, entry.upstreams
+        ),
+        (None, None) => "nothing reported".to_owned(),
+    };
+    print_line(&format!("entry {} at {}: {state}", entry.name, entry.address));
+}
+
+fn names(names: &[String]) -> String {
+    if names.is_empty() {
+        return "none".to_owned();
+    }
+    names.join(", ")
+}
--- /dev/null
+++ b/crates/entry/tests/support/mod.rs
@@ -0,0 +1,153 @@
+//! Runs the `yuccatrail` binary against the platform stand-in and small fake entries.
+
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    sync::atomic::{AtomicU32, Ordering},
+};
+
+use hyper::StatusCode;
+use serde_json::{Value, json};
+use tokio::{net::TcpListener, process::Command, sync::watch};
+use tokio_util::sync::CancellationToken;
+use yuccatrail_core::{
+    control::{StoredConfig, StoredOperations, Versions},
+    ids::Digest,
+    membership::{InstanceRecord, InstanceRole, InstanceState},
+};
+use yuccatrail_fakes::platform::{FakePlatform, FakeSettings};
+use yuccatrail_platform::{CURRENT, Client, ClientSettings, Kind};
+use yuccatrail_runtime::http;
+
+/// A valid document.
+pub(crate) const DOCUMENT: &str = "[[customer]]\nname = \"lone-star\"\nshare = 4\n";
+
+/// Another valid document.
+pub(crate) const OTHER_DOCUMENT: &str = "# second\n[[customer]]\nname = \"lone-star\"\n";
+
+static NEXT_DIRECTORY: AtomicU32 = AtomicU32::new(0);
+
+/// Returns the digest of a text in hexadecimal form.
+pub(crate) fn digest(text: &str) -> String {
+    Digest::of(text.as_bytes()).to_string()
+}
+
+/// A platform stand-in with a directory for documents.
+pub(crate) struct Bench {
+    pub(crate) platform: FakePlatform,
+    directory: PathBuf,
+}
+
+/// What a command printed and returned.
+pub(crate) struct Answer {
+    pub(crate) code: i32,
+    /// Standard output, if it is JSON.
+    pub(crate) json: Value,
+    pub(crate) stderr: String,
+}
+
+impl Bench {
+    pub(crate) async fn start() -> Self {
+        let platform = FakePlatform::start(FakeSettings::default()).await.unwrap();
+        let number = NEXT_DIRECTORY.fetch_add(1, Ordering::Relaxed);
+        let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
+            .join(format!("operator-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&directory).unwrap();
+        Self { platform, directory }
+    }
+
+    /// Writes a document and returns its path.
+    pub(crate) fn file(&self, name: &str, text: &str) -> String {
+        let path = self.directory.join(name);
+        std::fs::write(&path, text).unwrap();
+        path.to_str().unwrap().to_owned()
+    }
+
+    /// Runs a command to its end.
+    pub(crate) async fn run(&self, arguments: &[&str]) -> Answer {
+        let output = Command::new(env!("CARGO_BIN_EXE_yuccatrail"))
+            .args(arguments)
+            .env_remove("YUCCATRAIL_ENVIRONMENT")
+            .env_remove("YUCCATRAIL_TRIAL_ENVIRONMENT")
+            .env("YUCCATRAIL_PLATFORM", self.platform.address().to_string())
+            .output()
+            .await
+            .unwrap();
+        Answer {
+            code: output.status.code().unwrap(),
+            json: serde_json::from_slice(&output.stdout).unwrap_or_default(),
+            stderr: String::from_utf8(output.stderr).unwrap(),
+        }
+    }
+
+    /// Client of the production environment.
+    pub(crate) fn production(&self) -> Client {
+        Client::new(ClientSettings {
+            address: self.platform.address(),
+            ..ClientSettings::default()
+        })
+    }
+
+    /// Reads the configuration stored for production.
+    pub(crate) async fn config(&self) -> StoredConfig {
+        self.production().get(Kind::Environments, CURRENT).await.unwrap().unwrap().spec
+    }
+
+    /// Reads the operational state stored for production.
+    pub(crate) async fn operations(&self) -> StoredOperations {
+        self.production().get(Kind::Operations, CURRENT).await.unwrap().unwrap().spec
+    }
+
+    /// Starts a fake entry in data centre `east` and lists it.
+    pub(crate) async fn start_entry(&self, name: &str) -> FakeEntry {
+        let entry = FakeEntry::start().await;
+        let instance = InstanceRecord {
+            name: name.to_owned(),
+            role: InstanceRole::Entry,
+            pool: None,
+            data_centre: "east".to_owned(),
+            address: entry.address,
+            state: InstanceState::Live,
+        };
+        self.production().create(Kind::Instances, name, &instance).await.unwrap();
+        entry
+    }
+
+    pub(crate) async fn close(self) {
+        self.platform.close().await;
+        std::fs::remove_dir_all(&self.directory).unwrap();
+    }
+}
+
+/// Answers `GET /v1/status` with settable versions.
+pub(crate) struct FakeEntry {
+    address: SocketAddr,
+    versions: watch::Sender<Versions>,
+    stop: CancellationToken,
+}
+
+impl FakeEntry {
+    async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let versions = watch::Sender::new(Versions::default());
+        let stop = CancellationToken::new();
+        let reported = versions.subscribe();
+        let serving = http::serve(listener, stop.clone(), move |_| {
+            let versions = *reported.borrow();
+            let status = json!({ "incarnation": "1", "versions": versions, "upstreams": [] });
+            async move { http::respond(StatusCode::OK, "application/json", status.to_string()) }
+        });
+        tokio::spawn(serving);
+        Self { address, versions, stop }
+    }
+
+    /// Sets the versions that the entry reports.
+    pub(crate) fn report(&self, config: u64, operations: u64) {
+        self.versions.send_replace(Versions { config, operations });
+    }
+
+    pub(crate) fn close(self) {
+        self.stop.cancel();
+    }
+}
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -76,7 +76,7 @@
         name: &str,
     ) -> Result<Option<Object<T>>, PlatformError> {
         let path = object_path(&self.inner.settings.environment, kind, name)?;
-        let exchange = Exchange::new(CallKind::Read, object_name(kind, name));
+        let exchange = Exchange::new(CallKind::Read, self.object_name(kind, name));
         let answer = self.call(&exchange, Method::GET, &path, Bytes::new()).await?;
         if answer.is_not_found() {
             return Ok(None);
@@ -95,7 +95,7 @@
         kind: Kind,
     ) -> Result<ObjectList<T>, PlatformError> {
         let path = collection_path(&self.inner.settings.environment, kind)?;
-        let exchange = Exchange::new(CallKind::Read, kind.plural().to_owned());
+        let exchange = Exchange::new(CallKind::Read, self.collection_name(kind));
         let answer = self.call(&exchange, Method::GET, &path, Bytes::new()).await?;
         let list: ListEnvelope<T> = answer.json(&exchange)?;
         let mut objects = Vec::with_capacity(list.items.len());
@@ -120,7 +120,7 @@
     ) -> Result<Object<T>, PlatformError> {
         object_path(&self.inner.settings.environment, kind, name)?;
         let path = collection_path(&self.inner.settings.environment, kind)?;
-        let exchange = Exchange::new(CallKind::Write, object_name(kind, name));
+        let exchange = Exchange::new(CallKind::Write, self.object_name(kind, name));
         let body = self.encode(&exchange, kind, name, None, spec)?;
         let answer = self.call(&exchange, Method::POST, &path, body).await?;
         answer.object(&exchange)
@@ -141,7 +141,7 @@
         spec: &T,
     ) -> Result<Object<T>, PlatformError> {
         let path = object_path(&self.inner.settings.environment, kind, name)?;
-        let exchange = Exchange::new(CallKind::Write, object_name(kind, name));
+        let exchange = Exchange::new(CallKind::Write, self.object_name(kind, name));
         let body = self.encode(&exchange, kind, name, Some(from.clone()), spec)?;
         let answer = self.call(&exchange, Method::PUT, &path, body).await?;
         if answer.is_not_found() {
@@ -165,7 +165,7 @@
         from: Option<&ResourceVersion>,
     ) -> Result<bool, PlatformError> {
         let path = object_path(&self.inner.settings.environment, kind, name)?;
-        let exchange = Exchange::new(CallKind::Write, object_name(kind, name));
+        let exchange = Exchange::new(CallKind::Write, self.object_name(kind, name));
         let body = match from {
             Some(resource_version) => {
                 let preconditions = Preconditions { resource_version };
@@ -200,7 +200,7 @@
             "watch=true&allowWatchBookmarks=true&resourceVersion={from}&timeoutSeconds={}",
             settings.watch_timeout_s
         );
-        let exchange = Exchange::new(CallKind::Watch, kind.plural().to_owned());
+        let exchange = Exchange::new(CallKind::Watch, self.collection_name(kind));
         self.take_turn(&exchange).await?;
         let request =
             self.request(&exchange, Method::GET, &format!("{path}?{query}"), Bytes::new())?;
@@ -299,8 +299,14 @@
         }
         Ok(body)
     }
-}
 
-fn object_name(kind: Kind, name: &str) -> String {
-    format!("{}/{name}", kind.plural())
+    /// Names a collection in errors.
+    fn collection_name(&self, kind: Kind) -> String {
+        format!("{}/{}", self.inner.settings.environment, kind.plural())
+    }
+
+    /// Names an object in errors.
+    fn object_name(&self, kind: Kind, name: &str) -> String {
+        format!("{}/{name}", self.collection_name(kind))
+    }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -19,7 +19,7 @@
 pub use budget::{CallBudget, CallCounts, CallKind, TokenBucket};
 pub use client::Client;
 pub use error::PlatformError;
-pub use object::{Kind, Object, ObjectList, ResourceVersion};
+pub use object::{CURRENT, Kind, Object, ObjectList, ResourceVersion};
 pub use settings::{BudgetSettings, ClientSettings};
 pub use watch::{Watch, WatchEvent};
 pub use watcher::{WatchUpdate, Watcher, WatcherSettings};
--- a/crates/platform/src/object.rs
+++ b/crates/platform/src/object.rs
@@ -3,6 +3,9 @@
 use derive_more::{Display, From, Into};
 use serde::{Deserialize, Serialize};
 
+/// Name of the only object of the kinds [`Kind::Environments`] and [`Kind::Operations`].
+pub const CURRENT: &str = "current";
+
 /// Version of an object or a collection; only the platform can interpret it.
 #[derive(Clone, Debug, Display, PartialEq, Eq, Hash, From, Into, Serialize, Deserialize)]
 #[serde(transparent)]
