--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,8 @@
 
 pub mod accounting;
 pub mod admission;
+pub mod agent;
+pub mod at_most_once;
 pub mod attempt;
 pub mod capacity;
 pub mod control;
