Let the stand-in fail with 500 and test that class as well

Also removes a second time-out around the body of an answer and a timer of no length before each call. Checked: cargo test -p yuccatrail-fakes -p yuccatrail-entry.

--- a/crates/entry/tests/operator.rs
+++ b/crates/entry/tests/operator.rs
@@ -120,7 +120,7 @@
 async fn a_change_is_refused_while_the_platform_is_down() {
     let bench = Bench::start().await;
     let file = bench.file("a.toml", DOCUMENT);
-    for outage in [Outage::Unavailable, Outage::Reset, Outage::Hang] {
+    for outage in [Outage::Unavailable, Outage::Error, Outage::Reset, Outage::Hang] {
         bench.platform.set_switches(Switches { outage: Some(outage), ..Switches::default() });
         for command in [
             &["trial", "--json", "--timeout-ms", "500", &file][..],
--- a/crates/fakes/src/platform/api.rs
+++ b/crates/fakes/src/platform/api.rs
@@ -38,6 +38,7 @@
     let outage = shared.switches.borrow().outage;
     match outage {
         Some(Outage::Unavailable) => return Ok(unavailable()),
+        Some(Outage::Error) => return Ok(internal_error()),
         Some(Outage::Reset) => return Err(Cut::Switched),
         Some(Outage::Hang) => std::future::pending::<()>().await,
         None => {}
@@ -62,6 +63,10 @@
     retry_later(StatusCode::SERVICE_UNAVAILABLE, "ServiceUnavailable", message)
 }
 
+fn internal_error() -> Response<Body> {
+    failure(StatusCode::INTERNAL_SERVER_ERROR, "InternalError", "the store has failed")
+}
+
 fn call_kind(request: &Request<Incoming>) -> CallKind {
     if request.method() != Method::GET {
         return CallKind::Write;
--- a/crates/fakes/src/platform/switches.rs
+++ b/crates/fakes/src/platform/switches.rs
@@ -8,6 +8,8 @@
 pub enum Outage {
     /// Every call is answered with 503 and `Retry-After`.
     Unavailable,
+    /// Every call is answered with 500, which says nothing about its effect.
+    Error,
     /// Every call's connection is closed without an answer.
     Reset,
     /// No call is ever answered.
--- a/crates/fakes/tests/platform_api.rs
+++ b/crates/fakes/tests/platform_api.rs
@@ -129,7 +129,7 @@
     };
     assert_eq!(retry_after_ms, Some(1_000));
 
-    for outage in [Outage::Reset, Outage::Hang] {
+    for outage in [Outage::Error, Outage::Reset, Outage::Hang] {
         platform.set_switches(Switches { outage: Some(outage), ..Switches::default() });
         let write = client.create(Kind::Claims, "b", &spec("one")).await;
         assert!(matches!(write, Err(PlatformError::AnswerLost { .. })), "{outage:?}");
--- a/crates/fakes/tests/watcher.rs
+++ b/crates/fakes/tests/watcher.rs
@@ -89,9 +89,8 @@
 async fn resumes_after_each_kind_of_outage() {
     let mut fixture = Fixture::start(60_000).await;
     fixture.next_snapshot().await;
-    for (number, outage) in
-        [Outage::Unavailable, Outage::Reset, Outage::Hang].into_iter().enumerate()
-    {
+    let outages = [Outage::Unavailable, Outage::Error, Outage::Reset, Outage::Hang];
+    for (number, outage) in outages.into_iter().enumerate() {
         let down = Switches { outage: Some(outage), ..Switches::default() };
         fixture.platform.set_switches(down);
         assert!(matches!(fixture.next().await, WatchUpdate::Unavailable(_)), "{outage:?}");
--- a/crates/platform/src/answer.rs
+++ b/crates/platform/src/answer.rs
@@ -1,6 +1,6 @@
 //! Translates answers and failures of one call into values and errors.
 
-use std::{error::Error, time::Duration};
+use std::error::Error;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -78,18 +78,17 @@
 }
 
 impl Answer {
+    /// Reads the answer to its end; the caller limits the time.
     pub(crate) async fn read(
         exchange: &Exchange,
         response: Response<Incoming>,
-        timeout: Duration,
     ) -> Result<Self, PlatformError> {
         let status = response.status();
         let retry_after_ms = retry_after_ms(response.headers());
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect();
-        match tokio::time::timeout(timeout, body).await {
-            Ok(Ok(body)) => Ok(Self { status, retry_after_ms, body: body.to_bytes() }),
-            Ok(Err(error)) => Err(exchange.unanswered(format!("answer cut short: {error}"))),
-            Err(_) => Err(exchange.timed_out()),
+        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await;
+        match body {
+            Ok(body) => Ok(Self { status, retry_after_ms, body: body.to_bytes() }),
+            Err(error) => Err(exchange.unanswered(format!("answer cut short: {error}"))),
         }
     }
 
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Method, Request, StatusCode, header::CONTENT_TYPE};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming, header::CONTENT_TYPE};
 use hyper_util::{
     client::legacy::{self, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
@@ -201,26 +201,22 @@
             settings.watch_timeout_s
         );
         let exchange = Exchange::new(CallKind::Watch, self.collection_name(kind));
-        self.take_turn(&exchange).await?;
-        let request =
-            self.request(&exchange, Method::GET, &format!("{path}?{query}"), Bytes::new())?;
-        let timeout = Duration::from_millis(settings.request_timeout_ms);
-        let sent = tokio::time::timeout(timeout, self.inner.http.request(request)).await;
-        let response = match sent {
-            Ok(Ok(response)) => response,
-            Ok(Err(error)) => return Err(exchange.lost(&error)),
-            Err(_) => return Err(exchange.timed_out()),
+        let path = format!("{path}?{query}");
+        let opened = async {
+            let response = self.send(&exchange, Method::GET, &path, Bytes::new()).await?;
+            if response.status() == StatusCode::OK {
+                return Ok(response);
+            }
+            Answer::read(&exchange, response).await?.check(&exchange)?;
+            Err(exchange.invalid("a watch was answered without a stream".to_owned()))
         };
-        if response.status() != StatusCode::OK {
-            let answer = Answer::read(&exchange, response, timeout).await?;
-            answer.check(&exchange)?;
-            return Err(exchange.invalid("a watch was answered without a stream".to_owned()));
-        }
-        let end = Duration::from_secs(settings.watch_timeout_s) + timeout;
+        let response = self.within_timeout(&exchange, opened).await?;
+        let end = Duration::from_secs(settings.watch_timeout_s)
+            + Duration::from_millis(settings.request_timeout_ms);
         Ok(Watch::new(exchange, response.into_body(), end))
     }
 
-    /// Makes one call and reads its whole answer within the request time-out.
+    /// Makes one call and reads its whole answer.
     async fn call(
         &self,
         exchange: &Exchange,
@@ -228,15 +224,22 @@
         path: &str,
         body: Bytes,
     ) -> Result<Answer, PlatformError> {
-        self.take_turn(exchange).await?;
-        let request = self.request(exchange, method, path, body)?;
-        let timeout = Duration::from_millis(self.inner.settings.request_timeout_ms);
         let whole = async {
-            let response =
-                self.inner.http.request(request).await.map_err(|it| exchange.lost(&it))?;
-            Answer::read(exchange, response, timeout).await
+            let response = self.send(exchange, method, path, body).await?;
+            Answer::read(exchange, response).await
         };
-        match tokio::time::timeout(timeout, whole).await {
+        self.within_timeout(exchange, whole).await
+    }
+
+    /// Waits for the call's turn, then for its result within the request time-out.
+    async fn within_timeout<V>(
+        &self,
+        exchange: &Exchange,
+        call: impl Future<Output = Result<V, PlatformError>>,
+    ) -> Result<V, PlatformError> {
+        self.take_turn(exchange).await?;
+        let timeout = Duration::from_millis(self.inner.settings.request_timeout_ms);
+        match tokio::time::timeout(timeout, call).await {
             Ok(result) => result,
             Err(_) => Err(exchange.timed_out()),
         }
@@ -251,25 +254,31 @@
                 retry_after_ms: Some(self.inner.settings.budget.max_wait_ms),
             });
         };
-        tokio::time::sleep(wait).await;
+        // Even a sleep of no length may take until the timer's next tick.
+        if !wait.is_zero() {
+            tokio::time::sleep(wait).await;
+        }
         Ok(())
     }
 
-    fn request(
+    /// Sends a request and returns the head of its answer.
+    async fn send(
         &self,
         exchange: &Exchange,
         method: Method,
         path: &str,
         body: Bytes,
-    ) -> Result<Request<Full<Bytes>>, PlatformError> {
-        Request::builder()
+    ) -> Result<Response<Incoming>, PlatformError> {
+        let request = Request::builder()
             .method(method)
             .uri(format!("http://{}{path}", self.inner.settings.address))
             .header(CONTENT_TYPE, "application/json")
             .body(Full::new(body))
-            .map_err(|error| exchange.invalid(error.to_string()))
+            .map_err(|error| exchange.invalid(error.to_string()))?;
+        self.inner.http.request(request).await.map_err(|it| exchange.lost(&it))
     }
 
+    /// Encodes an object and checks its size.
     fn encode<T: Serialize>(
         &self,
         exchange: &Exchange,
