--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -6,6 +6,7 @@
 mod gossip;
 mod link;
 mod metrics;
+mod operator;
 mod platform_feed;
 mod policy;
 mod run;
@@ -24,6 +25,8 @@
 enum Command {
     /// Runs the entry instance.
     Serve(Settings),
+    /// Runs an operators' command.
+    Operator(operator::Command),
 }
 
 fn options() -> OptionParser<Command> {
@@ -32,12 +35,16 @@
         .descr("Serve callers: the entry instance behind the platform's balancer")
         .command("serve")
         .map(Command::Serve);
-    construct!([serve]).to_options().descr("Serving system for multi-stage model pipelines")
+    let operator = operator::command().map(Command::Operator);
+    construct!([serve, operator])
+        .to_options()
+        .descr("Serving system for multi-stage model pipelines")
 }
 
 #[tokio::main]
 async fn main() -> ExitCode {
     match options().run() {
         Command::Serve(settings) => serve::run(settings).await,
+        Command::Operator(command) => operator::run(command).await,
     }
 }
