--- a/crates/core/src/routing/pool.rs
+++ b/crates/core/src/routing/pool.rs
@@ -84,6 +84,7 @@
     is_local: bool,
     load: LoadReport,
     reported_ms: u64,
+    withdrawn: bool,
     sent_since_reply: u32,
     in_flight: u32,
 }
@@ -125,6 +126,7 @@
             is_local,
             load: LoadReport::unknown(cold_limit),
             reported_ms: now_ms,
+            withdrawn: false,
             sent_since_reply: 0,
             in_flight: 0,
         });
@@ -139,6 +141,12 @@
         self.hints.forget(key);
     }
 
+    /// Takes an upstream out of the choice, because it leaves or its data centre is out, or back.
+    pub fn set_withdrawn(&mut self, key: UpstreamKey, withdrawn: bool) {
+        let Some(upstream) = self.upstreams.get_mut(key) else { return };
+        upstream.withdrawn = withdrawn;
+    }
+
     /// Notes that an attempt is sent to an upstream.
     pub fn on_sent(&mut self, now_ms: u64, key: UpstreamKey) {
         let Some(upstream) = self.upstreams.get_mut(key) else { return };
@@ -204,7 +212,7 @@
             candidates.push(Candidate {
                 key,
                 stable_id: upstream.stable_id,
-                load: upstream.aged_load(now_ms),
+                load: upstream.current_load(now_ms),
                 sent_since_reply: upstream.sent_since_reply,
                 in_flight: upstream.in_flight,
                 latency_factor: ratio / pool_ratio,
@@ -238,7 +246,7 @@
     pub fn load(&self, now_ms: u64) -> PoolLoad {
         let mut pool = PoolLoad::default();
         for (key, upstream) in &self.upstreams {
-            let load = upstream.aged_load(now_ms);
+            let load = upstream.current_load(now_ms);
             if load.draining || self.health[key].standing(now_ms) != Standing::InService {
                 continue;
             }
@@ -279,12 +287,13 @@
     /// Returns the reported load, which counts less the older it is.
     ///
     /// Without this an upstream that was busy when it last replied would never be chosen again.
-    fn aged_load(&self, now_ms: u64) -> LoadReport {
+    fn current_load(&self, now_ms: u64) -> LoadReport {
         let half_lives = now_ms.saturating_sub(self.reported_ms) / LOAD_HALF_LIFE_MS;
         let shift = half_lives.min(31) as u32;
         LoadReport {
             running: self.load.running >> shift,
             queued: self.load.queued >> shift,
+            draining: self.load.draining || self.withdrawn,
             ..self.load
         }
     }
--- a/crates/core/src/routing/tests.rs
+++ b/crates/core/src/routing/tests.rs
@@ -118,6 +118,17 @@
     assert_eq!(choice, Err(NoChoice::NoUpstream));
 }
 
+#[test]
+fn withdrawn_upstream_is_excluded_whatever_its_agent_reports() {
+    let (mut pool, keys) = pool(&[0, 3]);
+    pool.set_withdrawn(keys[0], true);
+    pool.on_reply(0, keys[0], warm(0));
+    assert_eq!(route(&pool, RouteContext::default(), NO_PROBE).unwrap().key, keys[1]);
+    assert_eq!(pool.load(0).upstreams, 1);
+    pool.set_withdrawn(keys[0], false);
+    assert_eq!(pool.load(0).upstreams, 2);
+}
+
 #[test]
 fn failing_upstream_is_ejected_and_returns_through_a_single_probe() {
     let (mut pool, keys) = pool(&[0, 0]);
--- /dev/null
+++ b/crates/fakes/src/lib.rs
@@ -0,0 +1,3 @@
+//! Stand-ins and models for the development of yuccatrail.
+
+pub mod model;
--- /dev/null
+++ b/crates/fakes/src/model/agent.rs
@@ -0,0 +1,218 @@
+//! Modelled agent: a shell around the core's capacity and queue, or a plain baseline.
+
+use std::collections::VecDeque;
+
+use yuccatrail_core::{
+    FastMap,
+    capacity::{CallEnd, CallKey, Capacity, Probe},
+    ids::{AttemptId, Incarnation, RequestId, StageIndex},
+    outcome::Reason,
+    queue::{CustomerKey, Dropped, EntryKey, Queue, QueueEntry},
+    routing::LoadReport,
+};
+
+use crate::model::{
+    US_PER_MS,
+    fleet::{Fleet, PoolSpec},
+    sim::Mode,
+    upstream::Upstream,
+};
+
+/// What an agent is told of an attempt.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Submission {
+    pub(crate) attempt: usize,
+    pub(crate) customer: usize,
+    pub(crate) deadline_ms: u64,
+    pub(crate) estimate_ms: u64,
+}
+
+/// An attempt that is passed to the upstream.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Dispatch {
+    pub(crate) attempt: usize,
+    pub(crate) queued_ms: u64,
+}
+
+/// Attempts that left the agent without having run.
+pub(crate) type NotRun = Vec<(usize, Reason)>;
+
+/// One agent with its upstream.
+pub(crate) struct Agent {
+    pub(crate) pool: usize,
+    pub(crate) data_centre: usize,
+    pub(crate) upstream: Upstream,
+    pub(crate) draining: bool,
+    mode: Mode,
+    capacity: Capacity,
+    queue: Queue,
+    customers: Vec<CustomerKey>,
+    waiting: FastMap<EntryKey, usize>,
+    started: FastMap<usize, (EntryKey, CallKey)>,
+    fifo: VecDeque<(u64, usize)>,
+    concurrency: u32,
+    max_queued: usize,
+}
+
+impl Agent {
+    pub(crate) fn new(
+        mode: Mode,
+        pool: usize,
+        data_centre: usize,
+        spec: &PoolSpec,
+        fleet: &Fleet,
+    ) -> Self {
+        let mut queue = Queue::new(spec.max_queued);
+        let customers =
+            fleet.customers.iter().map(|it| queue.customer(it.name, it.share)).collect();
+        Self {
+            pool,
+            data_centre,
+            upstream: Upstream::new(),
+            draining: false,
+            mode,
+            capacity: Capacity::new(spec.limits),
+            queue,
+            customers,
+            waiting: FastMap::default(),
+            started: FastMap::default(),
+            fifo: VecDeque::new(),
+            concurrency: spec.limits.concurrency,
+            max_queued: spec.max_queued as usize,
+        }
+    }
+
+    pub(crate) fn load(&self) -> LoadReport {
+        let running = self.upstream.running.len() as u32;
+        let draining = self.draining;
+        if self.mode == Mode::Baseline {
+            let queued = self.fifo.len() as u32;
+            return LoadReport { running, queued, limit: self.concurrency, cold: false, draining };
+        }
+        let queued = self.queue.queued();
+        let limit = self.capacity.limit();
+        LoadReport { running, queued, limit, cold: self.capacity.is_cold(), draining }
+    }
+
+    /// Queues an attempt; returns the one that made room for it.
+    pub(crate) fn push(&mut self, now_us: u64, it: Submission) -> Result<NotRun, Reason> {
+        if self.draining {
+            return Err(Reason::DataCentreOut);
+        }
+        if self.mode == Mode::Baseline {
+            if self.fifo.len() >= self.max_queued {
+                return Err(Reason::Busy);
+            }
+            self.fifo.push_back((now_us, it.attempt));
+            return Ok(Vec::new());
+        }
+
+        let entry = QueueEntry {
+            attempt: attempt_id(it.attempt),
+            customer: self.customers[it.customer],
+            deadline_ms: it.deadline_ms,
+            dispatch_by_ms: it.deadline_ms,
+            estimate_ms: it.estimate_ms,
+            alone: false,
+        };
+        let pushed = self.queue.push(now_us / US_PER_MS, entry)?;
+        self.waiting.insert(pushed.key, it.attempt);
+        Ok(self.forget(pushed.evicted.as_slice()))
+    }
+
+    /// Drops what can no longer finish in time.
+    pub(crate) fn expire(&mut self, now_us: u64) -> NotRun {
+        let dropped = self.queue.expire(now_us / US_PER_MS);
+        self.forget(&dropped)
+    }
+
+    pub(crate) fn next_expiry_us(&self) -> Option<u64> {
+        self.queue.next_expiry_ms().map(|it| it * US_PER_MS)
+    }
+
+    /// Hands back everything that waits.
+    pub(crate) fn drain(&mut self) -> NotRun {
+        let dropped = self.queue.drain(Reason::DataCentreOut);
+        let mut drained = self.forget(&dropped);
+        drained.extend(self.fifo.drain(..).map(|(_, it)| (it, Reason::DataCentreOut)));
+        drained
+    }
+
+    /// Takes the next attempt to run.
+    pub(crate) fn next(&mut self, now_us: u64) -> Option<Dispatch> {
+        let now_ms = now_us / US_PER_MS;
+        if self.mode == Mode::Baseline {
+            if self.upstream.running.len() >= self.concurrency as usize {
+                return None;
+            }
+            let (pushed_us, attempt) = self.fifo.pop_front()?;
+            return Some(Dispatch { attempt, queued_ms: (now_us - pushed_us) / US_PER_MS });
+        }
+
+        self.capacity.on_tick(now_ms);
+        if !self.capacity.has_room() {
+            return None;
+        }
+        let next = self.queue.pop(now_ms)?;
+        let call = self.capacity.try_start(now_ms, next.entry.estimate_ms);
+        let call = call.expect("there is room for a call");
+        let attempt = self.waiting.remove(&next.key).expect("queued attempts are known");
+        self.started.insert(attempt, (next.key, call));
+        Some(Dispatch { attempt, queued_ms: next.queued_ms })
+    }
+
+    /// Notes that a dispatched attempt no longer runs.
+    pub(crate) fn finish(&mut self, now_us: u64, attempt: usize, end: CallEnd) {
+        let Some((entry, call)) = self.started.remove(&attempt) else { return };
+        self.queue.finish(entry);
+        self.capacity.finish(now_us / US_PER_MS, call, end);
+    }
+
+    /// Takes a waiting attempt out; returns whether it waited.
+    pub(crate) fn remove(&mut self, attempt: usize) -> bool {
+        self.fifo.retain(|(_, it)| *it != attempt);
+        let key = self.waiting.iter().find(|(_, it)| **it == attempt).map(|(key, _)| *key);
+        let Some(key) = key else { return false };
+        self.waiting.remove(&key);
+        self.queue.remove(key).is_some()
+    }
+
+    pub(crate) fn on_reset(&mut self) {
+        self.capacity.on_reset();
+    }
+
+    pub(crate) fn on_connect_failure(&mut self) {
+        self.capacity.on_connect_failure();
+    }
+
+    /// Probes the upstream.
+    pub(crate) fn probe(&mut self, now_us: u64) {
+        if self.upstream.is_down(now_us) {
+            self.capacity.on_connect_failure();
+            return;
+        }
+        self.capacity.on_probe(Probe {
+            epoch: self.capacity.epoch(),
+            boot_id: Some(self.upstream.boot_id),
+            warm: Some(!self.upstream.is_cold(now_us)),
+        });
+    }
+
+    fn forget(&mut self, dropped: &[Dropped]) -> NotRun {
+        let mut not_run = Vec::new();
+        for dropped in dropped {
+            let Some(attempt) = self.waiting.remove(&dropped.key) else { continue };
+            not_run.push((attempt, dropped.reason));
+        }
+        not_run
+    }
+}
+
+fn attempt_id(attempt: usize) -> AttemptId {
+    AttemptId {
+        request: RequestId(attempt as u128),
+        stage: StageIndex(0),
+        number: 0,
+        entry: Incarnation(0),
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/model/entry.rs
@@ -0,0 +1,200 @@
+//! Modelled entry: a shell around the core's admission, routing and hedging, or a plain baseline.
+
+use rand::{Rng, rngs::StdRng};
+use yuccatrail_core::{
+    admission::{Admission, Admitted, CustomerKey, StageWork},
+    deadline::{PoolKey, StageEstimates},
+    hedge::{HedgeDecision, HedgeQuery, RecentLatency, RetryBudget, decide},
+    outcome::{Refusal, Usage},
+    routing::{
+        AttemptEnd, LoadReport, NoChoice, Policy, PoolView, RandomNumbers, RouteContext,
+        UpstreamKey, choose,
+    },
+};
+
+use crate::model::{
+    fleet::{Fleet, StageSpec},
+    sim::Mode,
+};
+
+/// Repeated attempts allowed for each hundred completed ones.
+const RETRIES_PER_HUNDRED: u32 = 20;
+
+/// What an entry knows of one pool.
+struct PoolState {
+    key: PoolKey,
+    view: PoolView,
+    /// Keys of the upstreams with their positions in the fleet.
+    upstreams: Vec<(UpstreamKey, usize)>,
+    budget: RetryBudget,
+    latency: RecentLatency,
+}
+
+/// One entry.
+pub(crate) struct Entry {
+    pub(crate) data_centre: usize,
+    mode: Mode,
+    admission: Admission,
+    customers: Vec<CustomerKey>,
+    estimates: StageEstimates,
+    pools: Vec<PoolState>,
+}
+
+/// A completed attempt as the entry learns from it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Completed {
+    pub(crate) upstream: usize,
+    pub(crate) stage: StageSpec,
+    pub(crate) expected_ms: u64,
+    pub(crate) latency_ms: u64,
+    pub(crate) usage: Usage,
+}
+
+impl Entry {
+    /// Creates an entry; `upstreams` holds the pool and data centre of each upstream.
+    pub(crate) fn new(
+        mode: Mode,
+        data_centre: usize,
+        fleet: &Fleet,
+        upstreams: &[(usize, usize)],
+    ) -> Self {
+        let mut admission = Admission::new();
+        let customer =
+            |it: &crate::model::fleet::CustomerSpec| admission.customer(it.name, it.share);
+        let customers = fleet.customers.iter().map(customer).collect();
+
+        let mut estimates = StageEstimates::new();
+        let mut pools = Vec::new();
+        for (index, spec) in fleet.pools.iter().enumerate() {
+            let mut view = PoolView::new();
+            let mut keys = Vec::new();
+            for (number, (_, at)) in upstreams.iter().enumerate().filter(|(_, it)| it.0 == index) {
+                let is_local = *at == data_centre;
+                let key = view.add(0, number as u64, is_local, spec.limits.cold_limit());
+                keys.push((key, number));
+            }
+            pools.push(PoolState {
+                key: estimates.pool(spec.name, spec.seed()),
+                view,
+                upstreams: keys,
+                budget: RetryBudget::new(RETRIES_PER_HUNDRED),
+                latency: RecentLatency::new(),
+            });
+        }
+        Self { data_centre, mode, admission, customers, estimates, pools }
+    }
+
+    pub(crate) fn admit(
+        &mut self,
+        now_ms: u64,
+        customer: usize,
+        deadline_ms: u64,
+        stages: &[StageSpec],
+    ) -> Result<Admitted, Refusal> {
+        let mut work = Vec::new();
+        for stage in stages {
+            let pool = &self.pools[stage.pool];
+            let load = pool.view.load(now_ms);
+            work.push(StageWork { pool: pool.key, max_tokens: stage.max_tokens, load });
+        }
+        let customer = self.customers[customer];
+        self.admission.admit(now_ms, &self.estimates, customer, deadline_ms, &work)
+    }
+
+    pub(crate) fn admission(&mut self) -> &mut Admission {
+        &mut self.admission
+    }
+
+    /// Chooses an upstream for a stage, other than those in `tried`.
+    pub(crate) fn choose(
+        &self,
+        now_ms: u64,
+        stage: StageSpec,
+        tried: &[usize],
+        rng: &mut StdRng,
+    ) -> Result<usize, NoChoice> {
+        let pool = &self.pools[stage.pool];
+        let is_tried = |it: &&(UpstreamKey, usize)| tried.contains(&it.1);
+        let tried: Vec<_> = pool.upstreams.iter().filter(is_tried).map(|it| it.0).collect();
+        let candidates = pool.view.candidates(now_ms, None, &tried);
+        let policy = match self.mode {
+            Mode::Managed => Policy::PowerOfTwo,
+            Mode::Baseline => Policy::Random,
+        };
+        let context =
+            RouteContext { policy, no_probe: !stage.idempotent, ..RouteContext::default() };
+        let random =
+            RandomNumbers { first: rng.next_u64(), second: rng.next_u64(), probe: rng.next_u64() };
+        let key = choose(&candidates, &context, random)?.key;
+        let chosen = pool.upstreams.iter().find(|it| it.0 == key);
+        Ok(chosen.expect("candidates are upstreams of the pool").1)
+    }
+
+    pub(crate) fn expected_ms(&self, stage: StageSpec) -> u64 {
+        self.estimates.expected_ms(self.pools[stage.pool].key, stage.max_tokens)
+    }
+
+    pub(crate) fn safe_ms(&self, stage: StageSpec) -> u64 {
+        self.estimates.safe_ms(self.pools[stage.pool].key, stage.max_tokens)
+    }
+
+    pub(crate) fn hedge(
+        &mut self,
+        now_ms: u64,
+        pool: usize,
+        tried: &[usize],
+        query: HedgeQuery,
+    ) -> HedgeDecision {
+        let pool = &mut self.pools[pool];
+        let candidates = pool.view.candidates(now_ms, None, &[]);
+        let mut other_has_room = false;
+        for candidate in &candidates {
+            let upstream = pool.upstreams.iter().find(|it| it.0 == candidate.key);
+            let is_other = upstream.is_some_and(|it| !tried.contains(&it.1));
+            other_has_room |= is_other && candidate.has_room() && !candidate.load.cold;
+        }
+        let query = HedgeQuery { other_has_room, ..query };
+        decide(now_ms, &query, &pool.latency, &mut pool.budget)
+    }
+
+    /// Asks for the repetition of a failed attempt.
+    pub(crate) fn may_retry(&mut self, pool: usize) -> bool {
+        self.mode == Mode::Baseline || self.pools[pool].budget.try_spend()
+    }
+
+    pub(crate) fn on_sent(&mut self, now_ms: u64, pool: usize, upstream: usize) {
+        let key = self.key(pool, upstream);
+        self.pools[pool].view.on_sent(now_ms, key);
+    }
+
+    pub(crate) fn on_load(&mut self, now_ms: u64, pool: usize, upstream: usize, load: LoadReport) {
+        let key = self.key(pool, upstream);
+        self.pools[pool].view.on_reply(now_ms, key, load);
+    }
+
+    pub(crate) fn on_end(&mut self, now_ms: u64, pool: usize, upstream: usize, end: AttemptEnd) {
+        // The baseline ejects nothing.
+        let end = if self.mode == Mode::Baseline { AttemptEnd::NotRun } else { end };
+        let key = self.key(pool, upstream);
+        self.pools[pool].view.on_end(now_ms, key, end);
+    }
+
+    pub(crate) fn on_completed(&mut self, now_ms: u64, it: Completed) {
+        let pool = &mut self.pools[it.stage.pool];
+        pool.budget.on_complete();
+        pool.latency.on_complete(it.latency_ms, it.expected_ms);
+        self.estimates.on_complete(pool.key, it.stage.max_tokens, it.usage);
+        let ratio = it.usage.engine_ms as f64 / it.expected_ms.max(1) as f64;
+        self.on_end(now_ms, it.stage.pool, it.upstream, AttemptEnd::Completed { ratio });
+    }
+
+    pub(crate) fn set_withdrawn(&mut self, pool: usize, upstream: usize, withdrawn: bool) {
+        let key = self.key(pool, upstream);
+        self.pools[pool].view.set_withdrawn(key, withdrawn);
+    }
+
+    fn key(&self, pool: usize, upstream: usize) -> UpstreamKey {
+        let found = self.pools[pool].upstreams.iter().find(|it| it.1 == upstream);
+        found.expect("every upstream is known").0
+    }
+}
