--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -48,6 +48,15 @@
     pub load: PoolLoad,
 }
 
+/// A pipeline as the environment document declares it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DeclaredPipeline {
+    /// Time from arrival to the whole answer, in milliseconds.
+    pub deadline_ms: u64,
+    /// Pool and longest text in tokens of each stage.
+    pub stages: Vec<(PoolKey, u32)>,
+}
+
 /// An admitted request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Admitted {
@@ -69,6 +78,8 @@
     requests: SlotMap<AdmissionKey, Request>,
     /// Calls of admitted requests that are yet to be sent to a pool.
     upcoming: FastMap<PoolKey, u32>,
+    /// Least slack of the declared pipelines that use a pool, in milliseconds.
+    least_slack_ms: FastMap<PoolKey, u64>,
     fairness: Fairness,
 }
 
@@ -78,6 +89,8 @@
     run_ms: u64,
     safe_ms: u64,
     wait_ms: u64,
+    /// Longest wait that leaves every pipeline of the same pools a chance.
+    bearable_wait_ms: u64,
 }
 
 impl Admission {
@@ -91,6 +104,25 @@
         self.fairness.customer(name, share)
     }
 
+    /// Takes over the declared pipelines.
+    ///
+    /// Backlog in a pool is kept so short that the pipeline with the least slack still fits;
+    /// otherwise requests with long deadlines would shut out all others.
+    pub fn set_pipelines(&mut self, estimates: &StageEstimates, pipelines: &[DeclaredPipeline]) {
+        self.least_slack_ms.clear();
+        for pipeline in pipelines {
+            let mut need_ms = 0;
+            for &(pool, max_tokens) in &pipeline.stages {
+                need_ms += estimates.expected_ms(pool, max_tokens) + STAGE_OVERHEAD_MS;
+            }
+            let slack_ms = pipeline.deadline_ms.saturating_sub(need_ms);
+            for &(pool, _) in &pipeline.stages {
+                let least_ms = self.least_slack_ms.entry(pool).or_insert(slack_ms);
+                *least_ms = slack_ms.min(*least_ms);
+            }
+        }
+    }
+
     /// Admits a request or refuses it as not run.
     ///
     /// # Errors
@@ -106,7 +138,7 @@
         stages: &[StageWork],
     ) -> Result<Admitted, Refusal> {
         let mut expected_ms = Vec::with_capacity(stages.len());
-        let mut need = Need::default();
+        let mut need = Need { bearable_wait_ms: u64::MAX, ..Need::default() };
         for stage in stages {
             if stage.load.upstreams == 0 {
                 return Err(Refusal::not_run(Reason::NoUpstream, MIN_RETRY_AFTER_MS));
@@ -115,6 +147,9 @@
             need.run_ms += run_ms + STAGE_OVERHEAD_MS;
             need.safe_ms += estimates.safe_ms(stage.pool, stage.max_tokens) + STAGE_OVERHEAD_MS;
             need.wait_ms += self.wait_ms(estimates, stage, run_ms);
+            if let Some(&slack_ms) = self.least_slack_ms.get(&stage.pool) {
+                need.bearable_wait_ms = need.bearable_wait_ms.min(slack_ms);
+            }
             expected_ms.push(run_ms + STAGE_OVERHEAD_MS);
         }
 
@@ -186,7 +221,7 @@
             return None;
         }
 
-        let slack_ms = remaining_ms.saturating_sub(need.safe_ms) as f64;
+        let slack_ms = remaining_ms.saturating_sub(need.safe_ms).min(need.bearable_wait_ms) as f64;
         if need.wait_ms as f64 > slack_ms * WITHIN_SHARE_SLACK {
             return Some(Reason::DeadlineUnreachable);
         }
@@ -199,7 +234,7 @@
 
 /// Returns the time in which the backlog shrinks far enough for the request to fit.
 fn retry_after_ms(remaining_ms: u64, need: Need) -> u64 {
-    let slack_ms = remaining_ms.saturating_sub(need.safe_ms);
+    let slack_ms = remaining_ms.saturating_sub(need.safe_ms).min(need.bearable_wait_ms);
     let excess_ms = need.wait_ms.saturating_sub(slack_ms / 2);
     excess_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS)
 }
--- a/crates/core/src/admission/tests.rs
+++ b/crates/core/src/admission/tests.rs
@@ -93,3 +93,19 @@
     assert_eq!(entry.admit(large, outstanding).unwrap_err().reason, Reason::CustomerShare);
     assert!(entry.admit(small, outstanding).is_ok());
 }
+
+#[test]
+fn long_deadlines_do_not_shut_out_short_ones() {
+    let mut entry = entry();
+    let customer = entry.admission.customer("a", 1);
+    let load = PoolLoad { upstreams: 2, outstanding: 40, limit: 10 };
+    let stage = StageWork { pool: entry.pool, max_tokens: 0, load };
+    let long_ms = 60_000;
+    assert!(entry.admission.admit(0, &entry.estimates, customer, long_ms, &[stage]).is_ok());
+
+    let declared = DeclaredPipeline { deadline_ms: 300, stages: vec![(entry.pool, 0)] };
+    entry.admission.set_pipelines(&entry.estimates, &[declared]);
+    let refusal =
+        entry.admission.admit(0, &entry.estimates, customer, long_ms, &[stage]).unwrap_err();
+    assert_eq!(refusal.reason, Reason::DeadlineUnreachable);
+}
--- a/crates/fakes/src/model/entry.rs
+++ b/crates/fakes/src/model/entry.rs
@@ -2,7 +2,7 @@
 
 use rand::{Rng, rngs::StdRng};
 use yuccatrail_core::{
-    admission::{Admission, Admitted, CustomerKey, StageWork},
+    admission::{Admission, Admitted, CustomerKey, DeclaredPipeline, StageWork},
     deadline::{PoolKey, StageEstimates},
     hedge::{HedgeDecision, HedgeQuery, RecentLatency, RetryBudget, decide},
     outcome::{Refusal, Usage},
@@ -81,6 +81,13 @@
                 latency: RecentLatency::new(),
             });
         }
+        let mut declared = Vec::new();
+        for pipeline in &fleet.pipelines {
+            let stages = pipeline.stages.iter().map(|it| (pools[it.pool].key, it.max_tokens));
+            let stages = stages.collect();
+            declared.push(DeclaredPipeline { deadline_ms: pipeline.deadline_ms, stages });
+        }
+        admission.set_pipelines(&estimates, &declared);
         Self { data_centre, mode, admission, customers, estimates, pools }
     }
 
