--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -146,7 +146,7 @@
             let run_ms = estimates.expected_ms(stage.pool, stage.max_tokens);
             need.run_ms += run_ms + STAGE_OVERHEAD_MS;
             need.safe_ms += estimates.safe_ms(stage.pool, stage.max_tokens) + STAGE_OVERHEAD_MS;
-            need.wait_ms += self.wait_ms(estimates, stage, run_ms);
+            need.wait_ms += self.wait_ms(estimates, stage);
             if let Some(&slack_ms) = self.least_slack_ms.get(&stage.pool) {
                 need.bearable_wait_ms = need.bearable_wait_ms.min(slack_ms);
             }
@@ -195,14 +195,14 @@
     }
 
     /// Returns the time for which a call would wait in the pool.
-    fn wait_ms(&self, estimates: &StageEstimates, stage: &StageWork, run_ms: u64) -> u64 {
+    fn wait_ms(&self, estimates: &StageEstimates, stage: &StageWork) -> u64 {
         let upcoming = self.upcoming.get(&stage.pool).copied().unwrap_or(0);
         let ahead = u64::from(stage.load.outstanding) + u64::from(upcoming);
         let limit = u64::from(stage.load.limit.max(1));
         if ahead < limit {
             return 0;
         }
-        let backlog_ms = (ahead - limit + 1) * run_ms / limit;
+        let backlog_ms = (ahead - limit + 1) * estimates.mean_ms(stage.pool) / limit;
         backlog_ms.max(estimates.queue_ms(stage.pool))
     }
 
--- a/crates/core/src/deadline/estimates.rs
+++ b/crates/core/src/deadline/estimates.rs
@@ -37,6 +37,8 @@
     /// Mean absolute deviation relative to the expected time.
     deviation: f64,
     queue_ms: f64,
+    /// Mean time of all calls, whatever their tokens.
+    mean_ms: f64,
 }
 
 impl Estimate {
@@ -48,6 +50,7 @@
             token_part: 1.0,
             deviation: 0.0,
             queue_ms: 0.0,
+            mean_ms: seed.estimate_ms.max(1) as f64,
         }
     }
 
@@ -101,6 +104,11 @@
         self.pools[pool].queue_ms as u64
     }
 
+    /// Returns the average time at the upstream of recent calls, whatever their limits.
+    pub fn mean_ms(&self, pool: PoolKey) -> u64 {
+        self.pools[pool].mean_ms.ceil() as u64
+    }
+
     /// Learns from a completed call that was limited to `max_tokens`.
     pub fn on_complete(&mut self, pool: PoolKey, max_tokens: u32, usage: Usage) {
         let expected_ms = self.expected_ms(pool, max_tokens).max(1) as f64;
@@ -108,6 +116,7 @@
         let actual_ms = usage.engine_ms.max(1) as f64;
         let off = (actual_ms / expected_ms - 1.0).abs().min(MAX_PULL);
         estimate.deviation += (off - estimate.deviation) * SAMPLE_WEIGHT;
+        estimate.mean_ms += (actual_ms - estimate.mean_ms) * SAMPLE_WEIGHT;
         estimate.queue_ms += (usage.queued_ms as f64 - estimate.queue_ms) * SAMPLE_WEIGHT;
 
         // Both parts move by the same factor, because a call does not tell them apart.
