--- a/crates/core/src/admission/fairness.rs
+++ b/crates/core/src/admission/fairness.rs
@@ -5,14 +5,11 @@
 use crate::FastMap;
 
 /// Time in which past work counts half, in milliseconds.
-const HALF_LIFE_MS: f64 = 2_000.0;
+const HALF_LIFE_MS: f64 = 10_000.0;
 
 /// Offered work below which a customer counts as idle, in milliseconds of run time.
 const IDLE_WORK_MS: f64 = 1.0;
 
-/// Factor by which a customer may exceed its share before it counts as above it.
-const SHARE_TOLERANCE: f64 = 1.05;
-
 new_key_type! {
     /// Identifies a customer within one entry.
     pub struct CustomerKey;
@@ -46,8 +43,10 @@
         key
     }
 
-    /// Notes offered work; returns whether the customer is above its share.
-    pub(crate) fn offer(&mut self, now_ms: u64, key: CustomerKey, work_ms: u64) -> bool {
+    /// Notes offered work; returns the customer's admitted work relative to its share.
+    ///
+    /// One means exactly its share of what was admitted for all customers that offer work.
+    pub(crate) fn offer(&mut self, now_ms: u64, key: CustomerKey, work_ms: u64) -> f64 {
         self.decay(now_ms);
         self.customers[key].offered_ms += work_ms as f64;
 
@@ -61,7 +60,7 @@
         }
         let customer = &self.customers[key];
         let part_ms = admitted_ms * f64::from(customer.share) / active_shares.max(1.0);
-        customer.admitted_ms > part_ms * SHARE_TOLERANCE
+        if part_ms > 0.0 { customer.admitted_ms / part_ms } else { 0.0 }
     }
 
     /// Notes admitted work.
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -32,6 +32,9 @@
 /// Part of the slack that backlog may use up for a customer within its share.
 const WITHIN_SHARE_SLACK: f64 = 0.9;
 
+/// Use of the share up to which a customer counts as fully within it.
+const WITHIN_SHARE_USE: f64 = 0.9;
+
 new_key_type! {
     /// Identifies an admitted request.
     pub struct AdmissionKey;
@@ -213,7 +216,7 @@
         remaining_ms: u64,
         need: Need,
     ) -> Option<Reason> {
-        let above_share = self.fairness.offer(now_ms, customer, need.run_ms);
+        let share_use = self.fairness.offer(now_ms, customer, need.run_ms);
         if need.run_ms > remaining_ms {
             return Some(Reason::DeadlineUnreachable);
         }
@@ -222,16 +225,24 @@
         }
 
         let slack_ms = remaining_ms.saturating_sub(need.safe_ms).min(need.bearable_wait_ms) as f64;
-        if need.wait_ms as f64 > slack_ms * WITHIN_SHARE_SLACK {
+        let wait_ms = need.wait_ms as f64;
+        if wait_ms > slack_ms * WITHIN_SHARE_SLACK {
             return Some(Reason::DeadlineUnreachable);
         }
-        if above_share && need.wait_ms as f64 > slack_ms * ABOVE_SHARE_SLACK {
+        if wait_ms > slack_ms * slack_part(share_use) {
             return Some(Reason::CustomerShare);
         }
         None
     }
 }
 
+/// Returns the part of the slack that backlog may use up for a customer with this use of its share.
+fn slack_part(share_use: f64) -> f64 {
+    let excess = (share_use - WITHIN_SHARE_USE) / (1.0 - WITHIN_SHARE_USE);
+    let excess = excess.clamp(0.0, 1.0);
+    WITHIN_SHARE_SLACK + (ABOVE_SHARE_SLACK - WITHIN_SHARE_SLACK) * excess
+}
+
 /// Returns the time in which the backlog shrinks far enough for the request to fit.
 fn retry_after_ms(remaining_ms: u64, need: Need) -> u64 {
     let slack_ms = remaining_ms.saturating_sub(need.safe_ms).min(need.bearable_wait_ms);
