--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -35,6 +35,9 @@
 /// Use of the share up to which a customer counts as fully within it.
 const WITHIN_SHARE_USE: f64 = 0.9;
 
+/// Largest number of entries that this entry's own upcoming work stands for.
+const MAX_ENTRIES_IN_USE: u64 = 16;
+
 new_key_type! {
     /// Identifies an admitted request.
     pub struct AdmissionKey;
@@ -200,13 +203,13 @@
     /// Returns the time for which a call would wait in the pool.
     fn wait_ms(&self, estimates: &StageEstimates, stage: &StageWork) -> u64 {
         let upcoming = self.upcoming.get(&stage.pool).copied().unwrap_or(0);
-        let ahead = u64::from(stage.load.outstanding) + u64::from(upcoming);
+        let upcoming = u64::from(upcoming) * entries_in_use(&stage.load);
+        let ahead = u64::from(stage.load.outstanding) + upcoming;
         let limit = u64::from(stage.load.limit.max(1));
         if ahead < limit {
             return 0;
         }
-        let backlog_ms = (ahead - limit + 1) * estimates.mean_ms(stage.pool) / limit;
-        backlog_ms.max(estimates.queue_ms(stage.pool))
+        (ahead - limit + 1) * estimates.mean_ms(stage.pool) / limit
     }
 
     fn refusal(
@@ -236,6 +239,14 @@
     }
 }
 
+/// Returns how many entries of this one's load seem to send to a pool.
+///
+/// What the others have admitted and not sent is not reported, so this entry's own stands for it.
+fn entries_in_use(load: &PoolLoad) -> u64 {
+    let entries = u64::from(load.outstanding) / u64::from(load.own.max(1));
+    entries.clamp(1, MAX_ENTRIES_IN_USE)
+}
+
 /// Returns the part of the slack that backlog may use up for a customer with this use of its share.
 fn slack_part(share_use: f64) -> f64 {
     let excess = (share_use - WITHIN_SHARE_USE) / (1.0 - WITHIN_SHARE_USE);
--- a/crates/core/src/routing/pool.rs
+++ b/crates/core/src/routing/pool.rs
@@ -41,6 +41,8 @@
     pub upstreams: u32,
     /// Calls that run or wait at them.
     pub outstanding: u32,
+    /// Part of the outstanding calls that this entry sent.
+    pub own: u32,
     /// Calls that they may run at once.
     pub limit: u32,
 }
@@ -252,6 +254,7 @@
             }
             pool.upstreams += 1;
             pool.outstanding += load.running + load.queued + upstream.sent_since_reply;
+            pool.own += upstream.in_flight;
             pool.limit += load.limit;
         }
         pool
