--- a/crates/core/src/admission/fairness.rs
+++ b/crates/core/src/admission/fairness.rs
@@ -20,6 +20,8 @@
     share: u32,
     offered_ms: f64,
     admitted_ms: f64,
+    /// Parts of requests that were due for admission and not admitted.
+    due: f64,
 }
 
 /// Recent work by customer.
@@ -38,7 +40,8 @@
             self.customers[key].share = share;
             return key;
         }
-        let key = self.customers.insert(Customer { share, offered_ms: 0.0, admitted_ms: 0.0 });
+        let key =
+            self.customers.insert(Customer { share, offered_ms: 0.0, admitted_ms: 0.0, due: 0.0 });
         self.keys_by_name.insert(name.to_owned(), key);
         key
     }
@@ -63,6 +66,20 @@
         if part_ms > 0.0 { customer.admitted_ms / part_ms } else { 0.0 }
     }
 
+    /// Admits the given part of a customer's requests, spread evenly.
+    pub(crate) fn thin(&mut self, key: CustomerKey, part: f64) -> bool {
+        if part >= 1.0 {
+            return true;
+        }
+        let customer = &mut self.customers[key];
+        customer.due += part;
+        if customer.due < 1.0 {
+            return false;
+        }
+        customer.due -= 1.0;
+        true
+    }
+
     /// Notes admitted work.
     pub(crate) fn on_admitted(&mut self, now_ms: u64, key: CustomerKey, work_ms: u64) {
         self.decay(now_ms);
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -26,11 +26,11 @@
 const MIN_RETRY_AFTER_MS: u64 = 100;
 const MAX_RETRY_AFTER_MS: u64 = 60_000;
 
-/// Part of the slack that backlog may use up for a customer above its share.
-const ABOVE_SHARE_SLACK: f64 = 0.5;
+/// Wait relative to the slack, for a customer within its share.
+const WITHIN_SHARE: Thinning = Thinning { starts: 0.8, refuses_all: 0.95 };
 
-/// Part of the slack that backlog may use up for a customer within its share.
-const WITHIN_SHARE_SLACK: f64 = 0.9;
+/// Wait relative to the slack, for a customer above its share.
+const ABOVE_SHARE: Thinning = Thinning { starts: 0.25, refuses_all: 0.75 };
 
 /// Use of the share up to which a customer counts as fully within it.
 const WITHIN_SHARE_USE: f64 = 0.9;
@@ -227,18 +227,49 @@
             return None;
         }
 
-        let slack_ms = remaining_ms.saturating_sub(need.safe_ms).min(need.bearable_wait_ms) as f64;
-        let wait_ms = need.wait_ms as f64;
-        if wait_ms > slack_ms * WITHIN_SHARE_SLACK {
+        let slack_ms = remaining_ms.saturating_sub(need.safe_ms).min(need.bearable_wait_ms);
+        let strain = need.wait_ms as f64 / slack_ms.max(1) as f64;
+        if strain > WITHIN_SHARE.refuses_all {
             return Some(Reason::DeadlineUnreachable);
         }
-        if wait_ms > slack_ms * slack_part(share_use) {
+        let part = Thinning::for_use(share_use).admitted_part(strain);
+        if !self.fairness.thin(customer, part) {
             return Some(Reason::CustomerShare);
         }
         None
     }
 }
 
+/// Refuses a growing part of the requests while the wait grows.
+///
+/// Entries see the backlog late and estimate it differently. With a single threshold the entry with
+/// the lowest estimate would admit everything and the others nothing.
+#[derive(Clone, Copy, Debug)]
+struct Thinning {
+    /// Wait relative to the slack at which the first requests are refused.
+    starts: f64,
+    /// Wait relative to the slack at which all requests are refused.
+    refuses_all: f64,
+}
+
+impl Thinning {
+    /// Returns the thinning for a customer with this use of its share.
+    fn for_use(share_use: f64) -> Self {
+        let excess = (share_use - WITHIN_SHARE_USE) / (1.0 - WITHIN_SHARE_USE);
+        let excess = excess.clamp(0.0, 1.0);
+        let between = |within: f64, above: f64| within + (above - within) * excess;
+        Self {
+            starts: between(WITHIN_SHARE.starts, ABOVE_SHARE.starts),
+            refuses_all: between(WITHIN_SHARE.refuses_all, ABOVE_SHARE.refuses_all),
+        }
+    }
+
+    /// Returns the part of the requests to admit.
+    fn admitted_part(&self, strain: f64) -> f64 {
+        ((self.refuses_all - strain) / (self.refuses_all - self.starts)).clamp(0.0, 1.0)
+    }
+}
+
 /// Returns how many entries of this one's load seem to send to a pool.
 ///
 /// What the others have admitted and not sent is not reported, so this entry's own stands for it.
@@ -247,13 +278,6 @@
     entries.clamp(1, MAX_ENTRIES_IN_USE)
 }
 
-/// Returns the part of the slack that backlog may use up for a customer with this use of its share.
-fn slack_part(share_use: f64) -> f64 {
-    let excess = (share_use - WITHIN_SHARE_USE) / (1.0 - WITHIN_SHARE_USE);
-    let excess = excess.clamp(0.0, 1.0);
-    WITHIN_SHARE_SLACK + (ABOVE_SHARE_SLACK - WITHIN_SHARE_SLACK) * excess
-}
-
 /// Returns the time in which the backlog shrinks far enough for the request to fit.
 fn retry_after_ms(remaining_ms: u64, need: Need) -> u64 {
     let slack_ms = remaining_ms.saturating_sub(need.safe_ms).min(need.bearable_wait_ms);
--- a/crates/core/src/deadline/estimates.rs
+++ b/crates/core/src/deadline/estimates.rs
@@ -7,6 +7,9 @@
 /// Weight of a new sample in the averages.
 const SAMPLE_WEIGHT: f64 = 0.05;
 
+/// Weight of a new sample in the mean over calls of all sizes.
+const MEAN_WEIGHT: f64 = 0.02;
+
 /// Multiple of the mean deviation that a safe estimate adds.
 const SAFE_DEVIATIONS: f64 = 2.0;
 
@@ -116,7 +119,7 @@
         let actual_ms = usage.engine_ms.max(1) as f64;
         let off = (actual_ms / expected_ms - 1.0).abs().min(MAX_PULL);
         estimate.deviation += (off - estimate.deviation) * SAMPLE_WEIGHT;
-        estimate.mean_ms += (actual_ms - estimate.mean_ms) * SAMPLE_WEIGHT;
+        estimate.mean_ms += (actual_ms - estimate.mean_ms) * MEAN_WEIGHT;
         estimate.queue_ms += (usage.queued_ms as f64 - estimate.queue_ms) * SAMPLE_WEIGHT;
 
         // Both parts move by the same factor, because a call does not tell them apart.
