--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -26,11 +26,17 @@
 const MIN_RETRY_AFTER_MS: u64 = 100;
 const MAX_RETRY_AFTER_MS: u64 = 60_000;
 
-/// Part of the slack that backlog may use up for a customer above its share.
-const ABOVE_SHARE_SLACK: f64 = 0.5;
+/// Wait relative to the slack, for a customer within its share.
+const WITHIN_SHARE: Thinning = Thinning { starts: 0.8, refuses_all: 0.95 };
 
-/// Part of the slack that backlog may use up for a customer within its share.
-const WITHIN_SHARE_SLACK: f64 = 0.9;
+/// Wait relative to the slack, for a customer above its share.
+const ABOVE_SHARE: Thinning = Thinning { starts: 0.25, refuses_all: 0.75 };
+
+/// Use of the share up to which a customer counts as fully within it.
+const WITHIN_SHARE_USE: f64 = 0.9;
+
+/// Largest number of entries that this entry's own upcoming work stands for.
+const MAX_ENTRIES_IN_USE: u64 = 16;
 
 new_key_type! {
     /// Identifies an admitted request.
@@ -48,6 +54,15 @@
     pub load: PoolLoad,
 }
 
+/// A pipeline as the environment document declares it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DeclaredPipeline {
+    /// Time from arrival to the whole answer, in milliseconds.
+    pub deadline_ms: u64,
+    /// Pool and longest text in tokens of each stage.
+    pub stages: Vec<(PoolKey, u32)>,
+}
+
 /// An admitted request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Admitted {
@@ -69,6 +84,8 @@
     requests: SlotMap<AdmissionKey, Request>,
     /// Calls of admitted requests that are yet to be sent to a pool.
     upcoming: FastMap<PoolKey, u32>,
+    /// Least slack of the declared pipelines that use a pool, in milliseconds.
+    least_slack_ms: FastMap<PoolKey, u64>,
     fairness: Fairness,
 }
 
@@ -78,6 +95,8 @@
     run_ms: u64,
     safe_ms: u64,
     wait_ms: u64,
+    /// Longest wait that leaves every pipeline of the same pools a chance.
+    bearable_wait_ms: u64,
 }
 
 impl Admission {
@@ -91,6 +110,25 @@
         self.fairness.customer(name, share)
     }
 
+    /// Takes over the declared pipelines.
+    ///
+    /// Backlog in a pool is kept so short that the pipeline with the least slack still fits;
+    /// otherwise requests with long deadlines would shut out all others.
+    pub fn set_pipelines(&mut self, estimates: &StageEstimates, pipelines: &[DeclaredPipeline]) {
+        self.least_slack_ms.clear();
+        for pipeline in pipelines {
+            let mut need_ms = 0;
+            for &(pool, max_tokens) in &pipeline.stages {
+                need_ms += estimates.expected_ms(pool, max_tokens) + STAGE_OVERHEAD_MS;
+            }
+            let slack_ms = pipeline.deadline_ms.saturating_sub(need_ms);
+            for &(pool, _) in &pipeline.stages {
+                let least_ms = self.least_slack_ms.entry(pool).or_insert(slack_ms);
+                *least_ms = slack_ms.min(*least_ms);
+            }
+        }
+    }
+
     /// Admits a request or refuses it as not run.
     ///
     /// # Errors
@@ -106,7 +144,7 @@
         stages: &[StageWork],
     ) -> Result<Admitted, Refusal> {
         let mut expected_ms = Vec::with_capacity(stages.len());
-        let mut need = Need::default();
+        let mut need = Need { bearable_wait_ms: u64::MAX, ..Need::default() };
         for stage in stages {
             if stage.load.upstreams == 0 {
                 return Err(Refusal::not_run(Reason::NoUpstream, MIN_RETRY_AFTER_MS));
@@ -114,7 +152,10 @@
             let run_ms = estimates.expected_ms(stage.pool, stage.max_tokens);
             need.run_ms += run_ms + STAGE_OVERHEAD_MS;
             need.safe_ms += estimates.safe_ms(stage.pool, stage.max_tokens) + STAGE_OVERHEAD_MS;
-            need.wait_ms += self.wait_ms(estimates, stage, run_ms);
+            need.wait_ms += self.wait_ms(estimates, stage);
+            if let Some(&slack_ms) = self.least_slack_ms.get(&stage.pool) {
+                need.bearable_wait_ms = need.bearable_wait_ms.min(slack_ms);
+            }
             expected_ms.push(run_ms + STAGE_OVERHEAD_MS);
         }
 
@@ -160,15 +201,15 @@
     }
 
     /// Returns the time for which a call would wait in the pool.
-    fn wait_ms(&self, estimates: &StageEstimates, stage: &StageWork, run_ms: u64) -> u64 {
+    fn wait_ms(&self, estimates: &StageEstimates, stage: &StageWork) -> u64 {
         let upcoming = self.upcoming.get(&stage.pool).copied().unwrap_or(0);
-        let ahead = u64::from(stage.load.outstanding) + u64::from(upcoming);
+        let upcoming = u64::from(upcoming) * entries_in_use(&stage.load);
+        let ahead = u64::from(stage.load.outstanding) + upcoming;
         let limit = u64::from(stage.load.limit.max(1));
         if ahead < limit {
             return 0;
         }
-        let backlog_ms = (ahead - limit + 1) * run_ms / limit;
-        backlog_ms.max(estimates.queue_ms(stage.pool))
+        (ahead - limit + 1) * estimates.mean_ms(stage.pool) / limit
     }
 
     fn refusal(
@@ -178,7 +219,7 @@
         remaining_ms: u64,
         need: Need,
     ) -> Option<Reason> {
-        let above_share = self.fairness.offer(now_ms, customer, need.run_ms);
+        let share_use = self.fairness.offer(now_ms, customer, need.run_ms);
         if need.run_ms > remaining_ms {
             return Some(Reason::DeadlineUnreachable);
         }
@@ -186,20 +227,60 @@
             return None;
         }
 
-        let slack_ms = remaining_ms.saturating_sub(need.safe_ms) as f64;
-        if need.wait_ms as f64 > slack_ms * WITHIN_SHARE_SLACK {
+        let slack_ms = remaining_ms.saturating_sub(need.safe_ms).min(need.bearable_wait_ms);
+        let strain = need.wait_ms as f64 / slack_ms.max(1) as f64;
+        if strain > WITHIN_SHARE.refuses_all {
             return Some(Reason::DeadlineUnreachable);
         }
-        if above_share && need.wait_ms as f64 > slack_ms * ABOVE_SHARE_SLACK {
+        let part = Thinning::for_use(share_use).admitted_part(strain);
+        if !self.fairness.thin(customer, part) {
             return Some(Reason::CustomerShare);
         }
         None
     }
 }
 
+/// Refuses a growing part of the requests while the wait grows.
+///
+/// Entries see the backlog late and estimate it differently. With a single threshold the entry with
+/// the lowest estimate would admit everything and the others nothing.
+#[derive(Clone, Copy, Debug)]
+struct Thinning {
+    /// Wait relative to the slack at which the first requests are refused.
+    starts: f64,
+    /// Wait relative to the slack at which all requests are refused.
+    refuses_all: f64,
+}
+
+impl Thinning {
+    /// Returns the thinning for a customer with this use of its share.
+    fn for_use(share_use: f64) -> Self {
+        let excess = (share_use - WITHIN_SHARE_USE) / (1.0 - WITHIN_SHARE_USE);
+        let excess = excess.clamp(0.0, 1.0);
+        let between = |within: f64, above: f64| within + (above - within) * excess;
+        Self {
+            starts: between(WITHIN_SHARE.starts, ABOVE_SHARE.starts),
+            refuses_all: between(WITHIN_SHARE.refuses_all, ABOVE_SHARE.refuses_all),
+        }
+    }
+
+    /// Returns the part of the requests to admit.
+    fn admitted_part(&self, strain: f64) -> f64 {
+        ((self.refuses_all - strain) / (self.refuses_all - self.starts)).clamp(0.0, 1.0)
+    }
+}
+
+/// Returns how many entries of this one's load seem to send to a pool.
+///
+/// What the others have admitted and not sent is not reported, so this entry's own stands for it.
+fn entries_in_use(load: &PoolLoad) -> u64 {
+    let entries = u64::from(load.outstanding) / u64::from(load.own.max(1));
+    entries.clamp(1, MAX_ENTRIES_IN_USE)
+}
+
 /// Returns the time in which the backlog shrinks far enough for the request to fit.
 fn retry_after_ms(remaining_ms: u64, need: Need) -> u64 {
-    let slack_ms = remaining_ms.saturating_sub(need.safe_ms);
+    let slack_ms = remaining_ms.saturating_sub(need.safe_ms).min(need.bearable_wait_ms);
     let excess_ms = need.wait_ms.saturating_sub(slack_ms / 2);
     excess_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS)
 }
