--- a/crates/core/src/admission/fairness.rs
+++ b/crates/core/src/admission/fairness.rs
@@ -5,14 +5,11 @@
 use crate::FastMap;
 
 /// Time in which past work counts half, in milliseconds.
-const HALF_LIFE_MS: f64 = 2_000.0;
+const HALF_LIFE_MS: f64 = 10_000.0;
 
 /// Offered work below which a customer counts as idle, in milliseconds of run time.
 const IDLE_WORK_MS: f64 = 1.0;
 
-/// Factor by which a customer may exceed its share before it counts as above it.
-const SHARE_TOLERANCE: f64 = 1.05;
-
 new_key_type! {
     /// Identifies a customer within one entry.
     pub struct CustomerKey;
@@ -23,6 +20,8 @@
     share: u32,
     offered_ms: f64,
     admitted_ms: f64,
+    /// Parts of requests that were due for admission and not admitted.
+    due: f64,
 }
 
 /// Recent work by customer.
@@ -41,13 +40,16 @@
             self.customers[key].share = share;
             return key;
         }
-        let key = self.customers.insert(Customer { share, offered_ms: 0.0, admitted_ms: 0.0 });
+        let key =
+            self.customers.insert(Customer { share, offered_ms: 0.0, admitted_ms: 0.0, due: 0.0 });
         self.keys_by_name.insert(name.to_owned(), key);
         key
     }
 
-    /// Notes offered work; returns whether the customer is above its share.
-    pub(crate) fn offer(&mut self, now_ms: u64, key: CustomerKey, work_ms: u64) -> bool {
+    /// Notes offered work; returns the customer's admitted work relative to its share.
+    ///
+    /// One means exactly its share of what was admitted for all customers that offer work.
+    pub(crate) fn offer(&mut self, now_ms: u64, key: CustomerKey, work_ms: u64) -> f64 {
         self.decay(now_ms);
         self.customers[key].offered_ms += work_ms as f64;
 
@@ -61,7 +63,21 @@
         }
         let customer = &self.customers[key];
         let part_ms = admitted_ms * f64::from(customer.share) / active_shares.max(1.0);
-        customer.admitted_ms > part_ms * SHARE_TOLERANCE
+        if part_ms > 0.0 { customer.admitted_ms / part_ms } else { 0.0 }
+    }
+
+    /// Admits the given part of a customer's requests, spread evenly.
+    pub(crate) fn thin(&mut self, key: CustomerKey, part: f64) -> bool {
+        if part >= 1.0 {
+            return true;
+        }
+        let customer = &mut self.customers[key];
+        customer.due += part;
+        if customer.due < 1.0 {
+            return false;
+        }
+        customer.due -= 1.0;
+        true
     }
 
     /// Notes admitted work.
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod bench;
 pub mod load;
 pub mod measure;
+pub mod model;
 pub mod platform;
 pub mod stack;
 pub mod upstream;
--- a/crates/fakes/tests/platform_api.rs
+++ b/crates/fakes/tests/platform_api.rs
@@ -129,7 +129,7 @@
     };
     assert_eq!(retry_after_ms, Some(1_000));
 
-    for outage in [Outage::Reset, Outage::Hang] {
+    for outage in [Outage::Error, Outage::Reset, Outage::Hang] {
         platform.set_switches(Switches { outage: Some(outage), ..Switches::default() });
         let write = client.create(Kind::Claims, "b", &spec("one")).await;
         assert!(matches!(write, Err(PlatformError::AnswerLost { .. })), "{outage:?}");
@@ -170,7 +170,7 @@
     let Err(PlatformError::TooLarge { object, limit_bytes, .. }) = refused else {
         panic!("a value above the limit is not sent")
     };
-    assert_eq!((object.as_str(), limit_bytes), ("claims/a", MAX_VALUE_BYTES));
+    assert_eq!((object.as_str(), limit_bytes), ("production/claims/a", MAX_VALUE_BYTES));
     assert_eq!(platform.counters().writes, 0);
     platform.close().await;
 }
