Slopes over real processes and their product at the planned size

`yuccatrail-fakes capacity` measures state, messages, processor time and memory at three or more sizes each, with every connection counted by a forwarding port, and multiplies the fitted lines out to 360 entries and 2,700 agents.

--- /dev/null
+++ b/crates/fakes/src/capacity/tap.rs
@@ -0,0 +1,181 @@
+//! Forwards TCP connections to a process and counts what passes.
+
+use std::{
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+};
+use tokio_util::sync::CancellationToken;
+
+/// Size of the read buffer in bytes.
+const BUFFER_BYTES: usize = 256 * 1024;
+/// Bytes of the IP header and of the TCP header with time stamps.
+pub const PACKET_HEADER_BYTES: u64 = 52;
+/// Payload bytes of a full packet on Ethernet.
+pub const PACKET_PAYLOAD_BYTES: u64 = 1448;
+
+/// What passed in both directions.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Payload bytes towards the process.
+    pub to_bytes: u64,
+    /// Payload bytes from the process.
+    pub from_bytes: u64,
+    /// Reads of data towards the process; one for each message, unless messages follow closely.
+    pub to_messages: u64,
+    /// Reads of data from the process.
+    pub from_messages: u64,
+}
+
+#[derive(Debug, Default)]
+struct Counters {
+    to_bytes: AtomicU64,
+    from_bytes: AtomicU64,
+    to_messages: AtomicU64,
+    from_messages: AtomicU64,
+}
+
+/// A forwarded port.
+#[derive(Debug)]
+pub struct Tap {
+    /// Address to connect to in place of the process.
+    pub address: SocketAddr,
+    counters: Arc<Counters>,
+    stop: CancellationToken,
+}
+
+impl Tap {
+    /// Opens a port whose connections are forwarded to `target`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no port can be opened.
+    pub async fn open(target: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        let address = listener.local_addr()?;
+        let counters = Arc::new(Counters::default());
+        let stop = CancellationToken::new();
+        tokio::spawn(accept(listener, target, counters.clone(), stop.clone()));
+        Ok(Self { address, counters, stop })
+    }
+
+    /// Returns what passed so far.
+    pub fn traffic(&self) -> Traffic {
+        Traffic {
+            to_bytes: self.counters.to_bytes.load(Ordering::Relaxed),
+            from_bytes: self.counters.from_bytes.load(Ordering::Relaxed),
+            to_messages: self.counters.to_messages.load(Ordering::Relaxed),
+            from_messages: self.counters.from_messages.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Closes the port and its connections.
+    pub fn close(self) {
+        self.stop.cancel();
+    }
+}
+
+impl Traffic {
+    /// Returns what passed since `earlier`.
+    pub fn since(self, earlier: Self) -> Self {
+        Self {
+            to_bytes: self.to_bytes - earlier.to_bytes,
+            from_bytes: self.from_bytes - earlier.from_bytes,
+            to_messages: self.to_messages - earlier.to_messages,
+            from_messages: self.from_messages - earlier.from_messages,
+        }
+    }
+
+    /// Adds the traffic of another tap.
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            to_bytes: self.to_bytes + other.to_bytes,
+            from_bytes: self.from_bytes + other.from_bytes,
+            to_messages: self.to_messages + other.to_messages,
+            from_messages: self.from_messages + other.from_messages,
+        }
+    }
+
+    /// Returns payload bytes of both directions.
+    pub fn payload_bytes(self) -> u64 {
+        self.to_bytes + self.from_bytes
+    }
+
+    /// Returns bytes of both directions with TCP and IP headers.
+    ///
+    /// Each message is at least a packet, and each message towards the process brings one packet
+    /// with nothing but the acknowledgement of the answer.
+    pub fn wire_bytes(self) -> u64 {
+        let packets =
+            |bytes: u64, messages: u64| messages.max(bytes.div_ceil(PACKET_PAYLOAD_BYTES));
+        let data =
+            packets(self.to_bytes, self.to_messages) + packets(self.from_bytes, self.from_messages);
+        self.payload_bytes() + (data + self.to_messages) * PACKET_HEADER_BYTES
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    target: SocketAddr,
+    counters: Arc<Counters>,
+    stop: CancellationToken,
+) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.cancelled() => return,
+        };
+        let Ok((stream, _)) = accepted else { continue };
+        let (counters, stop) = (counters.clone(), stop.clone());
+        tokio::spawn(async move {
+            tokio::select! {
+                // A connection that breaks shows in what the processes do next.
+                _ = forward(stream, target, counters) => {}
+                () = stop.cancelled() => {}
+            }
+        });
+    }
+}
+
+async fn forward(client: TcpStream, target: SocketAddr, counters: Arc<Counters>) -> io::Result<()> {
+    let server = TcpStream::connect(target).await?;
+    client.set_nodelay(true)?;
+    server.set_nodelay(true)?;
+    let (client_read, client_write) = client.into_split();
+    let (server_read, server_write) = server.into_split();
+    let to = pump(client_read, server_write, &counters.to_bytes, &counters.to_messages);
+    let from = pump(server_read, client_write, &counters.from_bytes, &counters.from_messages);
+    tokio::select! {
+        ended = to => ended,
+        ended = from => ended,
+    }
+}
+
+async fn pump(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    bytes: &AtomicU64,
+    messages: &AtomicU64,
+) -> io::Result<()> {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    loop {
+        let count = from.read(&mut buffer).await?;
+        if count == 0 {
+            return Ok(());
+        }
+        bytes.fetch_add(count as u64, Ordering::Relaxed);
+        messages.fetch_add(1, Ordering::Relaxed);
+        to.write_all(&buffer[..count]).await?;
+    }
+}
--- a/crates/fakes/src/commands/mod.rs
+++ b/crates/fakes/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! Subcommands, one file each.
 
 mod bench;
+mod capacity;
 mod demo;
 mod load;
 mod platform;
@@ -22,6 +23,8 @@
     Demo,
     /// Measures latency and throughput of the request path.
     Bench(bench::Arguments),
+    /// Measures slopes and multiplies them out to the planned size.
+    Capacity(capacity::Arguments),
     /// Puts load on running entries.
     Load(load::Arguments),
 }
@@ -52,7 +55,12 @@
         .to_options()
         .descr("Measures latency and throughput of the request path over real processes")
         .command("bench");
-    construct!([platform, upstream, demo, load, bench])
+    let capacity = capacity::arguments()
+        .map(Command::Capacity)
+        .to_options()
+        .descr("Measures slopes over real processes and multiplies them out to the planned size")
+        .command("capacity");
+    construct!([platform, upstream, demo, load, bench, capacity])
         .to_options()
         .descr("Stand-ins for tests, demonstrations and measurements")
         .run()
@@ -65,6 +73,7 @@
         Command::Upstream(arguments) => upstream::run(arguments).await,
         Command::Demo => demo::run().await,
         Command::Bench(arguments) => bench::run(arguments).await,
+        Command::Capacity(arguments) => capacity::run(arguments).await,
         Command::Load(arguments) => load::run(arguments).await,
     }
 }
--- a/crates/fakes/src/stack/plan.rs
+++ b/crates/fakes/src/stack/plan.rs
@@ -7,7 +7,7 @@
 /// Data centres of every stack.
 pub const DATA_CENTRES: [&str; 2] = ["north", "south"];
 /// Pools of the demo document.
-const DEMO_POOLS: [&str; 5] = ["encoders", "retrievers", "rerankers", "engines", SERVICE_POOL];
+pub const DEMO_POOLS: [&str; 5] = ["encoders", "retrievers", "rerankers", "engines", SERVICE_POOL];
 /// Pool of the demo document's plain service.
 const SERVICE_POOL: &str = "work-orders";
 
@@ -86,7 +86,7 @@
 }
 
 /// Returns the data centre of the instance `number` of a kind.
-fn data_centre(number: usize) -> &'static str {
+pub fn data_centre(number: usize) -> &'static str {
     DATA_CENTRES[number % DATA_CENTRES.len()]
 }
 
--- a/crates/fakes/src/stack/run.rs
+++ b/crates/fakes/src/stack/run.rs
@@ -188,12 +188,17 @@
 impl UpstreamPair {
     /// Returns the instance record that the platform lists.
     pub fn instance(&self) -> InstanceRecord {
+        Self::record(&self.plan, self.agent.address)
+    }
+
+    /// Returns the instance record of a planned upstream whose agent listens on `address`.
+    pub fn record(plan: &UpstreamPlan, address: SocketAddr) -> InstanceRecord {
         InstanceRecord {
-            name: self.plan.name.clone(),
+            name: plan.name.clone(),
             role: InstanceRole::Upstream,
-            pool: Some(self.plan.pool.clone()),
-            data_centre: self.plan.data_centre.clone(),
-            address: self.agent.address,
+            pool: Some(plan.pool.clone()),
+            data_centre: plan.data_centre.clone(),
+            address,
             state: InstanceState::Live,
         }
     }
