Fuzz the quarantine and bound the upstreams lost to one request

Cause: two entries could each send a suspect to another upstream, and an agent that missed the first strike counted only its own, so one request could take down more than two upstreams although every process followed its own strikes.

Now all entries choose the same upstream for a suspect, the submit carries the strikes that the entry knows, and an agent refuses a suspect as not run when the entry did not know it. The module page states the bound that holds.

Ruled out: condemning after two stops with otherwise disjoint neighbours, because two different poisonous requests then condemn an innocent one.

--- a/crates/core/src/at_most_once/flow.rs
+++ b/crates/core/src/at_most_once/flow.rs
@@ -198,7 +198,7 @@
             Goal::Acquire => self.on_foreign(record, version, now_ms),
             // Rewriting the released claim keeps a late takeover by this flow from taking effect.
             Goal::Settle(ClaimState::NotRun)
-                if self.acquire_unsettled && record.state == ClaimState::NotRun =>
+                if self.may_land_late() && record.state == ClaimState::NotRun =>
             {
                 self.write_over(record, version)
             }
@@ -235,9 +235,7 @@
             Goal::Acquire if may_create => self.write(),
             // A claim that was seen before is gone, and with it what became of the call.
             Goal::Acquire => self.refuse_and_finish(Reason::KeyClaimed, Execution::Unknown),
-            Goal::Settle(ClaimState::NotRun) if may_create && self.acquire_unsettled => {
-                self.write()
-            }
+            Goal::Settle(ClaimState::NotRun) if may_create && self.may_land_late() => self.write(),
             Goal::Settle(_) => self.finish(),
         }
     }
--- a/crates/core/src/at_most_once/steps.rs
+++ b/crates/core/src/at_most_once/steps.rs
@@ -133,6 +133,11 @@
         Vec::new()
     }
 
+    /// Tells whether a lost write of this flow may still make it the holder.
+    pub(crate) fn may_land_late(&self) -> bool {
+        self.acquire_unsettled && self.mechanisms.has(Sabotage::ReleaseUnsettled)
+    }
+
     /// Tells whether the dispatch limit has passed.
     pub(crate) fn is_expired(&self, now_ms: u64) -> bool {
         now_ms > self.request.dispatch_by_ms && self.mechanisms.has(Sabotage::DispatchPermission)
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -16,19 +16,23 @@
 //! # Bound on lost upstreams
 //!
 //! Take a request that stops every upstream it runs on. Let `u` be the number of its copies that
-//! were dispatched by processes that held no strike against it, and let suspects run one at a time.
-//! With the usual limit of two strikes it takes down at most `max(2, u + 1)` upstreams. For copies
-//! sent one after the other, each after the strikes of the one before have reached the next entry or
-//! agent, `u` is one and the bound is two.
+//! were dispatched while neither their entry nor their agent held a strike against it. With the usual
+//! limit of two strikes it takes down at most `u + 1` upstreams within the retention period. For
+//! copies sent one after the other, each after the strikes of the one before have reached the next
+//! entry or agent, `u` is one and the bound is two. It rests on these rules:
 //!
+//! - All entries send a suspect to the same upstream, [`alone_upstream`], and pass on the strikes
+//!   that they know in the submit. The agent there runs it alone, thus one copy at a time, and after
+//!   a stop it knows at least two strikes, so it refuses every other copy.
+//! - An agent that knows a strike of which the entry did not know refuses the submit as not run, see
+//!   [`Quarantine::admit_submit`].
+//! - While entries see different instance lists they may choose different upstreams for a suspect;
+//!   then each concurrent copy may cost one more upstream.
 //! - At one entry, [`SuspectTracker`] keeps a second copy of a suspect from starting while one is in
 //!   progress. Copies of a request without strikes are not held back, since equal requests are
-//!   usual; those already in progress at the first stop count towards `u`.
-//! - Between entries, [`alone_upstream`] sends copies of a suspect to the same upstream, whose agent
-//!   runs one at a time and refuses the next once it has stopped. Entries that see different
-//!   instance lists may disagree; then each concurrent copy may cost one more upstream.
-//! - An agent that is lost together with its upstream passes no strike on, so that stop is not
-//!   counted.
+//!   usual; those in progress at the first stop count towards `u`.
+//! - An agent that is lost together with its upstream passes no strike on; that stop is not counted.
+//! - Beyond [`QuarantineLimits::max_strikes`] strikes are forgotten before their time.
 //!
 //! An upstream that stops by itself while a request runs alone cannot be told from one stopped by
 //! the request. An innocent request is thus refused only if upstreams stop by themselves while it
--- a/crates/core/src/quarantine/registry.rs
+++ b/crates/core/src/quarantine/registry.rs
@@ -102,6 +102,23 @@
         Admission::Normal
     }
 
+    /// Decides at an agent about a submit, whose entry passed on `strikes` against the request.
+    ///
+    /// Returns `None` when the agent knows strikes and the entry passed on none. The entry then took
+    /// the request for a normal one and may have chosen any upstream, so the agent refuses the submit
+    /// as not run, and the entry chooses again once it has the strikes.
+    pub fn admit_submit(
+        &mut self,
+        fingerprint: Digest,
+        strikes: &[Strike],
+        now_ms: u64,
+    ) -> Option<Admission> {
+        self.merge(strikes, now_ms);
+        let admission = self.admit(fingerprint, now_ms);
+        let is_unaware = admission == Admission::Alone && strikes.is_empty();
+        (!is_unaware || !self.mechanisms.has(Sabotage::RefuseUnawareSubmit)).then_some(admission)
+    }
+
     /// Records that the upstream of the agent run `agent` stopped for the `number`th time.
     ///
     /// `in_progress` names every request that the upstream had been handed and that had not ended,
@@ -148,20 +165,29 @@
         }
     }
 
+    /// Returns the strikes that make a request a suspect; a submit carries them to the agent.
+    pub fn strikes_against(&self, fingerprint: Digest, now_ms: u64) -> Vec<Strike> {
+        let mut strikes = Vec::new();
+        let Some(held) = self.strikes.get(&fingerprint) else { return strikes };
+        for (&stop, strike) in held {
+            if strike.cleared || strike.expires_ms <= now_ms {
+                continue;
+            }
+            strikes.push(self.to_strike(fingerprint, stop, strike, now_ms));
+        }
+        strikes
+    }
+
     /// Returns the strikes to pass on to peers, the newest first.
     pub fn recent(&self, now_ms: u64) -> Vec<Strike> {
         let max_age_ms = self.limits.retention_ms / PASSED_RETENTION_DIVISOR;
         let mut recent = Vec::new();
         for (&fingerprint, held) in &self.strikes {
-            for (stop, strike) in held {
-                let remaining_ms = strike.expires_ms.saturating_sub(now_ms);
-                let age_ms = self.limits.retention_ms.saturating_sub(remaining_ms);
-                if age_ms >= max_age_ms {
-                    continue;
+            for (&stop, strike) in held {
+                let strike = self.to_strike(fingerprint, stop, strike, now_ms);
+                if strike.age_ms < max_age_ms {
+                    recent.push(strike);
                 }
-                let &StopId { agent, number } = stop;
-                let &HeldStrike { alone, cleared, .. } = strike;
-                recent.push(Strike { fingerprint, agent, number, alone, cleared, age_ms });
             }
         }
         recent.sort_by_key(|it| (it.age_ms, it.fingerprint, it.agent, it.number));
@@ -188,6 +214,20 @@
         self.held == 0
     }
 
+    fn to_strike(
+        &self,
+        fingerprint: Digest,
+        stop: StopId,
+        held: &HeldStrike,
+        now_ms: u64,
+    ) -> Strike {
+        let StopId { agent, number } = stop;
+        let &HeldStrike { alone, cleared, expires_ms } = held;
+        let remaining_ms = expires_ms.saturating_sub(now_ms);
+        let age_ms = self.limits.retention_ms.saturating_sub(remaining_ms);
+        Strike { fingerprint, agent, number, alone, cleared, age_ms }
+    }
+
     fn insert(&mut self, strike: Strike, now_ms: u64) {
         let remaining_ms = self.limits.retention_ms.saturating_sub(strike.age_ms);
         if remaining_ms == 0 {
@@ -202,7 +242,7 @@
             known.expires_ms = known.expires_ms.min(expires_ms);
             return;
         }
-        let &Strike { alone, cleared, .. } = &strike;
+        let Strike { alone, cleared, .. } = strike;
         held.insert(stop, HeldStrike { alone, cleared, expires_ms });
         self.held += 1;
         if self.held > self.limits.max_strikes {
--- a/crates/core/src/sabotage.rs
+++ b/crates/core/src/sabotage.rs
@@ -36,6 +36,8 @@
     ForeignClaimUnknown,
     /// A request that is given up before its claim is settled is reported as not run.
     UnsettledClaimUnknown,
+    /// A claim whose lost write is unsettled is left as it is after the refusal.
+    ReleaseUnsettled,
     /// A report about an earlier dispatch counts for the present one.
     DispatchNumber,
     /// The expiry of the dispatch permission is ignored.
@@ -44,6 +46,8 @@
     CondemnOnlyAlone,
     /// A suspect is admitted like any other request.
     RunSuspectsAlone,
+    /// An agent accepts a suspect whose entry did not know the strikes.
+    RefuseUnawareSubmit,
     /// Strikes from peers are ignored.
     MergeStrikes,
     /// A completed suspect keeps its strikes.
--- a/crates/rpc/src/messages.rs
+++ b/crates/rpc/src/messages.rs
@@ -79,6 +79,8 @@
     pub customer: String,
     /// Digest of the customer, target and body of the request.
     pub fingerprint: Digest,
+    /// Strikes against the request that the entry knows; with any, the request has to run alone.
+    pub strikes: Vec<Strike>,
     /// Whether the call may be repeated.
     pub idempotent: bool,
     /// Latest time of dispatch on the agent's clock, in milliseconds since its start.
