--- a/crates/core/src/agent/core.rs
+++ b/crates/core/src/agent/core.rs
@@ -44,6 +44,8 @@
     pub customer: String,
     /// Digest of the customer, target and body of the request.
     pub fingerprint: Digest,
+    /// Strikes against the request that the entry knows.
+    pub strikes: Vec<Strike>,
     /// Latest time of dispatch, in milliseconds.
     pub dispatch_by_ms: u64,
     /// Time by which the answer is needed, in milliseconds.
@@ -347,10 +349,12 @@
         if order.pool != self.settings.pool {
             return Err(Reason::WrongUpstream);
         }
-        let alone = match self.quarantine.admit(order.fingerprint, now_ms) {
-            Admission::Normal => false,
-            Admission::Alone => true,
-            Admission::Refused => return Err(Reason::Quarantined),
+        let admission = self.quarantine.admit_submit(order.fingerprint, &order.strikes, now_ms);
+        let alone = match admission {
+            Some(Admission::Normal) => false,
+            Some(Admission::Alone) => true,
+            Some(Admission::Refused) => return Err(Reason::Quarantined),
+            None => return Err(Reason::Suspected),
         };
         let entry = QueueEntry {
             attempt: order.attempt,
--- a/crates/core/tests/queue_fuzz.rs
+++ b/crates/core/tests/queue_fuzz.rs
@@ -138,7 +138,10 @@
 use yuccatrail_core::queue::Sabotage;
 #[cfg(not(feature = "sabotage"))]
 #[derive(Clone, Copy, Default)]
-struct Sabotage;
+enum Sabotage {
+    #[default]
+    None,
+}
 
 thread_local! {
     static SABOTAGE: Cell<Sabotage> = Cell::default();
@@ -340,12 +343,12 @@
 
 #[test]
 fn every_entry_leaves_once_and_starts_only_in_time() {
-    run(Sabotage::default()).unwrap();
+    run(Sabotage::None).unwrap();
 }
 
 #[test]
 fn backlogged_customers_receive_work_by_share() {
-    run_fairness(Sabotage::default()).unwrap();
+    run_fairness(Sabotage::None).unwrap();
 }
 
 #[cfg(feature = "sabotage")]
--- a/crates/core/tests/routing_fuzz.rs
+++ b/crates/core/tests/routing_fuzz.rs
@@ -105,7 +105,10 @@
 use yuccatrail_core::routing::Sabotage;
 #[cfg(not(feature = "sabotage"))]
 #[derive(Clone, Copy, Default)]
-struct Sabotage;
+enum Sabotage {
+    #[default]
+    None,
+}
 
 thread_local! {
     static SABOTAGE: Cell<Sabotage> = Cell::default();
@@ -222,7 +225,7 @@
 
 #[test]
 fn choices_respect_cold_limits_tries_and_ejections() {
-    run(Sabotage::default()).unwrap();
+    run(Sabotage::None).unwrap();
 }
 
 #[cfg(feature = "sabotage")]
--- a/crates/entry/src/caller/problem.rs
+++ b/crates/entry/src/caller/problem.rs
@@ -95,6 +95,7 @@
         | Reason::Stopping
         | Reason::DeadlineUnreachable
         | Reason::Cancelled
+        | Reason::Suspected
         | Reason::NoUpstream
         | Reason::NoConfiguration
         | Reason::PlatformUnavailable
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -152,6 +152,10 @@
             if member.pool != pool || state.directory.check(key).is_err() {
                 continue;
             }
+            // An upstream that has stopped could keep the request waiting for long.
+            if member.link.report().is_none_or(|it| it.feedback.load.limit == 0) {
+                continue;
+            }
             let Some(incarnation) = state.incarnation(key) else { continue };
             incarnations.push((incarnation, member.view));
         }
--- a/crates/entry/src/run/attempt.rs
+++ b/crates/entry/src/run/attempt.rs
@@ -135,6 +135,7 @@
         pool: plan.pool.clone(),
         customer: request.customer.clone(),
         fingerprint: request.fingerprint,
+        strikes: entry.strikes.against(request.fingerprint, entry.clock.now_ms()),
         idempotent: plan.idempotent,
         dispatch_by_ms: report.agent_time_ms(plan.dispatch_by_ms),
         deadline_ms: report.agent_time_ms(request.deadline_ms),
--- a/crates/entry/src/strikes.rs
+++ b/crates/entry/src/strikes.rs
@@ -73,6 +73,11 @@
         }
     }
 
+    /// Returns the strikes against a request, which a submit carries.
+    pub(crate) fn against(&self, fingerprint: Digest, now_ms: u64) -> Vec<Strike> {
+        self.lock().quarantine.strikes_against(fingerprint, now_ms)
+    }
+
     /// Clears a request that completed.
     pub(crate) fn complete(&self, fingerprint: Digest) {
         self.lock().quarantine.on_complete(fingerprint);
