--- a/crates/fakes/src/stack/run.rs
+++ b/crates/fakes/src/stack/run.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use derive_more::{Display, Error, From};
+use futures::future::join_all;
 use serde_json::Value;
 use yuccatrail_core::{
     control::{ConfigRecord, StoredConfig},
@@ -174,14 +175,16 @@
     ///
     /// Returns an error when a process does not stop or reports a failure.
     pub async fn close(self) -> Result<(), StackError> {
-        for entry in self.entries {
-            close_clean(entry).await?;
-        }
+        close_clean(self.entries).await?;
+        let mut agents = Vec::new();
+        let mut upstreams = Vec::new();
         for pair in self.upstreams {
-            close_clean(pair.agent).await?;
-            close_clean(pair.upstream).await?;
+            agents.push(pair.agent);
+            upstreams.push(pair.upstream);
         }
-        close_clean(self.platform).await
+        close_clean(agents).await?;
+        close_clean(upstreams).await?;
+        close_clean(vec![self.platform]).await
     }
 }
 
@@ -298,13 +301,22 @@
     Ok(UpstreamPair { plan, upstream, agent })
 }
 
-async fn close_clean(process: Process) -> Result<(), StackError> {
-    let name = process.name.clone();
-    let status = process.close().await?;
-    if status.success() {
-        return Ok(());
+/// Stops processes side by side and checks that each exits with success.
+async fn close_clean(processes: Vec<Process>) -> Result<(), StackError> {
+    let mut closing = Vec::new();
+    for process in processes {
+        let name = process.name.clone();
+        closing.push(async move { (name, process.close().await) });
     }
-    Err(StackError::NotReached { what: format!("{name} exits with success, not {status}") })
+    for (name, status) in join_all(closing).await {
+        let status = status?;
+        if !status.success() {
+            return Err(StackError::NotReached {
+                what: format!("{name} exits with success, not {status}"),
+            });
+        }
+    }
+    Ok(())
 }
 
 fn strings(arguments: &[&str]) -> Vec<String> {
