Fuzz the composed agent against the promises of one upstream

Handing back at the gate's close goes unnoticed here, since the next dispatch hands back as well; the gate's own fuzz covers it.

--- a/crates/core/src/agent/core.rs
+++ b/crates/core/src/agent/core.rs
@@ -117,6 +117,18 @@
         }
     }
 
+    /// Turns one mechanism off.
+    #[cfg(feature = "sabotage")]
+    pub fn sabotage(&mut self, mechanism: super::Sabotage) {
+        match mechanism {
+            super::Sabotage::Capacity(mechanism) => self.capacity.sabotage(mechanism),
+            super::Sabotage::Gate(mechanism) => self.gate.sabotage(mechanism),
+            super::Sabotage::Ledger(mechanism) => {
+                self.ledger = AttemptLedger::with_sabotage(self.settings.ledger, mechanism);
+            }
+        }
+    }
+
     /// Takes over the control state of the process.
     pub fn set_control(&mut self, control: &ControlState, now_ms: u64) {
         let change = self.gate.set_control(control);
--- a/crates/core/src/agent/mod.rs
+++ b/crates/core/src/agent/mod.rs
@@ -9,9 +9,8 @@
 mod settings;
 mod stops;
 
-#[cfg(test)]
-mod tests;
-
+#[cfg(feature = "sabotage")]
+pub use self::settings::Sabotage;
 pub use self::{
     core::{AgentCore, Dispatch, SubmitOrder},
     settings::AgentSettings,
--- a/crates/core/src/agent/settings.rs
+++ b/crates/core/src/agent/settings.rs
@@ -34,6 +34,18 @@
     pub quarantine: QuarantineLimits,
 }
 
+/// Mechanisms that tests switch off.
+#[cfg(feature = "sabotage")]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sabotage {
+    /// A mechanism of the capacity.
+    Capacity(crate::capacity::Sabotage),
+    /// A mechanism of the gate.
+    Gate(crate::drain::Sabotage),
+    /// A mechanism of the ledger.
+    Ledger(crate::sabotage::Sabotage),
+}
+
 impl AgentSettings {
     /// Creates settings with the default bounds.
     pub fn new(incarnation: Incarnation, pool: String, gate: GateSettings) -> Self {
--- /dev/null
+++ b/crates/core/tests/agent_fuzz.rs
@@ -0,0 +1,482 @@
+//! Fuzzes the whole agent against an oracle that knows only the promises of one upstream.
+
+use std::cell::Cell;
+
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed, TestRunner},
+};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+use yuccatrail_core::{
+    FastMap, FastSet,
+    agent::{AgentCore, AgentSettings, CallResult, Dispatch, ProbeResult, SubmitOrder},
+    attempt::{AttemptLookup, Progress},
+    capacity::{Epoch, WARM_COMPLETIONS},
+    control::{ConfigRecord, ControlState, ControlUpdate, OperationsRecord},
+    drain::{FreshnessSettings, GateSettings},
+    ids::{AttemptId, Digest, Incarnation, RequestId, StageIndex},
+    outcome::{Execution, Reason, Refusal},
+};
+
+const SEED: u64 = 9_001;
+const AGENT: Incarnation = Incarnation(7);
+const COLD_LIMIT: usize = 2;
+const CONCURRENCY: usize = 6;
+const DOCUMENT: &str = r#"
+[[pool]]
+name = "engines"
+kind = "generate"
+concurrency = 6
+cold_concurrency = 2
+queue = 5
+estimate_ms = 20
+
+[[customer]]
+name = "large"
+share = 3
+
+[[customer]]
+name = "small"
+"#;
+
+#[derive(Clone, Debug)]
+enum Event {
+    Advance(u64),
+    Pause(u64),
+    Submit { request: u8, customer: bool, dispatch_in_ms: u64, deadline_in_ms: u64 },
+    Resubmit { index: usize },
+    Cancel { request: u8 },
+    Finish { index: usize, result: u8 },
+    SendProbe,
+    AnswerProbe { boot_id: u64, warm: bool },
+    RefuseProbe,
+    Operate { out: bool, leaving: bool },
+    Confirm,
+    Stop,
+    Tick,
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        10 => (1..40_u64).prop_map(Event::Advance),
+        1 => (1_500..6_000_u64).prop_map(Event::Pause),
+        45 => (0..96_u8, any::<bool>(), 0..800_u64, 0..800_u64).prop_map(
+            |(request, customer, dispatch_in_ms, deadline_in_ms)| Event::Submit {
+                request, customer, dispatch_in_ms, deadline_in_ms,
+            },
+        ),
+        6 => (0..16_usize).prop_map(|index| Event::Resubmit { index }),
+        6 => (0..96_u8).prop_map(|request| Event::Cancel { request }),
+        30 => (0..8_usize, 0..30_u8).prop_map(|(index, result)| Event::Finish { index, result }),
+        8 => Just(Event::SendProbe),
+        8 => (0..20_u64, prop::bool::weighted(0.8))
+            .prop_map(|(number, warm)| Event::AnswerProbe { boot_id: number / 17, warm }),
+        1 => Just(Event::RefuseProbe),
+        2 => (prop::bool::weighted(0.3), prop::bool::weighted(0.2))
+            .prop_map(|(out, leaving)| Event::Operate { out, leaving }),
+        3 => Just(Event::Confirm),
+        1 => prop::bool::weighted(0.1)
+            .prop_map(|stop| if stop { Event::Stop } else { Event::Tick }),
+        8 => Just(Event::Tick),
+    ]
+}
+
+struct Events;
+
+impl ReferenceStateMachine for Events {
+    type State = ();
+    type Transition = Event;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Event> {
+        event().boxed()
+    }
+
+    fn apply((): (), _: &Event) {}
+}
+
+/// What the upstream saw and what the entries were told.
+#[derive(Default)]
+struct Oracle {
+    dispatched: FastSet<AttemptId>,
+    told_not_run: FastSet<AttemptId>,
+    running: Vec<Dispatch>,
+    cold_starts: Vec<Dispatch>,
+    is_warm: bool,
+    completed_since_cold: u32,
+    is_closed: bool,
+    is_unconfirmed: bool,
+}
+
+impl Oracle {
+    fn on_dispatch(&mut self, dispatch: Dispatch, order: &SubmitOrder, now_ms: u64) {
+        assert!(self.dispatched.insert(dispatch.attempt), "dispatched twice");
+        assert!(!self.told_not_run.contains(&dispatch.attempt), "dispatched after not-run");
+        assert!(!self.is_closed, "new work after the gate closed");
+        assert!(!self.is_unconfirmed, "new work after a pause without confirmation");
+        assert!(now_ms <= order.dispatch_by_ms, "dispatched after its limit");
+        self.running.push(dispatch);
+        if !self.is_warm {
+            self.cold_starts.push(dispatch);
+        }
+        let cold = self.cold_starts.iter().filter(|it| self.running.contains(it)).count();
+        assert!(self.is_warm || cold <= COLD_LIMIT, "{cold} calls in a cold start");
+        assert!(self.running.len() <= CONCURRENCY.max(COLD_LIMIT), "too many calls");
+    }
+
+    fn turn_cold(&mut self) {
+        self.is_warm = false;
+        self.completed_since_cold = 0;
+        self.cold_starts.clear();
+    }
+
+    /// Enough completed calls that began in the cold start show warmth.
+    fn on_completed(&mut self, dispatch: Dispatch) {
+        if self.cold_starts.contains(&dispatch) {
+            self.completed_since_cold += 1;
+        }
+        self.is_warm |= self.completed_since_cold >= WARM_COMPLETIONS;
+    }
+
+    fn on_told(&mut self, attempt: AttemptId, lookup: &AttemptLookup) {
+        let not_run = match lookup {
+            AttemptLookup::NotRun(Refusal { execution, .. }) => *execution == Execution::NotRun,
+            _ => return,
+        };
+        assert!(not_run, "a refusal before dispatch says not-run");
+        assert!(!self.dispatched.contains(&attempt), "told not-run although dispatched");
+        self.told_not_run.insert(attempt);
+    }
+}
+
+struct Sut {
+    core: AgentCore,
+    control: ControlState,
+    now_ms: u64,
+    woke_ms: Option<u64>,
+    probe: Option<Epoch>,
+    boot_id: Option<u64>,
+    orders: FastMap<AttemptId, SubmitOrder>,
+    submitted: Vec<AttemptId>,
+    oracle: Oracle,
+}
+
+impl Sut {
+    fn new() -> Self {
+        let gate = GateSettings {
+            upstream: "u".to_owned(),
+            data_centre: "north".to_owned(),
+            freshness: FreshnessSettings::default(),
+        };
+        let mut core = AgentCore::new(AgentSettings::new(AGENT, "engines".to_owned(), gate), 0);
+        let mut control = ControlState::new();
+        control.adopt(ControlUpdate {
+            config: Some(ConfigRecord {
+                version: 1,
+                digest: Digest::of(DOCUMENT.as_bytes()),
+                text: DOCUMENT.into(),
+            }),
+            operations: Some(OperationsRecord::initial()),
+        });
+        core.set_control(&control, 0);
+        Self {
+            core,
+            control,
+            now_ms: 0,
+            woke_ms: None,
+            probe: None,
+            boot_id: None,
+            orders: FastMap::default(),
+            submitted: Vec::new(),
+            oracle: Oracle::default(),
+        }
+    }
+
+    fn apply_event(&mut self, event: Event) {
+        match event {
+            Event::Advance(ms) => self.now_ms += ms,
+            Event::Pause(ms) => self.pause(ms),
+            Event::Submit { request, customer, dispatch_in_ms, deadline_in_ms } => {
+                self.submit(request, customer, dispatch_in_ms, deadline_in_ms);
+            }
+            Event::Resubmit { index } => self.resubmit(index),
+            Event::Cancel { request } => self.cancel(request),
+            Event::Finish { index, result } => self.finish(index, result),
+            Event::SendProbe => self.probe = Some(self.core.probe_epoch()),
+            Event::AnswerProbe { boot_id, warm } => self.answer_probe(boot_id, warm),
+            Event::RefuseProbe => {
+                self.oracle.turn_cold();
+                let epoch = self.core.probe_epoch();
+                self.core.on_probe(epoch, ProbeResult::Refused, self.now_ms);
+            }
+            Event::Operate { out, leaving } => self.operate(out, leaving),
+            Event::Confirm => {
+                self.core.confirm_control(self.now_ms, 0);
+                self.woke_ms = None;
+                self.oracle.is_unconfirmed = false;
+            }
+            Event::Stop => {
+                self.oracle.is_closed = true;
+                self.core.stop(self.now_ms);
+            }
+            Event::Tick => {}
+        }
+        self.dispatch();
+        self.read_all();
+    }
+
+    fn pause(&mut self, ms: u64) {
+        self.core.tick(self.now_ms);
+        self.now_ms += ms;
+        self.woke_ms = Some(self.now_ms);
+        self.oracle.is_unconfirmed = true;
+    }
+
+    fn submit(&mut self, request: u8, customer: bool, dispatch_in_ms: u64, deadline_in_ms: u64) {
+        let attempt = attempt(request);
+        // An entry states the limits of an attempt once.
+        if self.orders.contains_key(&attempt) {
+            return;
+        }
+        let order = SubmitOrder {
+            attempt,
+            agent: AGENT,
+            pool: "engines".to_owned(),
+            customer: if customer { "large" } else { "small" }.to_owned(),
+            fingerprint: Digest::of(&[request]),
+            strikes: Vec::new(),
+            dispatch_by_ms: self.now_ms + dispatch_in_ms,
+            deadline_ms: self.now_ms + deadline_in_ms,
+            estimate_ms: 20,
+        };
+        self.orders.insert(attempt, order.clone());
+        self.submitted.push(attempt);
+        let lookup = self.core.submit(&order, self.now_ms);
+        self.oracle.on_told(attempt, &lookup);
+    }
+
+    fn resubmit(&mut self, index: usize) {
+        if self.submitted.is_empty() {
+            return;
+        }
+        let attempt = self.submitted[index % self.submitted.len()];
+        let order = self.orders[&attempt].clone();
+        let lookup = self.core.submit(&order, self.now_ms);
+        self.oracle.on_told(attempt, &lookup);
+    }
+
+    fn cancel(&mut self, request: u8) {
+        let attempt = attempt(request);
+        let order = self.orders.get(&attempt);
+        let dispatch_by_ms = order.map_or(self.now_ms + 500, |it| it.dispatch_by_ms);
+        let (lookup, _) = self.core.cancel(attempt, AGENT, dispatch_by_ms, self.now_ms);
+        self.oracle.on_told(attempt, &lookup);
+        if !self.orders.contains_key(&attempt) {
+            // The cancel has fixed the limit of an attempt that was not submitted yet.
+            let order = SubmitOrder {
+                attempt,
+                agent: AGENT,
+                pool: "engines".to_owned(),
+                customer: "small".to_owned(),
+                fingerprint: Digest::of(&[request]),
+                strikes: Vec::new(),
+                dispatch_by_ms,
+                deadline_ms: dispatch_by_ms + 100,
+                estimate_ms: 20,
+            };
+            self.orders.insert(attempt, order);
+            self.submitted.push(attempt);
+        }
+    }
+
+    fn finish(&mut self, index: usize, result: u8) {
+        if self.oracle.running.is_empty() {
+            return;
+        }
+        let index = index % self.oracle.running.len();
+        let dispatch = self.oracle.running.swap_remove(index);
+        let result = match result {
+            0 => {
+                self.oracle.turn_cold();
+                self.core.on_lost();
+                CallResult::Lost
+            }
+            1 => {
+                self.oracle.turn_cold();
+                CallResult::NotConnected
+            }
+            2 => CallResult::Rejected { status: 500 },
+            3 => CallResult::Cancelled,
+            _ => {
+                self.oracle.on_completed(dispatch);
+                CallResult::Completed { status: 200, content_type: None }
+            }
+        };
+        self.core.on_end(dispatch.key, &result, self.now_ms);
+    }
+
+    fn answer_probe(&mut self, boot_id: u64, warm: bool) {
+        let Some(epoch) = self.probe.take() else { return };
+        let is_current = epoch == self.core.probe_epoch();
+        let is_restart = self.boot_id.is_some_and(|it| it != boot_id);
+        self.boot_id = Some(boot_id);
+        let result = ProbeResult::Answered { boot_id: Some(boot_id), warm: Some(warm) };
+        self.core.on_probe(epoch, result, self.now_ms);
+        if is_restart || !warm {
+            self.oracle.turn_cold();
+        } else if is_current {
+            self.oracle.is_warm = true;
+        }
+    }
+
+    fn operate(&mut self, out: bool, leaving: bool) {
+        let held = self.control.operations().map(|it| it.version).unwrap_or_default();
+        let record = OperationsRecord {
+            version: held + 1,
+            data_centres_out: if out { vec!["north".to_owned()] } else { Vec::new() },
+            upstreams_leaving: if leaving { vec!["u".to_owned()] } else { Vec::new() },
+        };
+        self.control.adopt(ControlUpdate { config: None, operations: Some(record) });
+        self.core.set_control(&self.control, self.now_ms);
+        let is_stopping = self.core.load().draining && !out && !leaving;
+        self.oracle.is_closed = out || leaving || is_stopping;
+    }
+
+    fn dispatch(&mut self) {
+        self.core.tick(self.now_ms);
+        if self.woke_ms.is_some_and(|it| self.now_ms >= it + 2_000) {
+            // After the grace the agent goes on without a confirmation.
+            self.oracle.is_unconfirmed = false;
+        }
+        while let Some(dispatch) = self.core.next(self.now_ms) {
+            let order = self.orders[&dispatch.attempt].clone();
+            self.oracle.on_dispatch(dispatch, &order, self.now_ms);
+        }
+    }
+
+    /// Checks what every entry can read against what the upstream saw.
+    fn read_all(&mut self) {
+        for &attempt in &self.submitted {
+            let lookup = self.core.read(attempt, 0, 1024);
+            self.oracle.on_told(attempt, &lookup);
+            let AttemptLookup::Accepted(page) = lookup else { continue };
+            let is_dispatched = self.oracle.dispatched.contains(&attempt);
+            assert_eq!(is_dispatched, page.progress != Progress::Queued, "progress of {attempt}");
+        }
+        let load = self.core.load();
+        assert_eq!(load.running as usize, self.oracle.running.len());
+        if self.oracle.is_closed {
+            assert_eq!(load.queued, 0, "queued work is handed back when the gate closes");
+        }
+    }
+
+    /// Lets everything finish and checks that no accepted attempt is left without an end.
+    fn settle(mut self) {
+        while !self.oracle.running.is_empty() {
+            self.finish(0, 9);
+            self.dispatch();
+        }
+        self.now_ms += 10_000;
+        self.dispatch();
+        assert_eq!(self.core.in_progress_count(), 0, "an accepted attempt never ended");
+    }
+}
+
+fn attempt(request: u8) -> AttemptId {
+    let request = RequestId(request.into());
+    AttemptId { request, stage: StageIndex(0), number: 0, entry: Incarnation(1) }
+}
+
+impl StateMachineTest for Sut {
+    type SystemUnderTest = Self;
+    type Reference = Events;
+
+    fn init_test((): &()) -> Self {
+        #[cfg_attr(not(feature = "sabotage"), expect(unused_mut))]
+        let mut sut = Self::new();
+        #[cfg(feature = "sabotage")]
+        if let Some(sabotage) = SABOTAGE.get() {
+            sut.core.sabotage(sabotage);
+        }
+        sut
+    }
+
+    fn apply(mut sut: Self, (): &(), event: Event) -> Self {
+        sut.apply_event(event);
+        sut
+    }
+
+    fn teardown(sut: Self, _: ()) {
+        sut.settle();
+    }
+}
+
+#[cfg(feature = "sabotage")]
+use yuccatrail_core::agent::Sabotage;
+#[cfg(not(feature = "sabotage"))]
+#[derive(Clone, Copy)]
+enum Sabotage {}
+
+thread_local! {
+    static SABOTAGE: Cell<Option<Sabotage>> = const { Cell::new(None) };
+}
+
+fn run(sabotage: Option<Sabotage>) -> Result<(), String> {
+    SABOTAGE.set(sabotage);
+    let config =
+        Config { rng_seed: RngSeed::Fixed(SEED), failure_persistence: None, ..Config::default() };
+    let strategy = Events::sequential_strategy(1..300);
+    let result = TestRunner::new(config.clone()).run(&strategy, |(state, events, seen)| {
+        Sut::test_sequential(config.clone(), state, events, seen);
+        Ok(())
+    });
+    result.map_err(|it| it.to_string())
+}
+
+#[test]
+fn the_agent_keeps_its_promises() {
+    run(None).unwrap();
+}
+
+#[cfg(feature = "sabotage")]
+#[test]
+fn oracle_notices_each_disabled_mechanism() {
+    use yuccatrail_core::{capacity, drain, sabotage};
+    let mechanisms = [
+        Sabotage::Capacity(capacity::Sabotage::StartWarm),
+        Sabotage::Capacity(capacity::Sabotage::IgnoreBootId),
+        Sabotage::Capacity(capacity::Sabotage::IgnoreReset),
+        Sabotage::Gate(drain::Sabotage::Operations),
+        Sabotage::Gate(drain::Sabotage::PauseDetection),
+        Sabotage::Ledger(sabotage::Sabotage::JoinRepeatedSubmit),
+        Sabotage::Ledger(sabotage::Sabotage::Tombstone),
+        Sabotage::Ledger(sabotage::Sabotage::DispatchLimit),
+        Sabotage::Ledger(sabotage::Sabotage::UnknownAfterEviction),
+    ];
+    for sabotage in mechanisms {
+        assert!(run(Some(sabotage)).is_err(), "{sabotage:?} went unnoticed");
+    }
+}
+
+#[test]
+fn an_attempt_for_another_pool_is_refused() {
+    let mut sut = Sut::new();
+    let order = SubmitOrder {
+        attempt: attempt(1),
+        agent: AGENT,
+        pool: "rerankers".to_owned(),
+        customer: "small".to_owned(),
+        fingerprint: Digest::of(b"1"),
+        strikes: Vec::new(),
+        dispatch_by_ms: 1_000,
+        deadline_ms: 1_000,
+        estimate_ms: 20,
+    };
+    let AttemptLookup::NotRun(refusal) = sut.core.submit(&order, 0) else {
+        panic!("accepted for another pool");
+    };
+    assert_eq!(refusal.reason, Reason::WrongUpstream);
+}
