--- a/crates/agent/src/executor.rs
+++ b/crates/agent/src/executor.rs
@@ -208,6 +208,7 @@
             pool: request.pool,
             customer: request.customer,
             fingerprint: request.fingerprint,
+            strikes: request.strikes,
             dispatch_by_ms: request.dispatch_by_ms,
             deadline_ms: request.deadline_ms,
             estimate_ms: request.estimate_ms,
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -58,6 +58,8 @@
     UnknownAttempt,
     /// The request is quarantined because upstreams stopped while running it.
     Quarantined,
+    /// The request is suspected of stopping upstreams, which the sender did not know.
+    Suspected,
     /// No upstream of the pool can be reached.
     NoUpstream,
     /// The process holds no configuration yet.
