--- a/crates/fakes/src/capacity/decisions.rs
+++ b/crates/fakes/src/capacity/decisions.rs
@@ -173,6 +173,7 @@
         dispatch_by_ms: 8_000,
         deadline_ms: 8_000,
         estimate_ms: 20,
+        strikes: Vec::new(),
     }
 }
 
--- a/crates/fakes/src/commands/mod.rs
+++ b/crates/fakes/src/commands/mod.rs
@@ -5,6 +5,7 @@
 mod demo;
 mod load;
 mod platform;
+mod scenarios;
 mod upstream;
 
 use std::{path::Path, process::ExitCode};
@@ -25,6 +26,8 @@
     Bench(bench::Arguments),
     /// Measures slopes and multiplies them out to the planned size.
     Capacity(capacity::Arguments),
+    /// Runs the real processes under load and faults.
+    Scenarios(scenarios::Arguments),
     /// Puts load on running entries.
     Load(load::Arguments),
 }
@@ -60,7 +63,12 @@
         .to_options()
         .descr("Measures slopes over real processes and multiplies them out to the planned size")
         .command("capacity");
-    construct!([platform, upstream, demo, load, bench, capacity])
+    let scenarios = scenarios::arguments()
+        .map(Command::Scenarios)
+        .to_options()
+        .descr("Runs the real processes under load and faults and checks the promises")
+        .command("scenarios");
+    construct!([platform, upstream, demo, load, bench, capacity, scenarios])
         .to_options()
         .descr("Stand-ins for tests, demonstrations and measurements")
         .run()
@@ -74,6 +82,7 @@
         Command::Demo => demo::run().await,
         Command::Bench(arguments) => bench::run(arguments).await,
         Command::Capacity(arguments) => capacity::run(arguments).await,
+        Command::Scenarios(arguments) => scenarios::run(arguments).await,
         Command::Load(arguments) => load::run(arguments).await,
     }
 }
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod measure;
 pub mod model;
 pub mod platform;
+pub mod scenarios;
 pub mod stack;
 pub mod upstream;
--- a/crates/fakes/src/load/plan.rs
+++ b/crates/fakes/src/load/plan.rs
@@ -7,7 +7,7 @@
 const US_PER_SECOND: f64 = 1_000_000.0;
 
 /// What a call asks of an entry.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum CallKind {
     /// A pipeline request that is answered with one JSON document.
--- a/crates/fakes/src/load/tally.rs
+++ b/crates/fakes/src/load/tally.rs
@@ -57,6 +57,8 @@
     pub on_time: u64,
     /// Right answers after the deadline.
     pub late: u64,
+    /// Right answers by kind of call.
+    pub right_by_kind: BTreeMap<CallKind, u64>,
     /// Refused requests.
     pub refused: BTreeMap<RefusalKind, u64>,
     /// Complete answers that are not the expected ones.
@@ -88,6 +90,7 @@
             unsent: 0,
             on_time: 0,
             late: 0,
+            right_by_kind: BTreeMap::new(),
             refused: BTreeMap::new(),
             wrong: 0,
             broken: 0,
@@ -145,6 +148,7 @@
 
     fn add_right(&mut self, observation: &Observation) {
         self.latency_us.saturating_record(observation.latency_us);
+        *self.right_by_kind.entry(observation.call.kind).or_default() += 1;
         let deadline_ms = match observation.call.kind {
             CallKind::PipelinePlain | CallKind::PipelineStreamed => self.deadlines.pipeline_ms,
             CallKind::ServiceRead | CallKind::ServiceWrite => self.deadlines.service_ms,
--- /dev/null
+++ b/crates/fakes/src/scenarios/drive.rs
@@ -0,0 +1,258 @@
+//! Carries out the events of a scenario while its load runs.
+
+use std::time::{Duration, Instant};
+
+use tokio::task::JoinHandle;
+use yuccatrail_core::control::{OperationsChange, OperationsRecord, StoredOperations};
+use yuccatrail_platform::Kind;
+
+use super::{
+    observe::Observer,
+    scenario::{Action, Event},
+};
+use crate::{
+    load::tally::Tally,
+    platform,
+    stack::{
+        caller::Caller,
+        run::{Stack, StackError, start_agent, start_upstream},
+    },
+};
+
+/// Time between two looks at the processes.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time in which a data centre that was taken out may still receive new work, in milliseconds.
+pub const OUT_NOTICE_MS: u64 = 3_000;
+/// Time in which an agent notices that its upstream turned cold, in milliseconds.
+pub const COLD_NOTICE_MS: u64 = 1_000;
+/// Time between two resends of a failed request.
+const RESEND_INTERVAL: Duration = Duration::from_millis(300);
+
+/// What was seen while the events were carried out.
+#[derive(Clone, Debug, Default)]
+pub struct Driven {
+    /// Upstream processes that crashed.
+    pub crashes: u32,
+    /// Overloads of cold upstreams within the notice time after they turned.
+    pub early_overloads: u32,
+    /// Calls begun in a data centre after the notice time and before its return.
+    pub calls_while_out: u64,
+    /// Answers to the requests that were sent again, in order.
+    pub resends: Vec<String>,
+    /// Faults of the run itself.
+    pub faults: Vec<String>,
+}
+
+/// A data centre that is out.
+struct Out {
+    name: &'static str,
+    noticed_at: Instant,
+    calls_at_notice: Option<u64>,
+}
+
+/// Carries out events on a stack.
+pub struct Driver<'a> {
+    stack: &'a mut Stack,
+    observer: &'a mut Observer,
+    driven: Driven,
+    out: Option<Out>,
+    cold_until: Option<Instant>,
+    killed: Vec<usize>,
+    resends: Vec<JoinHandle<Vec<String>>>,
+}
+
+impl<'a> Driver<'a> {
+    /// Creates a driver that has done nothing yet.
+    pub fn new(stack: &'a mut Stack, observer: &'a mut Observer) -> Self {
+        Self {
+            stack,
+            observer,
+            driven: Driven::default(),
+            out: None,
+            cold_until: None,
+            killed: Vec::new(),
+            resends: Vec::new(),
+        }
+    }
+
+    /// Carries out the events until the load has ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an event cannot be carried out.
+    pub async fn run(
+        mut self,
+        events: &[Event],
+        load: JoinHandle<Tally>,
+    ) -> Result<(Tally, Driven), StackError> {
+        let start = Instant::now();
+        let mut next = 0;
+        while !load.is_finished() {
+            while next < events.len() && start.elapsed().as_millis() as u64 >= events[next].at_ms {
+                self.carry_out(&events[next].action).await?;
+                next += 1;
+            }
+            self.look().await?;
+            tokio::time::sleep(LOOK_INTERVAL).await;
+        }
+        for resend in self.resends {
+            self.driven.resends.extend(resend.await.unwrap_or_default());
+        }
+        let tally = load.await.map_err(|it| StackError::NotReached { what: it.to_string() })?;
+        Ok((tally, self.driven))
+    }
+
+    async fn carry_out(&mut self, action: &Action) -> Result<(), StackError> {
+        match action {
+            Action::DataCentreOut(name) => {
+                self.operate(&OperationsChange::DataCentreOut((*name).to_owned())).await?;
+                let noticed_at = Instant::now() + Duration::from_millis(OUT_NOTICE_MS);
+                self.out = Some(Out { name, noticed_at, calls_at_notice: None });
+            }
+            Action::DataCentreIn(name) => {
+                self.count_calls_while_out().await;
+                self.operate(&OperationsChange::DataCentreIn((*name).to_owned())).await?;
+            }
+            Action::Platform(switches) => self.switch_platform(switches).await?,
+            Action::Switch { pool, count, switches } => {
+                let pairs = self.stack.upstreams.iter().filter(|it| it.plan.pool == *pool);
+                for pair in pairs.take(*count) {
+                    self.stack.switch(pair, switches).await?;
+                }
+            }
+            Action::TurnCold(pool) => self.turn_cold(pool).await?,
+            Action::KillAgents { count } => self.kill_agents(*count).await?,
+            Action::ReplaceAgents => self.replace_agents().await?,
+            Action::Resend { input, times } => {
+                let entry = self.stack.entry(0);
+                self.resends.push(tokio::spawn(resend(entry, input, *times)));
+            }
+        }
+        Ok(())
+    }
+
+    /// Restarts crashed upstreams and notes what is due.
+    async fn look(&mut self) -> Result<(), StackError> {
+        self.observer.read(self.stack).await;
+        for index in 0..self.stack.upstreams.len() {
+            if self.stack.upstreams[index].upstream.has_ended() {
+                self.driven.crashes += 1;
+                self.restart_upstream(index).await?;
+            }
+        }
+        if let Some(out) = &self.out
+            && out.calls_at_notice.is_none()
+            && Instant::now() >= out.noticed_at
+        {
+            let calls = self.calls_in(out.name).await;
+            if let Some(out) = &mut self.out {
+                out.calls_at_notice = Some(calls);
+            }
+        }
+        if self.cold_until.is_some_and(|it| Instant::now() <= it) {
+            self.driven.early_overloads = self.observer.totals().overloads;
+        }
+        Ok(())
+    }
+
+    async fn operate(&self, change: &OperationsChange) -> Result<(), StackError> {
+        let client = &self.stack.client;
+        let stored = client.get::<StoredOperations>(Kind::Operations, "current").await?;
+        let current = stored.as_ref().map(|it| it.spec.record.clone());
+        let current = current.unwrap_or_else(OperationsRecord::initial);
+        let Some(record) = current.with(change) else { return Ok(()) };
+        let next = StoredOperations { record, history: Vec::new() };
+        match stored {
+            Some(stored) => {
+                let from = &stored.resource_version;
+                client.update(Kind::Operations, "current", from, &next).await?;
+            }
+            None => {
+                client.create(Kind::Operations, "current", &next).await?;
+            }
+        }
+        Ok(())
+    }
+
+    async fn switch_platform(&self, switches: &platform::Switches) -> Result<(), StackError> {
+        let body = serde_json::to_vec(switches).unwrap_or_default();
+        let address = self.stack.platform.address;
+        self.stack.caller.send(address, "PUT", "/fake/switches", &[], body).await?;
+        Ok(())
+    }
+
+    async fn turn_cold(&mut self, pool: &str) -> Result<(), StackError> {
+        for pair in &self.stack.upstreams {
+            if pair.plan.pool == pool {
+                let address = pair.upstream.address;
+                self.stack.caller.send(address, "POST", "/fake/cold", &[], "").await?;
+            }
+        }
+        self.cold_until = Some(Instant::now() + Duration::from_millis(COLD_NOTICE_MS));
+        Ok(())
+    }
+
+    async fn kill_agents(&mut self, count: usize) -> Result<(), StackError> {
+        let step = self.stack.upstreams.len() / count;
+        for index in (0..self.stack.upstreams.len()).step_by(step).take(count) {
+            self.stack.upstreams[index].agent.end_now().await?;
+            self.killed.push(index);
+        }
+        Ok(())
+    }
+
+    async fn replace_agents(&mut self) -> Result<(), StackError> {
+        for index in std::mem::take(&mut self.killed) {
+            let pair = &mut self.stack.upstreams[index];
+            let listen = pair.agent.address.to_string();
+            pair.agent = start_agent(&pair.plan, pair.upstream.address, &listen).await?;
+        }
+        Ok(())
+    }
+
+    async fn restart_upstream(&mut self, index: usize) -> Result<(), StackError> {
+        self.observer.on_restart(index);
+        let pair = &mut self.stack.upstreams[index];
+        let listen = pair.upstream.address.to_string();
+        pair.upstream = start_upstream(&pair.plan, &listen).await?;
+        Ok(())
+    }
+
+    async fn count_calls_while_out(&mut self) {
+        let Some(out) = self.out.take() else { return };
+        let calls = self.calls_in(out.name).await;
+        match out.calls_at_notice {
+            Some(before) => self.driven.calls_while_out += calls - before,
+            None => self.driven.faults.push("the data centre returned too early".to_owned()),
+        }
+    }
+
+    async fn calls_in(&self, data_centre: &str) -> u64 {
+        let mut calls = 0;
+        for pair in &self.stack.upstreams {
+            if pair.plan.data_centre == data_centre {
+                calls += self.stack.record(pair).await.map_or(0, |it| it.calls);
+            }
+        }
+        calls
+    }
+}
+
+/// Sends a request again and again and describes the answers.
+async fn resend(entry: std::net::SocketAddr, input: &str, times: u32) -> Vec<String> {
+    let caller = Caller::new("lone-star");
+    let mut answers = Vec::new();
+    for _ in 0..times {
+        let answer = match caller.pipeline(entry, "read-back", input).await {
+            Ok(answer) if answer.status == 200 => "answered".to_owned(),
+            Ok(answer) => {
+                let text = |name: &str| answer.body[name].as_str().unwrap_or("?").to_owned();
+                format!("{}/{}", text("reason"), text("outcome"))
+            }
+            Err(error) => error.detail,
+        };
+        answers.push(answer);
+        tokio::time::sleep(RESEND_INTERVAL).await;
+    }
+    answers
+}
--- /dev/null
+++ b/crates/fakes/src/scenarios/run.rs
@@ -0,0 +1,110 @@
+//! Runs one scenario.
+
+use yuccatrail_platform::Kind;
+
+use super::{
+    check,
+    drive::{Driven, Driver},
+    observe::{Observer, Totals},
+    report::ScenarioResult,
+    scenario::Scenario,
+};
+use crate::{
+    load::{
+        plan::CallKind,
+        report::LoadReport,
+        run::{self, LoadSettings},
+        tally::Tally,
+    },
+    stack::run::{Stack, StackError, entry_instance},
+};
+
+/// Calls of the load that warm the upstreams up before a scenario begins.
+const WARM_UP_CALLS: u64 = 40;
+
+/// Starts the processes, runs the load with the events, stops the processes and checks the records.
+///
+/// # Errors
+///
+/// Returns an error when a process does not start or an event cannot be carried out.
+pub async fn run(scenario: &Scenario, seed: u64) -> Result<ScenarioResult, StackError> {
+    let mut stack = Stack::start(scenario.stack.clone()).await?;
+    list_entries(&stack, scenario).await?;
+    warm_up(&stack).await;
+    let mut observer = Observer::new(stack.upstreams.len());
+    observer.read_all(&stack).await?;
+    let before = observer.totals();
+    let settings = LoadSettings {
+        entries: stack.entries.iter().map(|it| it.address).collect(),
+        phases: scenario.phases.clone(),
+        seed,
+        run: scenario.name.to_owned(),
+        deadlines: scenario.deadlines,
+    };
+    let load = tokio::spawn(async move { run::run(&settings).await });
+    let driver = Driver::new(&mut stack, &mut observer);
+    let (tally, mut driven) = driver.run(&scenario.events, load).await?;
+    observer.read_all(&stack).await?;
+    if let Err(error) = stack.close().await {
+        driven.faults.push(format!("planned stop: {error}"));
+    }
+    Ok(result(scenario, seed, &tally, &observer.totals(), &before, driven))
+}
+
+/// Lists the entries in the platform, so that they exchange state.
+async fn list_entries(stack: &Stack, scenario: &Scenario) -> Result<(), StackError> {
+    for (entry, data_centre) in stack.entries.iter().zip(&scenario.stack.entries) {
+        let record = entry_instance(entry, data_centre);
+        stack.client.create(Kind::Instances, &record.name, &record).await?;
+    }
+    Ok(())
+}
+
+/// Makes calls through every entry until every upstream has had some.
+async fn warm_up(stack: &Stack) {
+    for number in 0..WARM_UP_CALLS {
+        let entry = stack.entry(number as usize % stack.entries.len());
+        let input = format!("warm up {number}");
+        // Answers of a system that is not warm yet say nothing.
+        let _ = stack.caller.pipeline(entry, "read-back", &input).await;
+        let path = "/v1/services/work-orders/order/0";
+        let _ = stack.caller.send(entry, "GET", path, &[], "").await;
+    }
+}
+
+fn result(
+    scenario: &Scenario,
+    seed: u64,
+    tally: &Tally,
+    totals: &Totals,
+    before: &Totals,
+    driven: Driven,
+) -> ScenarioResult {
+    let calls = totals.calls - before.calls;
+    ScenarioResult {
+        name: scenario.name.to_owned(),
+        seed,
+        load: LoadReport::of(tally),
+        calls,
+        wasted_calls: calls.saturating_sub(useful_calls(tally)),
+        peak: totals.peak,
+        cold_peak: totals.cold_peak,
+        overloads: totals.overloads,
+        crashes: driven.crashes,
+        resends: driven.resends.clone(),
+        violations: check::violations(tally, totals, &driven),
+    }
+}
+
+/// Counts the upstream calls that the right answers needed.
+fn useful_calls(tally: &Tally) -> u64 {
+    let mut calls = 0;
+    for (kind, count) in &tally.right_by_kind {
+        let stages = match kind {
+            CallKind::PipelinePlain | CallKind::PipelineStreamed => 4,
+            CallKind::ServiceRead | CallKind::ServiceWrite => 1,
+        };
+        calls += count * stages;
+    }
+    calls
+}
--- a/crates/fakes/src/stack/process.rs
+++ b/crates/fakes/src/stack/process.rs
@@ -146,6 +146,21 @@
         Ok(())
     }
 
+    /// Ends the process without warning and keeps its address and log.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the process cannot be ended.
+    pub async fn end_now(&mut self) -> Result<(), ProcessError> {
+        self.child.kill().await?;
+        Ok(())
+    }
+
+    /// Tells whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        !matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Waits for the process's end.
     ///
     /// # Errors
