--- a/crates/core/src/attempt/ledger.rs
+++ b/crates/core/src/attempt/ledger.rs
@@ -82,8 +82,8 @@
 
     /// Records an attempt as queued, or joins the record that it already has.
     ///
-    /// Every later refusal of a queued attempt has to go through [`refuse`](Self::refuse), so that
-    /// a late copy of the submit meets its tombstone.
+    /// A queued attempt stays recorded until it is dispatched or refused. Every refusal has to go
+    /// through [`refuse`](Self::refuse), so that a late copy of the submit meets its tombstone.
     pub fn submit(&mut self, attempt: AttemptId, dispatch_by_ms: u64, now_ms: u64) -> SubmitResult {
         self.advance(now_ms);
         if let Some(&key) = self.by_attempt.get(&attempt)
--- a/crates/core/tests/quarantine_fuzz.rs
+++ b/crates/core/tests/quarantine_fuzz.rs
@@ -8,7 +8,7 @@
 use proptest_state_machine::ReferenceStateMachine;
 use yuccatrail_core::{
     ids::{Digest, Incarnation},
-    quarantine::{Admission, Quarantine, QuarantineLimits, SuspectTracker, alone_upstream},
+    quarantine::{Admission, Quarantine, QuarantineLimits, Strike, SuspectTracker, alone_upstream},
     sabotage::Sabotage,
 };
 
@@ -224,6 +224,62 @@
     }
 }
 
+/// Strikes that reach a process in any order and any number of times.
+struct Strikes;
+
+impl ReferenceStateMachine for Strikes {
+    type State = ();
+    type Transition = Strike;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions(_: &()) -> BoxedStrategy<Strike> {
+        (0..REQUESTS, 0..AGENTS, 0..2u32, any::<bool>(), any::<bool>(), 0..LIMITS.retention_ms)
+            .prop_map(|(request, agent, number, alone, cleared, age_ms)| Strike {
+                fingerprint: fingerprint(request),
+                agent: agent_run(agent),
+                number,
+                alone,
+                cleared,
+                age_ms,
+            })
+            .boxed()
+    }
+
+    fn apply(_: (), _: &Strike) {}
+}
+
+fn merged(strikes: &[Strike]) -> Vec<(Admission, Vec<Strike>)> {
+    let mut quarantine = Quarantine::new(LIMITS);
+    for strike in strikes {
+        quarantine.merge(&[*strike], 0);
+    }
+    let mut known = vec![(Admission::Normal, quarantine.recent(0))];
+    for request in 0..REQUESTS {
+        let strikes = quarantine.strikes_against(fingerprint(request), 0);
+        known.push((quarantine.admit(fingerprint(request), 0), strikes));
+    }
+    known
+}
+
+#[test]
+fn merging_strikes_in_any_order_and_again_gives_the_same() {
+    fuzz_support::run::<Strikes>(CASES, MAX_STEPS, |strikes| {
+        let expected = merged(strikes);
+        let reversed: Vec<_> = strikes.iter().rev().copied().collect();
+        let repeated = [strikes, &reversed].concat();
+        for other in [reversed, repeated] {
+            if merged(&other) != expected {
+                return Err(format!("{other:?} merged differently"));
+            }
+        }
+        Ok(())
+    })
+    .unwrap();
+}
+
 fn fuzz(sabotage: Option<Sabotage>) -> Result<(), String> {
     fuzz_support::run::<Machine>(CASES, MAX_STEPS, |steps| {
         let mut world = World::new(sabotage);
