--- a/crates/core/src/document/check.rs
+++ b/crates/core/src/document/check.rs
@@ -205,6 +205,7 @@
             let steps = [Step::Key(kind), Step::Index(index), Step::Key("name")];
             if !is_well_formed(name) {
                 self.report(&steps, FaultKind::BadName(name.to_owned()));
+                continue;
             }
             let Some(first) = first_uses.insert(name, index) else {
                 continue;
