Stateful test of the gate; pauses count from half a second

Ruled out: two faults of the oracle, which took a stale entry's older record for news, and a process that does not tick for a pause of its own making.

Conclusion: no work is dispatched later than 3 s after a change was accepted, if one way for the news was open all that time, with exchanges every 500 ms.

--- a/crates/core/src/drain/freshness.rs
+++ b/crates/core/src/drain/freshness.rs
@@ -4,7 +4,7 @@
 use crate::switch::Switch;
 
 /// Longest gap between two ticks that does not count as a pause, in milliseconds.
-const PAUSE_LIMIT_MS: u64 = 1_000;
+const PAUSE_LIMIT_MS: u64 = 500;
 
 /// Time after a pause for which the process waits for a confirmation, in milliseconds.
 const CONFIRMATION_GRACE_MS: u64 = 2_000;
@@ -58,9 +58,9 @@
         self.switch.turn_off(mechanism);
     }
 
-    /// Notes that the process runs, which it has to do more often than the pause limit.
+    /// Notes that the process runs; called several times within the pause limit.
     ///
-    /// Returns true if the process was paused since the last tick.
+    /// Returns true if the process was paused since the last tick; it then asks its peers at once.
     pub fn tick(&mut self, now_ms: u64) -> bool {
         let gap_ms = now_ms.saturating_sub(self.last_tick_ms);
         self.last_tick_ms = self.last_tick_ms.max(now_ms);
--- /dev/null
+++ b/crates/core/tests/drain_fuzz/world.rs
@@ -0,0 +1,362 @@
+//! Platform, entries and agents of one case, on a clock that moves in ticks.
+
+use std::sync::Arc;
+
+use yuccatrail_core::{
+    control::{ConfigRecord, ControlState, ControlUpdate, OperationsChange, OperationsRecord},
+    drain::{
+        Freshness, FreshnessSettings, Gate, GateChange, GateSettings, PlannedStop, Sabotage,
+        StopPhase, StopSettings,
+    },
+    ids::Digest,
+    membership::InstanceState,
+};
+
+use crate::harness::sabotage;
+
+pub(crate) const ENTRIES: usize = 2;
+pub(crate) const AGENTS: usize = 2;
+/// Time of one step of the clock and of one way of a message.
+pub(crate) const TICK_MS: u64 = 100;
+/// Time between two exchanges of a process.
+const SYNC_INTERVAL_MS: u64 = 500;
+/// Time after which an agent has to respect an accepted change.
+const BOUND_MS: u64 = 3_000;
+/// Time after which an agent has to respect what an entry in reach holds.
+const NEIGHBOUR_BOUND_MS: u64 = 2_000;
+
+pub(crate) struct World {
+    now_ms: u64,
+    pub(crate) is_platform_up: bool,
+    operations: OperationsRecord,
+    pub(crate) entries: Vec<Entry>,
+    pub(crate) agents: Vec<Agent>,
+    pub(crate) are_entries_linked: bool,
+}
+
+pub(crate) struct Entry {
+    control: ControlState,
+    freshness: Freshness,
+    pub(crate) is_frozen: bool,
+    pub(crate) is_platform_linked: bool,
+    inbox: Vec<Reply>,
+    next_sync_ms: u64,
+}
+
+pub(crate) struct Agent {
+    name: String,
+    data_centre: String,
+    control: ControlState,
+    gate: Gate,
+    stop: PlannedStop,
+    pub(crate) is_frozen: bool,
+    pub(crate) links: [bool; ENTRIES],
+    inbox: Vec<Reply>,
+    next_sync_ms: u64,
+    queued: u32,
+    pub(crate) running: u32,
+    /// Newest state in the instance list that was delivered, with its version.
+    listed: (u64, InstanceState),
+    /// Time and version of the accepted change that takes the agent out.
+    out_since: Option<(u64, u64)>,
+    /// Times since which each way from the platform is unbroken.
+    route_since_ms: [Option<u64>; 2 * ENTRIES],
+    /// Times since which each entry is in reach and holds that the agent is out.
+    neighbour_since_ms: [Option<u64>; ENTRIES],
+}
+
+struct Reply {
+    due_ms: u64,
+    update: ControlUpdate,
+    sent_ms: u64,
+    age_ms: Option<u64>,
+}
+
+impl World {
+    pub(crate) fn new(off: Option<Sabotage>) -> Self {
+        let mut entries = vec![];
+        for index in 0..ENTRIES {
+            let mut freshness = Freshness::new(FreshnessSettings::default(), 0);
+            sabotage!(freshness, off);
+            let control = ControlState::new();
+            let (is_frozen, is_platform_linked) = (false, true);
+            entries.push(Entry {
+                control,
+                freshness,
+                is_frozen,
+                is_platform_linked,
+                inbox: vec![],
+                next_sync_ms: TICK_MS * (2 * index as u64 + 1),
+            });
+        }
+        let agents = (0..AGENTS).map(|index| Agent::new(index, off)).collect();
+        let operations = OperationsRecord::initial();
+        let (is_platform_up, are_entries_linked) = (true, true);
+        let mut world =
+            Self { now_ms: 0, is_platform_up, operations, entries, agents, are_entries_linked };
+        world.advance(20);
+        world
+    }
+
+    /// Lets an operator's change be accepted.
+    pub(crate) fn change(&mut self, change: &OperationsChange) {
+        if !self.is_platform_up {
+            return;
+        }
+        if let Some(next) = self.operations.with(change) {
+            self.operations = next;
+        }
+        for agent in &mut self.agents {
+            let is_out = agent.is_out_by(&self.operations);
+            let accepted = (self.now_ms, self.operations.version);
+            agent.out_since = is_out.then(|| agent.out_since.unwrap_or(accepted));
+        }
+    }
+
+    pub(crate) fn submit(&mut self, agent: usize) {
+        let agent = &mut self.agents[agent];
+        if agent.is_frozen || agent.gate.may_accept(self.now_ms).is_err() {
+            return;
+        }
+        let is_listed_leaving = agent.listed.1 == InstanceState::Leaving;
+        assert!(!is_listed_leaving, "a listed leave is forgotten");
+        assert!(agent.stop.is_ready(), "work is accepted while stopping");
+        agent.queued += 1;
+    }
+
+    pub(crate) fn list(&mut self, agent: usize, version: u64) {
+        let agent = &mut self.agents[agent];
+        // Odd versions of the list show the agent as leaving.
+        let state = match version % 2 {
+            0 => InstanceState::Live,
+            _ => InstanceState::Leaving,
+        };
+        if version >= agent.listed.0 {
+            agent.listed = (version, state);
+        }
+        let change = agent.gate.set_listed(version, state);
+        agent.react(change);
+    }
+
+    pub(crate) fn stop(&mut self, agent: usize) {
+        let agent = &mut self.agents[agent];
+        agent.stop.begin(self.now_ms);
+        let change = agent.gate.stop();
+        agent.react(change);
+    }
+
+    /// Freezes an agent again and again and lets it run for one tick in between.
+    pub(crate) fn stutter(&mut self, agent: usize, ticks: u64, times: u64) {
+        for _ in 0..times {
+            self.agents[agent].is_frozen = true;
+            self.advance(ticks);
+            self.agents[agent].is_frozen = false;
+            self.advance(1);
+            self.submit(agent);
+        }
+    }
+
+    pub(crate) fn advance(&mut self, ticks: u64) {
+        for _ in 0..ticks {
+            self.now_ms += TICK_MS;
+            self.observe();
+            for entry in 0..ENTRIES {
+                self.run_entry(entry);
+            }
+            for agent in 0..AGENTS {
+                self.run_agent(agent);
+            }
+        }
+    }
+
+    /// Tracks by which ways news could have reached each agent.
+    fn observe(&mut self) {
+        let is_up = self.is_platform_up;
+        let reads = |it: &Entry| is_up && !it.is_frozen && it.is_platform_linked;
+        let first_hops: Vec<bool> = self.entries.iter().map(reads).collect();
+        for agent in &mut self.agents {
+            for (index, entry) in self.entries.iter().enumerate() {
+                let is_linked = agent.links[index] && !entry.is_frozen;
+                let via_other = first_hops[1 - index] && self.are_entries_linked;
+                let direct = &mut agent.route_since_ms[index];
+                track(direct, is_linked && first_hops[index], self.now_ms);
+                let indirect = &mut agent.route_since_ms[ENTRIES + index];
+                track(indirect, is_linked && via_other, self.now_ms);
+                let held_version = entry.control.versions().operations;
+                let knows = agent.out_since.is_some_and(|(_, version)| held_version >= version);
+                track(&mut agent.neighbour_since_ms[index], is_linked && knows, self.now_ms);
+            }
+        }
+    }
+
+    fn run_entry(&mut self, index: usize) {
+        let now_ms = self.now_ms;
+        let published = self.published();
+        let other = self.entries[1 - index].answer(now_ms);
+        let entry = &mut self.entries[index];
+        if entry.is_frozen {
+            return;
+        }
+        entry.freshness.tick(now_ms);
+        for reply in take_due(&mut entry.inbox, now_ms) {
+            entry.control.adopt(reply.update);
+            if let Some(age_ms) = reply.age_ms {
+                entry.freshness.confirm(reply.sent_ms, age_ms);
+            }
+        }
+        if now_ms < entry.next_sync_ms {
+            return;
+        }
+        entry.next_sync_ms = now_ms + SYNC_INTERVAL_MS;
+        if self.is_platform_up && entry.is_platform_linked {
+            entry.inbox.push(Reply::new(now_ms, published, Some(0)));
+        }
+        if let Some((update, age_ms)) = other
+            && self.are_entries_linked
+        {
+            entry.inbox.push(Reply::new(now_ms, update, age_ms));
+        }
+    }
+
+    fn run_agent(&mut self, index: usize) {
+        let now_ms = self.now_ms;
+        let answers: Vec<_> = self.entries.iter().map(|it| it.answer(now_ms)).collect();
+        let agent = &mut self.agents[index];
+        if agent.is_frozen {
+            return;
+        }
+        agent.dispatch(now_ms);
+        agent.gate.tick(now_ms);
+        for reply in take_due(&mut agent.inbox, now_ms) {
+            agent.control.adopt(reply.update);
+            let change = agent.gate.set_control(&agent.control);
+            agent.react(change);
+            if let Some(age_ms) = reply.age_ms {
+                agent.gate.confirm(reply.sent_ms, age_ms);
+            }
+            agent.dispatch(now_ms);
+        }
+        if now_ms >= agent.next_sync_ms {
+            agent.next_sync_ms = now_ms + SYNC_INTERVAL_MS;
+            for (entry, answer) in answers.into_iter().enumerate() {
+                let Some((update, age_ms)) = answer.filter(|_| agent.links[entry]) else {
+                    continue;
+                };
+                agent.inbox.push(Reply::new(now_ms, update, age_ms));
+            }
+        }
+        agent.advance_stop(now_ms);
+    }
+
+    fn published(&self) -> ControlUpdate {
+        let config = ConfigRecord { version: 1, digest: Digest::of(b""), text: Arc::from("") };
+        ControlUpdate { config: Some(config), operations: Some(self.operations.clone()) }
+    }
+}
+
+impl Entry {
+    /// What the entry tells a peer that asks: its control state and how old that may be.
+    fn answer(&self, now_ms: u64) -> Option<(ControlUpdate, Option<u64>)> {
+        if self.is_frozen {
+            return None;
+        }
+        Some((self.control.update_for(Default::default()), self.freshness.age_ms(now_ms)))
+    }
+}
+
+impl Agent {
+    fn new(index: usize, off: Option<Sabotage>) -> Self {
+        let (name, data_centre) = (format!("engine-{index}"), format!("centre-{index}"));
+        let settings = GateSettings {
+            upstream: name.clone(),
+            data_centre: data_centre.clone(),
+            freshness: FreshnessSettings::default(),
+        };
+        let mut gate = Gate::new(settings, 0);
+        sabotage!(gate, off);
+        let mut stop = PlannedStop::new(StopSettings::default());
+        sabotage!(stop, off);
+        Self {
+            name,
+            data_centre,
+            control: ControlState::new(),
+            gate,
+            stop,
+            is_frozen: false,
+            links: [true; ENTRIES],
+            inbox: vec![],
+            // Processes exchange at different times.
+            next_sync_ms: TICK_MS * index as u64,
+            queued: 0,
+            running: 0,
+            listed: (0, InstanceState::Live),
+            out_since: None,
+            route_since_ms: [None; 2 * ENTRIES],
+            neighbour_since_ms: [None; ENTRIES],
+        }
+    }
+
+    fn is_out_by(&self, operations: &OperationsRecord) -> bool {
+        operations.is_data_centre_out(&self.data_centre)
+            || operations.is_upstream_leaving(&self.name)
+    }
+
+    /// Hands back what is queued when the gate closes.
+    fn react(&mut self, change: GateChange) {
+        if let GateChange::Closed(_) = change {
+            self.queued = 0;
+        }
+        assert!(!self.gate.is_draining() || self.queued == 0, "queued work is not handed back");
+    }
+
+    /// Dispatches all that the gate lets pass and checks that nothing stood against it.
+    fn dispatch(&mut self, now_ms: u64) {
+        while self.queued > 0 && self.gate.may_dispatch(now_ms).is_ok() {
+            let has_lasted = |since_ms: &Option<u64>, bound_ms| {
+                since_ms.is_some_and(|it| now_ms - it >= bound_ms)
+            };
+            let has_route = self.route_since_ms.iter().any(|it| has_lasted(it, BOUND_MS));
+            let out_since_ms = self.out_since.map(|(since_ms, _)| since_ms);
+            let is_late = has_lasted(&out_since_ms, BOUND_MS);
+            assert!(!(has_route && is_late), "work is dispatched after the bound");
+            let knows = |it| has_lasted(it, NEIGHBOUR_BOUND_MS);
+            let is_known_near = self.neighbour_since_ms.iter().any(knows);
+            assert!(!is_known_near, "work is dispatched against an entry in reach");
+            self.queued -= 1;
+            self.running += 1;
+        }
+    }
+
+    fn advance_stop(&mut self, now_ms: u64) {
+        if let StopPhase::Finished { cut } = self.stop.advance(now_ms, self.running) {
+            assert_eq!((cut, self.running), (0, 0), "a planned stop cuts work in progress");
+        }
+    }
+
+    /// Tells whether nothing keeps the agent from taking work.
+    pub(crate) fn is_in_service(&self) -> bool {
+        self.listed.1 == InstanceState::Live && self.stop.is_ready()
+    }
+
+    /// Number of calls queued or running.
+    pub(crate) fn load(&self) -> (u32, u32) {
+        (self.queued, self.running)
+    }
+}
+
+impl Reply {
+    fn new(sent_ms: u64, update: ControlUpdate, age_ms: Option<u64>) -> Self {
+        Self { due_ms: sent_ms + TICK_MS, update, sent_ms, age_ms }
+    }
+}
+
+/// Keeps the time since which a condition holds.
+fn track(since_ms: &mut Option<u64>, holds: bool, now_ms: u64) {
+    *since_ms = holds.then(|| since_ms.unwrap_or(now_ms));
+}
+
+fn take_due(inbox: &mut Vec<Reply>, now_ms: u64) -> Vec<Reply> {
+    let (due, later) = inbox.drain(..).partition(|it| it.due_ms <= now_ms);
+    *inbox = later;
+    due
+}
