--- a/crates/core/src/document/locate.rs
+++ b/crates/core/src/document/locate.rs
@@ -39,8 +39,10 @@
 }
 
 /// Returns the line of a byte offset, counted from one.
+///
+/// The end of the text belongs to the last line that has content.
 pub(crate) fn line_at(text: &str, offset: usize) -> usize {
-    let before = &text.as_bytes()[..offset.min(text.len())];
+    let before = &text.as_bytes()[..offset.min(text.trim_end().len())];
     1 + before.iter().filter(|&&it| it == b'\n').count()
 }
 
