--- a/crates/core/src/membership/directory.rs
+++ b/crates/core/src/membership/directory.rs
@@ -182,22 +182,26 @@
     }
 
     /// Adds or renews one upstream of the list.
+    ///
+    /// Another address means another process, of which nothing is known yet, so it gets a key of its
+    /// own; late answers of the former one then can't pass for its own.
     fn list_upstream(&mut self, record: InstanceRecord) -> UpstreamKey {
-        if let Some(key) = self.key(&record.name) {
-            let upstream = &mut self.upstreams[key];
-            upstream.relist(record, &self.switch);
-            if let Some(operations) = &self.operations {
-                operate(upstream, operations);
+        let known = self.key(&record.name);
+        let key = match known.filter(|it| self.upstreams[*it].address() == record.address) {
+            Some(key) => {
+                self.upstreams[key].relist(record, &self.switch);
+                key
             }
-            return key;
-        }
-        let name = record.name.clone();
-        let mut upstream = Upstream::new(record);
+            None => {
+                let name = record.name.clone();
+                let key = self.upstreams.insert(Upstream::new(record));
+                self.keys_by_name.insert(name, key);
+                key
+            }
+        };
         if let Some(operations) = &self.operations {
-            operate(&mut upstream, operations);
+            operate(&mut self.upstreams[key], operations);
         }
-        let key = self.upstreams.insert(upstream);
-        self.keys_by_name.insert(name, key);
         key
     }
 
@@ -219,7 +223,11 @@
     }
 
     fn forget(&mut self, key: UpstreamKey) {
-        if let Some(upstream) = self.upstreams.remove(key) {
+        let Some(upstream) = self.upstreams.remove(key) else {
+            return;
+        };
+        // The name may belong to a newer process by now.
+        if self.key(upstream.name()) == Some(key) {
             self.keys_by_name.remove(upstream.name());
         }
     }
--- a/crates/core/src/membership/sabotage.rs
+++ b/crates/core/src/membership/sabotage.rs
@@ -15,6 +15,4 @@
     ListedOnly,
     /// Ignore the operational state.
     Operations,
-    /// Forget the coverage of upstreams by entries.
-    Coverage,
 }
--- a/crates/core/src/membership/upstream.rs
+++ b/crates/core/src/membership/upstream.rs
@@ -97,11 +97,6 @@
 
     /// Takes over a newer record of the list.
     pub(super) fn relist(&mut self, record: InstanceRecord, switch: &Switch<Sabotage>) {
-        // Another address means another process, of which nothing is known yet.
-        if record.address != self.record.address {
-            self.contact = None;
-            self.failed_ms = None;
-        }
         if let Some(contact) = &mut self.contact
             && switch.is_off(Sabotage::DirectEvidence)
         {
@@ -120,10 +115,8 @@
         switch: &Switch<Sabotage>,
     ) -> Option<Incarnation> {
         let is_ordered = !switch.is_off(Sabotage::EvidenceOrder);
-        if let Some(known) = &self.contact
-            && is_ordered
-            && !is_later(&evidence, known)
-        {
+        let is_late = self.contact.is_some_and(|known| !is_later(&evidence, &known));
+        if is_late && is_ordered {
             return None;
         }
         // A failure is cleared only by a question that was sent after it.
@@ -131,13 +124,12 @@
             self.failed_ms = None;
         }
         let replaced = self.incarnation().filter(|it| *it != evidence.incarnation);
-        let mut evidence = evidence;
-        if let Some(known) = &self.contact
-            && replaced.is_none()
-        {
-            evidence.sent_ms = evidence.sent_ms.max(known.sent_ms);
-        }
-        self.contact = Some(evidence);
+        let known_sent_ms = match replaced {
+            Some(_) => None,
+            None => self.contact.map(|it| it.sent_ms),
+        };
+        let sent_ms = known_sent_ms.map_or(evidence.sent_ms, |it| it.max(evidence.sent_ms));
+        self.contact = Some(Evidence { sent_ms, ..evidence });
         replaced
     }
 
