--- a/crates/entry/tests/operator.rs
+++ b/crates/entry/tests/operator.rs
@@ -223,3 +223,26 @@
     entry.close();
     bench.close().await;
 }
+
+#[tokio::test]
+async fn a_running_entry_reports_what_operators_put_into_force() {
+    let bench = Bench::start().await;
+    let entry = bench.start_real_entry("entry-1").await;
+    let file = bench.file("a.toml", DOCUMENT);
+    let trial = ["trial", "--json", "--environment", "production", "--wait-ms", "20000", &file];
+    let answer = bench.run(&trial).await;
+    let confirmed = json!({ "outcome": "accepted", "version": 1, "entries": 1 });
+    assert_eq!((answer.code, answer.json), (0, confirmed), "{}", answer.stderr);
+    let out = ["data-centre", "out", "--json", "--wait-ms", "20000", "east"];
+    let answer = bench.run(&out).await;
+    let confirmed = json!({ "outcome": "accepted", "version": 2, "entries": 1 });
+    assert_eq!((answer.code, answer.json), (0, confirmed), "{}", answer.stderr);
+
+    let down = Switches { outage: Some(Outage::Reset), ..Switches::default() };
+    bench.platform.set_switches(down);
+    let status = bench.run(&["status", "--json", "--entry", &entry.address.to_string()]).await;
+    assert_eq!(status.code, 4);
+    assert_eq!(status.json["entries"][0]["versions"], json!({ "config": 1, "operations": 2 }));
+    assert!(entry.close().await.unwrap().success());
+    bench.close().await;
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -15,7 +15,10 @@
     ids::Digest,
     membership::{InstanceRecord, InstanceRole, InstanceState},
 };
-use yuccatrail_fakes::platform::{FakePlatform, FakeSettings};
+use yuccatrail_fakes::{
+    platform::{FakePlatform, FakeSettings},
+    stack::process::Process,
+};
 use yuccatrail_platform::{CURRENT, Client, ClientSettings, Kind};
 use yuccatrail_runtime::http;
 
@@ -101,16 +104,40 @@
     /// Starts a fake entry in data centre `east` and lists it.
     pub(crate) async fn start_entry(&self, name: &str) -> FakeEntry {
         let entry = FakeEntry::start().await;
+        self.list_entry(name, entry.address).await;
+        entry
+    }
+
+    /// Starts `yuccatrail serve` in data centre `east` and lists it.
+    pub(crate) async fn start_real_entry(&self, name: &str) -> Process {
+        let platform = self.platform.address().to_string();
+        let mut arguments = vec!["serve".to_owned()];
+        for (flag, value) in [
+            ("--name", name),
+            ("--data-centre", "east"),
+            ("--listen", "127.0.0.1:0"),
+            ("--peer-listen", "127.0.0.1:0"),
+            ("--platform", platform.as_str()),
+            ("--environment", "production"),
+        ] {
+            arguments.push(flag.to_owned());
+            arguments.push(value.to_owned());
+        }
+        let entry = Process::start(name, "yuccatrail", &arguments).await.unwrap();
+        self.list_entry(name, entry.address).await;
+        entry
+    }
+
+    async fn list_entry(&self, name: &str, address: SocketAddr) {
         let instance = InstanceRecord {
             name: name.to_owned(),
             role: InstanceRole::Entry,
             pool: None,
             data_centre: "east".to_owned(),
-            address: entry.address,
+            address,
             state: InstanceState::Live,
         };
         self.production().create(Kind::Instances, name, &instance).await.unwrap();
-        entry
     }
 
     pub(crate) async fn close(self) {
