--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -3,12 +3,16 @@
 mod caller;
 mod entry;
 mod fleet;
+mod gossip;
 mod link;
+mod metrics;
 mod operator;
 mod platform_feed;
+mod policy;
 mod run;
 mod serve;
 mod settings;
+mod strikes;
 
 use std::process::ExitCode;
 
