Ask listed entries at their peer address

Ruled out: a second address in the instance list, which the platform does not keep. The test of a silent watch now waits for the first list; without that the first list could already hold the change, and the test passed with the second list switched off.

--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -103,7 +103,8 @@
     Some(link)
 }
 
-async fn connect(address: SocketAddr) -> Option<PeerClient> {
+/// Opens a connection to a peer; none if the peer does not answer in time.
+pub(crate) async fn connect(address: SocketAddr) -> Option<PeerClient> {
     let transport =
         tokio::time::timeout(PEER_TIMEOUT, transport::connect(address)).await.ok()?.ok()?;
     Some(PeerClient::new(Config::default(), Box::pin(transport)).spawn())
--- a/crates/entry/src/operator/confirm.rs
+++ b/crates/entry/src/operator/confirm.rs
@@ -11,8 +11,9 @@
 use yuccatrail_platform::{Client, Kind, PlatformError};
 
 use super::{
-    entry_status::{self, EntryStatus, StatusError},
+    entry_status::{EntryStatus, StatusError},
     outcome::Outcome,
+    peer_status,
 };
 
 /// Time between two rounds of status calls, in milliseconds.
@@ -85,7 +86,7 @@
             continue;
         }
         calls.push(async move {
-            let status = entry_status::read(instance.address).await;
+            let status = peer_status::read(instance.address).await;
             EntryReport { name: instance.name, address: instance.address, status }
         });
     }
--- a/crates/entry/src/operator/entry_status.rs
+++ b/crates/entry/src/operator/entry_status.rs
@@ -1,21 +1,9 @@
-//! Asks an entry for its status.
+//! What an entry reports to operators.
 
-use std::{net::SocketAddr, time::Duration};
-
-use bytes::Bytes;
 use derive_more::{Display, Error};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Request, StatusCode};
-use hyper_util::{client::legacy, rt::TokioExecutor};
 use serde::{Deserialize, Serialize};
 use yuccatrail_core::control::Versions;
 
-/// Time for one status call, in milliseconds.
-const STATUS_TIMEOUT_MS: u64 = 1_000;
-
-/// Largest status that is read, in bytes.
-const MAX_STATUS_BYTES: usize = 16 * 1024 * 1024;
-
 /// Status of an entry, as far as operators need it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct EntryStatus {
@@ -23,9 +11,9 @@
     pub(crate) incarnation: String,
     /// Versions of the control state that the entry holds.
     pub(crate) versions: Versions,
-    /// Upstreams as the entry sees them.
+    /// Upstreams as the entry sees them, if it was asked over HTTP.
     #[serde(default)]
-    pub(crate) upstreams: Vec<UpstreamStatus>,
+    pub(crate) upstreams: Option<Vec<UpstreamStatus>>,
 }
 
 /// Status of an upstream as an entry sees it.
@@ -55,34 +43,14 @@
     },
 }
 
-/// Reads the status of the entry at `address`.
-pub(crate) async fn read(address: SocketAddr) -> Result<EntryStatus, StatusError> {
-    let timeout = Duration::from_millis(STATUS_TIMEOUT_MS);
-    match tokio::time::timeout(timeout, request(address)).await {
-        Ok(result) => result,
-        Err(_) => Err(unreachable(format!("no answer within {STATUS_TIMEOUT_MS} ms"))),
+impl StatusError {
+    /// Describes a missing answer.
+    pub(crate) fn unreachable(detail: impl Into<String>) -> Self {
+        Self::Unreachable { detail: detail.into() }
     }
-}
 
-async fn request(address: SocketAddr) -> Result<EntryStatus, StatusError> {
-    let client = legacy::Client::builder(TokioExecutor::new()).build_http();
-    let request = Request::get(format!("http://{address}/v1/status"))
-        .body(Full::<Bytes>::default())
-        .map_err(|error| unexpected(error.to_string()))?;
-    let response = client.request(request).await.map_err(|it| unreachable(it.to_string()))?;
-    let status = response.status();
-    if status != StatusCode::OK {
-        return Err(unexpected(format!("HTTP status {status}")));
+    /// Describes an answer that is no status.
+    pub(crate) fn unexpected(detail: impl Into<String>) -> Self {
+        Self::Unexpected { detail: detail.into() }
     }
-    let body = Limited::new(response.into_body(), MAX_STATUS_BYTES).collect().await;
-    let body = body.map_err(|it| unreachable(it.to_string()))?.to_bytes();
-    serde_json::from_slice(&body).map_err(|it| unexpected(it.to_string()))
-}
-
-fn unreachable(detail: String) -> StatusError {
-    StatusError::Unreachable { detail }
-}
-
-fn unexpected(detail: String) -> StatusError {
-    StatusError::Unexpected { detail }
 }
--- a/crates/entry/src/operator/status.rs
+++ b/crates/entry/src/operator/status.rs
@@ -9,7 +9,8 @@
 
 use super::{
     confirm::{self, EntryReport, Part},
-    entry_status, options,
+    entry_status::UpstreamStatus,
+    http_status, options,
     outcome::{eprint_line, print_line},
 };
 
@@ -54,11 +55,17 @@
     name: String,
     address: SocketAddr,
     versions: Option<Versions>,
-    upstreams: usize,
-    upstreams_connected: usize,
+    upstreams: Option<UpstreamCounts>,
     error: Option<String>,
 }
 
+/// Upstreams as one entry sees them.
+#[derive(Clone, Copy, Debug, Serialize)]
+struct UpstreamCounts {
+    listed: usize,
+    connected: usize,
+}
+
 /// Parses the command.
 pub(crate) fn command() -> impl Parser<Arguments> {
     let platform = options::platform();
@@ -80,7 +87,7 @@
     let client = options::client(arguments.platform, &arguments.environment);
     let mut reports = Vec::new();
     for address in &arguments.entries {
-        let status = entry_status::read(*address).await;
+        let status = http_status::read(*address).await;
         reports.push(EntryReport { name: address.to_string(), address: *address, status });
     }
     let (platform, platform_error) = match in_force(&client, &mut reports).await {
@@ -128,15 +135,13 @@
         name: report.name.clone(),
         address: report.address,
         versions: None,
-        upstreams: 0,
-        upstreams_connected: 0,
+        upstreams: None,
         error: None,
     };
     match &report.status {
         Ok(status) => {
             line.versions = Some(status.versions);
-            line.upstreams = status.upstreams.len();
-            line.upstreams_connected = status.upstreams.iter().filter(|it| it.connected).count();
+            line.upstreams = status.upstreams.as_deref().map(count);
         }
         Err(error) => line.error = Some(error.to_string()),
     }
@@ -170,15 +175,22 @@
 }
 
 fn print_entry(entry: &EntryLine) {
-    let state = match (&entry.error, entry.versions) {
-        (Some(error), _) => error.clone(),
-        (None, Some(Versions { config, operations })) => format!(
-            "configuration {config}, operational state {operations}, {} of {} upstreams connected",
-            entry.upstreams_connected, entry.upstreams
-        ),
-        (None, None) => "nothing reported".to_owned(),
-    };
-    print_line(&format!("entry {} at {}: {state}", entry.name, entry.address));
+    let mut line = format!("entry {} at {}:", entry.name, entry.address);
+    if let Some(error) = &entry.error {
+        line.push_str(&format!(" {error}"));
+    }
+    if let Some(Versions { config, operations }) = entry.versions {
+        line.push_str(&format!(" configuration {config}, operational state {operations}"));
+    }
+    if let Some(UpstreamCounts { listed, connected }) = entry.upstreams {
+        line.push_str(&format!(", {connected} of {listed} upstreams connected"));
+    }
+    print_line(&line);
+}
+
+fn count(upstreams: &[UpstreamStatus]) -> UpstreamCounts {
+    let connected = upstreams.iter().filter(|it| it.connected).count();
+    UpstreamCounts { listed: upstreams.len(), connected }
 }
 
 fn names(names: &[String]) -> String {
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -6,21 +6,29 @@
     sync::atomic::{AtomicU32, Ordering},
 };
 
-use hyper::StatusCode;
-use serde_json::{Value, json};
-use tokio::{net::TcpListener, process::Command, sync::watch};
-use tokio_util::sync::CancellationToken;
+use futures::StreamExt;
+use serde_json::Value;
+use tarpc::{
+    context::Context,
+    server::{BaseChannel, Channel},
+};
+use tokio::{net::TcpListener, process::Command, sync::watch, task::JoinHandle};
 use yuccatrail_core::{
-    control::{StoredConfig, StoredOperations, Versions},
-    ids::Digest,
+    control::{ControlUpdate, StoredConfig, StoredOperations, Versions},
+    ids::{Digest, Incarnation},
     membership::{InstanceRecord, InstanceRole, InstanceState},
+    routing::LoadReport,
 };
 use yuccatrail_fakes::{
     platform::{FakePlatform, FakeSettings},
     stack::process::Process,
 };
 use yuccatrail_platform::{CURRENT, Client, ClientSettings, Kind};
-use yuccatrail_runtime::http;
+use yuccatrail_rpc::{
+    messages::{Ages, Feedback, SyncReply, SyncRequest},
+    service::Peer,
+    transport,
+};
 
 /// A valid document.
 pub(crate) const DOCUMENT: &str = "[[customer]]\nname = \"lone-star\"\nshare = 4\n";
@@ -124,7 +132,7 @@
             arguments.push(value.to_owned());
         }
         let entry = Process::start(name, "yuccatrail", &arguments).await.unwrap();
-        self.list_entry(name, entry.address).await;
+        self.list_entry(name, entry.admin_address.unwrap()).await;
         entry
     }
 
@@ -146,11 +154,11 @@
     }
 }
 
-/// Answers `GET /v1/status` with settable versions.
+/// Answers the peer calls of an entry with settable versions.
 pub(crate) struct FakeEntry {
     address: SocketAddr,
     versions: watch::Sender<Versions>,
-    stop: CancellationToken,
+    task: JoinHandle<()>,
 }
 
 impl FakeEntry {
@@ -158,15 +166,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let versions = watch::Sender::new(Versions::default());
-        let stop = CancellationToken::new();
-        let reported = versions.subscribe();
-        let serving = http::serve(listener, stop.clone(), move |_| {
-            let versions = *reported.borrow();
-            let status = json!({ "incarnation": "1", "versions": versions, "upstreams": [] });
-            async move { http::respond(StatusCode::OK, "application/json", status.to_string()) }
-        });
-        tokio::spawn(serving);
-        Self { address, versions, stop }
+        let task = tokio::spawn(serve(listener, FakePeer { versions: versions.subscribe() }));
+        Self { address, versions, task }
     }
 
     /// Sets the versions that the entry reports.
@@ -175,6 +176,33 @@
     }
 
     pub(crate) fn close(self) {
-        self.stop.cancel();
+        self.task.abort();
+    }
+}
+
+#[derive(Clone)]
+struct FakePeer {
+    versions: watch::Receiver<Versions>,
+}
+
+impl Peer for FakePeer {
+    async fn sync(self, _: Context, _: SyncRequest) -> SyncReply {
+        let feedback = Feedback {
+            incarnation: Incarnation(1),
+            now_ms: 0,
+            versions: *self.versions.borrow(),
+            load: LoadReport::default(),
+            strikes: Vec::new(),
+        };
+        SyncReply { feedback, update: ControlUpdate::default(), ages: Ages::default() }
+    }
+}
+
+async fn serve(listener: TcpListener, peer: FakePeer) {
+    loop {
+        let (stream, _) = listener.accept().await.unwrap();
+        let transport = transport::accept(stream).await.unwrap();
+        let channel = BaseChannel::with_defaults(Box::pin(transport));
+        channel.execute(peer.clone().serve()).for_each(|response| response).await;
     }
 }
--- a/crates/fakes/tests/watcher.rs
+++ b/crates/fakes/tests/watcher.rs
@@ -130,6 +130,7 @@
 #[tokio::test]
 async fn lists_again_when_watches_stay_silent() {
     let mut fixture = Fixture::start(500).await;
+    fixture.next_snapshot().await;
     fixture.platform.set_switches(Switches { silent_watches: true, ..Switches::default() });
     let created = fixture.create("second", 2).await;
     for _ in 0..10 {
