--- a/crates/fakes/src/platform/server.rs
+++ b/crates/fakes/src/platform/server.rs
@@ -9,18 +9,19 @@
 
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use serde_json::{Value, json};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
     task::JoinHandle,
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
-use yuccatrail_platform::TokenBucket;
+use yuccatrail_platform::{API_VERSION, Kind, TokenBucket};
 
 use super::{
     Counters, Seed, Switches, admin, api,
     status::{Body, Cut},
-    store::Store,
+    store::{Collection, Store},
 };
 
 /// Settings of the stand-in.
@@ -127,6 +128,32 @@
         self.shared.newest.send_replace(state.store.version());
     }
 
+    /// Creates or replaces an object past all switches, as another client that suffers no fault.
+    pub fn put(&self, kind: Kind, environment: &str, name: &str, spec: Value) {
+        let collection = collection(kind, environment);
+        let object = json!({
+            "apiVersion": API_VERSION,
+            "kind": kind.name(),
+            "metadata": { "name": name, "namespace": environment },
+            "spec": spec,
+        });
+        let now = Instant::now();
+        let mut state = self.shared.state();
+        if state.store.create(&collection, name, object.clone(), now).is_err() {
+            // The object exists, and without a version any state of it may be replaced.
+            let _ = state.store.update(&collection, name, None, object, now);
+        }
+        self.shared.newest.send_replace(state.store.version());
+    }
+
+    /// Deletes an object past all switches; does nothing if there is none.
+    pub fn remove(&self, kind: Kind, environment: &str, name: &str) {
+        let collection = collection(kind, environment);
+        let mut state = self.shared.state();
+        let _ = state.store.delete(&collection, name, None, Instant::now());
+        self.shared.newest.send_replace(state.store.version());
+    }
+
     /// Returns the switches as they stand.
     pub fn switches(&self) -> Switches {
         self.shared.switches.borrow().clone()
@@ -155,6 +182,10 @@
     }
 }
 
+fn collection(kind: Kind, environment: &str) -> Collection {
+    Collection { namespace: environment.to_owned(), plural: kind.plural().to_owned() }
+}
+
 async fn accept_all(listener: TcpListener, shared: Arc<Shared>, cancel: CancellationToken) {
     let tracker = TaskTracker::new();
     loop {
--- /dev/null
+++ b/crates/fakes/tests/watcher_fuzz.rs
@@ -0,0 +1,229 @@
+//! Fuzzes the watcher: whatever fails on the way, its consumer ends with what the platform holds.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use serde_json::{Value, json};
+use tokio::{runtime::Runtime, sync::mpsc::Receiver};
+use tokio_util::sync::CancellationToken;
+use yuccatrail_fakes::platform::{FakePlatform, FakeSettings, Outage, Switches};
+use yuccatrail_platform::{
+    BackoffSettings, BudgetSettings, Client, ClientSettings, Kind, Object, WatchUpdate, Watcher,
+    WatcherSettings,
+};
+
+const SEED: u64 = 7_301;
+const CASES: u32 = 32;
+const ENVIRONMENT: &str = "production";
+
+/// Checks of the final state before it counts as never reached, and the time between two.
+const CHECKS: u32 = 2_000;
+const CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
+#[derive(Clone, Debug)]
+enum Event {
+    Put(u8, u64),
+    Remove(u8),
+    Fail(Outage),
+    Silence,
+    Heal,
+    Compact,
+    Wait(u64),
+}
+
+/// What the platform holds: numbers by name.
+type Model = BTreeMap<String, u64>;
+
+struct Events;
+
+impl ReferenceStateMachine for Events {
+    type State = Model;
+    type Transition = Event;
+
+    fn init_state() -> BoxedStrategy<Model> {
+        Just(Model::new()).boxed()
+    }
+
+    fn transitions(_: &Model) -> BoxedStrategy<Event> {
+        let outage = prop_oneof![
+            Just(Outage::Unavailable),
+            Just(Outage::Error),
+            Just(Outage::Reset),
+            Just(Outage::Hang),
+        ];
+        prop_oneof![
+            10 => (0..5_u8, any::<u64>()).prop_map(|(name, number)| Event::Put(name, number)),
+            4 => (0..5_u8).prop_map(Event::Remove),
+            3 => outage.prop_map(Event::Fail),
+            1 => Just(Event::Silence),
+            3 => Just(Event::Heal),
+            2 => Just(Event::Compact),
+            5 => (1..30_u64).prop_map(Event::Wait),
+        ]
+        .boxed()
+    }
+
+    fn apply(mut model: Model, event: &Event) -> Model {
+        match event {
+            Event::Put(name, number) => {
+                model.insert(object_name(*name), *number);
+            }
+            Event::Remove(name) => {
+                model.remove(&object_name(*name));
+            }
+            _ => {}
+        }
+        model
+    }
+}
+
+fn object_name(name: u8) -> String {
+    format!("object-{name}")
+}
+
+/// What the consumer holds: versions and numbers by name.
+type Replica = BTreeMap<String, (u64, u64)>;
+
+struct WatcherTest {
+    runtime: Runtime,
+    platform: FakePlatform,
+    watcher: Watcher,
+    replica: Arc<Mutex<Replica>>,
+    model: Model,
+}
+
+impl StateMachineTest for WatcherTest {
+    type SystemUnderTest = Self;
+    type Reference = Events;
+
+    fn init_test(model: &Model) -> Self {
+        let runtime = Runtime::new().unwrap();
+        let replica = Arc::new(Mutex::new(Replica::new()));
+        let (platform, watcher) = runtime.block_on(start(replica.clone()));
+        Self { runtime, platform, watcher, replica, model: model.clone() }
+    }
+
+    fn apply(mut test: Self, model: &Model, event: Event) -> Self {
+        let fail = |outage| test.platform.set_switches(Switches { outage, ..Switches::default() });
+        match event {
+            Event::Put(name, number) => {
+                let spec = json!({ "number": number });
+                test.platform.put(Kind::Leases, ENVIRONMENT, &object_name(name), spec);
+            }
+            Event::Remove(name) => {
+                test.platform.remove(Kind::Leases, ENVIRONMENT, &object_name(name));
+            }
+            Event::Fail(outage) => fail(Some(outage)),
+            Event::Silence => {
+                let silent = Switches { silent_watches: true, ..Switches::default() };
+                test.platform.set_switches(silent);
+            }
+            Event::Heal => fail(None),
+            Event::Compact => test.platform.compact(),
+            Event::Wait(ms) => std::thread::sleep(Duration::from_millis(ms)),
+        }
+        test.model = model.clone();
+        test
+    }
+
+    fn teardown(test: Self, _: Model) {
+        test.platform.set_switches(Switches::default());
+        let mut held = Model::new();
+        for _ in 0..CHECKS {
+            held = numbers(&test.replica);
+            if held == test.model {
+                break;
+            }
+            std::thread::sleep(CHECK_INTERVAL);
+        }
+        assert_eq!(held, test.model);
+        test.runtime.block_on(async {
+            test.watcher.close().await;
+            test.platform.close().await;
+        });
+    }
+}
+
+async fn start(replica: Arc<Mutex<Replica>>) -> (FakePlatform, Watcher) {
+    let platform = FakePlatform::start(FakeSettings::default()).await.unwrap();
+    let budget = BudgetSettings {
+        reads_per_second: 1_000.0,
+        watches_per_second: 1_000.0,
+        ..BudgetSettings::default()
+    };
+    let client = Client::new(ClientSettings {
+        address: platform.address(),
+        environment: ENVIRONMENT.to_owned(),
+        request_timeout_ms: 50,
+        watch_timeout_s: 1,
+        budget,
+        ..ClientSettings::default()
+    });
+    let settings = WatcherSettings {
+        backoff: BackoffSettings { first_ms: 1, max_ms: 5 },
+        max_silence_ms: 200,
+        ..WatcherSettings::default()
+    };
+    let cancel = CancellationToken::new();
+    let (watcher, updates) = Watcher::start(client, Kind::Leases, settings, &cancel);
+    tokio::spawn(consume(updates, replica));
+    (platform, watcher)
+}
+
+async fn consume(mut updates: Receiver<WatchUpdate<Value>>, replica: Arc<Mutex<Replica>>) {
+    while let Some(update) = updates.recv().await {
+        let mut replica = replica.lock().unwrap();
+        match update {
+            WatchUpdate::Snapshot(objects) => {
+                let mut listed = Replica::new();
+                for object in objects {
+                    take(&mut listed, &replica, object);
+                }
+                *replica = listed;
+            }
+            WatchUpdate::Changed(object) => {
+                let held = replica.clone();
+                take(&mut replica, &held, object);
+            }
+            WatchUpdate::Deleted(object) => {
+                replica.remove(&object.name);
+            }
+            WatchUpdate::Unavailable(_) | WatchUpdate::Available => {}
+        }
+    }
+}
+
+/// Takes over an object; its version must not be older than the one held.
+fn take(replica: &mut Replica, held: &Replica, object: Object<Value>) {
+    let version: u64 = object.resource_version.0.parse().unwrap();
+    let held_version = held.get(&object.name).map_or(0, |it| it.0);
+    assert!(version >= held_version, "{} went back to version {version}", object.name);
+    replica.insert(object.name, (version, object.spec["number"].as_u64().unwrap()));
+}
+
+fn numbers(replica: &Mutex<Replica>) -> Model {
+    // The consumer panics under the lock when a version goes back, which fails the case here.
+    let replica = replica.lock().unwrap();
+    replica.iter().map(|(name, (_, number))| (name.clone(), *number)).collect()
+}
+
+prop_state_machine! {
+    #![proptest_config(Config {
+        cases: CASES,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        max_shrink_iters: 50,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn the_consumer_ends_with_what_the_platform_holds(sequential 1..40 => WatcherTest);
+}
