Admission: price the backlog by what is offered, not by what completed

An entry that admitted little saw only its long calls complete, priced the backlog by them and stayed shut.

--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -35,6 +35,9 @@
 /// Use of the share up to which a customer counts as fully within it.
 const WITHIN_SHARE_USE: f64 = 0.9;
 
+/// Weight of a new request in the average size of the calls that a pool is offered.
+const CALL_WEIGHT: f64 = 0.02;
+
 /// Largest number of entries that this entry's own upcoming work stands for.
 const MAX_ENTRIES_IN_USE: u64 = 16;
 
@@ -86,6 +89,10 @@
     upcoming: FastMap<PoolKey, u32>,
     /// Least slack of the declared pipelines that use a pool, in milliseconds.
     least_slack_ms: FastMap<PoolKey, u64>,
+    /// Average run time of the calls that a pool is offered, in milliseconds.
+    ///
+    /// Completed calls would say less: an entry that admits little sees few, and the long ones last.
+    mean_call_ms: FastMap<PoolKey, f64>,
     fairness: Fairness,
 }
 
@@ -152,7 +159,7 @@
             let run_ms = estimates.expected_ms(stage.pool, stage.max_tokens);
             need.run_ms += run_ms + STAGE_OVERHEAD_MS;
             need.safe_ms += estimates.safe_ms(stage.pool, stage.max_tokens) + STAGE_OVERHEAD_MS;
-            need.wait_ms += self.wait_ms(estimates, stage);
+            need.wait_ms += self.wait_ms(stage, run_ms);
             if let Some(&slack_ms) = self.least_slack_ms.get(&stage.pool) {
                 need.bearable_wait_ms = need.bearable_wait_ms.min(slack_ms);
             }
@@ -201,7 +208,11 @@
     }
 
     /// Returns the time for which a call would wait in the pool.
-    fn wait_ms(&self, estimates: &StageEstimates, stage: &StageWork) -> u64 {
+    fn wait_ms(&mut self, stage: &StageWork, run_ms: u64) -> u64 {
+        let mean_ms = self.mean_call_ms.entry(stage.pool).or_insert(run_ms as f64);
+        *mean_ms += (run_ms as f64 - *mean_ms) * CALL_WEIGHT;
+        let mean_ms = mean_ms.ceil() as u64;
+
         let upcoming = self.upcoming.get(&stage.pool).copied().unwrap_or(0);
         let upcoming = u64::from(upcoming) * entries_in_use(&stage.load);
         let ahead = u64::from(stage.load.outstanding) + upcoming;
@@ -209,7 +220,7 @@
         if ahead < limit {
             return 0;
         }
-        (ahead - limit + 1) * estimates.mean_ms(stage.pool) / limit
+        (ahead - limit + 1) * mean_ms / limit
     }
 
     fn refusal(
--- a/crates/core/src/deadline/estimates.rs
+++ b/crates/core/src/deadline/estimates.rs
@@ -7,9 +7,6 @@
 /// Weight of a new sample in the averages.
 const SAMPLE_WEIGHT: f64 = 0.05;
 
-/// Weight of a new sample in the mean over calls of all sizes.
-const MEAN_WEIGHT: f64 = 0.02;
-
 /// Multiple of the mean deviation that a safe estimate adds.
 const SAFE_DEVIATIONS: f64 = 2.0;
 
@@ -40,8 +37,6 @@
     /// Mean absolute deviation relative to the expected time.
     deviation: f64,
     queue_ms: f64,
-    /// Mean time of all calls, whatever their tokens.
-    mean_ms: f64,
 }
 
 impl Estimate {
@@ -53,7 +48,6 @@
             token_part: 1.0,
             deviation: 0.0,
             queue_ms: 0.0,
-            mean_ms: seed.estimate_ms.max(1) as f64,
         }
     }
 
@@ -107,11 +101,6 @@
         self.pools[pool].queue_ms as u64
     }
 
-    /// Returns the average time at the upstream of recent calls, whatever their limits.
-    pub fn mean_ms(&self, pool: PoolKey) -> u64 {
-        self.pools[pool].mean_ms.ceil() as u64
-    }
-
     /// Learns from a completed call that was limited to `max_tokens`.
     pub fn on_complete(&mut self, pool: PoolKey, max_tokens: u32, usage: Usage) {
         let expected_ms = self.expected_ms(pool, max_tokens).max(1) as f64;
@@ -119,7 +108,6 @@
         let actual_ms = usage.engine_ms.max(1) as f64;
         let off = (actual_ms / expected_ms - 1.0).abs().min(MAX_PULL);
         estimate.deviation += (off - estimate.deviation) * SAMPLE_WEIGHT;
-        estimate.mean_ms += (actual_ms - estimate.mean_ms) * MEAN_WEIGHT;
         estimate.queue_ms += (usage.queued_ms as f64 - estimate.queue_ms) * SAMPLE_WEIGHT;
 
         // Both parts move by the same factor, because a call does not tell them apart.
