Capacity: no calls for a while after a refused connection

Calls that waited for a restarting upstream were spent on refused connections within milliseconds. The unit test of clamping splits: a refused connection now stops before it clamps, which its own test checks.

--- a/crates/core/src/capacity/mod.rs
+++ b/crates/core/src/capacity/mod.rs
@@ -21,6 +21,10 @@
 /// Calls overdue at the same time that count as a latency jump.
 const OVERDUE_CALLS: usize = 3;
 
+/// Time after a refused connection in which no call starts unless a probe is answered, in
+/// milliseconds.
+const CONNECT_BACKOFF_MS: u64 = 500;
+
 new_key_type! {
     /// Identifies a call in progress.
     pub struct CallKey;
@@ -108,8 +112,8 @@
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Phase {
-    /// The upstream stopped and has not answered since.
-    Stopped,
+    /// The upstream does not accept connections; without an end, until a probe is answered.
+    Stopped { until_ms: Option<u64> },
     /// The upstream may be in a cold start.
     Cold { steady: u32, last_ratio: Option<f64> },
     /// The upstream showed itself warm.
@@ -181,7 +185,7 @@
     /// Returns the number of calls that the upstream may run at once now.
     pub fn limit(&self) -> u32 {
         match self.phase {
-            Phase::Stopped => 0,
+            Phase::Stopped { .. } => 0,
             Phase::Cold { .. } => self.config.cold_limit(),
             Phase::Warm => self.warm_limit(),
         }
@@ -216,7 +220,7 @@
         let ratio = engine_ms as f64 / call.expected_ms as f64;
         let ok = end == CallEnd::Completed;
         match self.phase {
-            Phase::Stopped => {}
+            Phase::Stopped { .. } => {}
             Phase::Cold { steady, last_ratio } => {
                 self.on_cold_sample(steady, last_ratio, ratio, ok)
             }
@@ -232,7 +236,7 @@
         if probe.boot_id.is_some() {
             self.boot_id = probe.boot_id;
         }
-        if self.phase == Phase::Stopped {
+        if matches!(self.phase, Phase::Stopped { .. }) {
             self.phase = COLD;
         }
 
@@ -244,11 +248,14 @@
     }
 
     /// Notes that a connection to the upstream was refused or timed out.
-    pub fn on_connect_failure(&mut self) {
+    ///
+    /// No call starts for a while, unless a probe is answered before.
+    pub fn on_connect_failure(&mut self, now_ms: u64) {
         if self.ignores_reset() {
             return;
         }
         self.clamp();
+        self.phase = Phase::Stopped { until_ms: Some(now_ms + CONNECT_BACKOFF_MS) };
     }
 
     /// Notes that a connection to the upstream broke.
@@ -262,11 +269,18 @@
     /// Notes that the upstream stopped; no call starts until a probe is answered.
     pub fn on_stop(&mut self) {
         self.clamp();
-        self.phase = Phase::Stopped;
+        self.phase = Phase::Stopped { until_ms: None };
     }
 
-    /// Checks the calls in progress for a latency jump.
+    /// Ends a backoff that is over and checks the calls in progress for a latency jump.
+    ///
+    /// Call it before [`Capacity::has_room`] or [`Capacity::limit`].
     pub fn on_tick(&mut self, now_ms: u64) {
+        if let Phase::Stopped { until_ms: Some(until_ms) } = self.phase
+            && now_ms >= until_ms
+        {
+            self.phase = COLD;
+        }
         if self.phase != Phase::Warm {
             return;
         }
--- a/crates/core/src/capacity/tests.rs
+++ b/crates/core/src/capacity/tests.rs
@@ -55,12 +55,11 @@
 }
 
 #[test]
-fn changed_boot_id_and_broken_connections_clamp() {
-    let events: [fn(&mut Capacity); 4] = [
+fn changed_boot_id_reported_cold_and_reset_clamp() {
+    let events: [fn(&mut Capacity); 3] = [
         |it| it.on_probe(probe(it, 2, None)),
         |it| it.on_probe(probe(it, 1, Some(false))),
         Capacity::on_reset,
-        Capacity::on_connect_failure,
     ];
     for event in events {
         let mut capacity = warm_capacity();
@@ -112,3 +111,17 @@
     capacity.on_probe(probe(&capacity, 2, None));
     assert_eq!(capacity.limit(), 1);
 }
+
+#[test]
+fn refused_connection_stops_for_a_while_and_clamps() {
+    let mut capacity = warm_capacity();
+    run_rounds(&mut capacity, 5, 100);
+    capacity.on_connect_failure(1_000);
+    assert!(capacity.try_start(1_499, 100).is_none());
+    assert!(capacity.try_start(1_500, 100).is_some());
+    assert_eq!(capacity.limit(), 1);
+
+    capacity.on_connect_failure(2_000);
+    capacity.on_probe(probe(&capacity, 1, None));
+    assert_eq!(capacity.limit(), 1);
+}
--- a/crates/fakes/src/model/agent.rs
+++ b/crates/fakes/src/model/agent.rs
@@ -181,14 +181,14 @@
         self.capacity.on_reset();
     }
 
-    pub(crate) fn on_connect_failure(&mut self) {
-        self.capacity.on_connect_failure();
+    pub(crate) fn on_connect_failure(&mut self, now_us: u64) {
+        self.capacity.on_connect_failure(now_us / US_PER_MS);
     }
 
     /// Probes the upstream.
     pub(crate) fn probe(&mut self, now_us: u64) {
         if self.upstream.is_down(now_us) {
-            self.capacity.on_connect_failure();
+            self.on_connect_failure(now_us);
             return;
         }
         self.capacity.on_probe(Probe {
--- a/crates/fakes/src/model/sim.rs
+++ b/crates/fakes/src/model/sim.rs
@@ -458,7 +458,7 @@
                 }
                 Start::Refused => {
                     self.agents[index].finish(self.now_us, dispatch.attempt, CallEnd::Abandoned);
-                    self.agents[index].on_connect_failure();
+                    self.agents[index].on_connect_failure(self.now_us);
                     self.answer_not_run(vec![(dispatch.attempt, Reason::UpstreamLost)]);
                 }
                 Start::FellOver { lost } => {
