Routing: attempts that are given up count towards the latency of their upstream

Hedged calls that lose are cancelled, so a slow upstream showed no completed calls. A slow answer to the return probe ejects again.

--- a/crates/core/src/routing/health.rs
+++ b/crates/core/src/routing/health.rs
@@ -86,17 +86,35 @@
         }
     }
 
-    /// Notes a complete answer and its ratio of actual to expected duration.
-    pub(crate) fn on_success(&mut self, ratio: f64) {
+    /// Notes a complete answer and its ratio of actual to expected duration; returns whether the
+    /// upstream is so much slower than its pool that it should be ejected.
+    pub(crate) fn on_success(&mut self, ratio: f64, pool_ratio: f64) -> bool {
         self.consecutive_failures = 0;
-        self.samples = self.samples.saturating_add(1);
-        self.ratio += (ratio - self.ratio) * LATENCY_WEIGHT;
         if matches!(self.state, State::Probing { .. }) {
-            self.state = State::InService;
+            if ratio > pool_ratio * EJECT_LATENCY_FACTOR {
+                return true;
+            }
             // The latency before the ejection says nothing about the time after it.
+            self.state = State::InService;
             self.samples = 0;
             self.ratio = ratio;
         }
+        self.take_sample(ratio);
+        self.is_outlier(pool_ratio)
+    }
+
+    /// Notes an attempt that was given up after it had run `ratio` times the expected duration.
+    pub(crate) fn on_abandoned(&mut self, now_ms: u64, ratio: f64) {
+        // Its whole duration would have been longer; a short one says nothing.
+        if ratio > self.ratio {
+            self.take_sample(ratio);
+        }
+        self.on_not_run(now_ms);
+    }
+
+    fn take_sample(&mut self, ratio: f64) {
+        self.samples = self.samples.saturating_add(1);
+        self.ratio += (ratio - self.ratio) * LATENCY_WEIGHT;
     }
 
     /// Notes a failure; returns whether the upstream should be ejected.
--- a/crates/core/src/routing/pool.rs
+++ b/crates/core/src/routing/pool.rs
@@ -55,6 +55,11 @@
         /// Ratio of actual to expected duration.
         ratio: f64,
     },
+    /// It was cancelled or given up after it had run `ratio` times the expected time.
+    Abandoned {
+        /// Ratio of the time that passed to the expected duration.
+        ratio: f64,
+    },
     /// The upstream or its agent failed.
     Failed,
     /// It was refused, cancelled or dropped, which says nothing about the health.
@@ -177,8 +182,13 @@
 
         let eject = match end {
             AttemptEnd::Completed { ratio } => {
-                self.health[key].on_success(ratio);
+                let pool_ratio = self.typical_ratio();
+                let eject = self.health[key].on_success(ratio, pool_ratio);
                 self.health[key].forgive();
+                eject
+            }
+            AttemptEnd::Abandoned { ratio } => {
+                self.health[key].on_abandoned(now_ms, ratio);
                 self.is_outlier(key)
             }
             AttemptEnd::Failed => self.health[key].on_failure(),
--- a/crates/core/src/routing/tests.rs
+++ b/crates/core/src/routing/tests.rs
@@ -172,6 +172,30 @@
     assert_eq!(pool.candidates(0, None, &[])[1].standing, Standing::InService);
 }
 
+#[test]
+fn upstream_is_ejected_for_calls_that_were_given_up() {
+    let (mut pool, keys) = pool(&[0, 0, 0]);
+    for _ in 0..10 {
+        pool.on_end(0, keys[0], AttemptEnd::Abandoned { ratio: 6.0 });
+        pool.on_end(0, keys[1], AttemptEnd::Completed { ratio: 1.0 });
+        pool.on_end(0, keys[2], AttemptEnd::Abandoned { ratio: 0.5 });
+    }
+    assert_eq!(pool.candidates(0, None, &[])[0].standing, Standing::Ejected);
+    assert_eq!(pool.candidates(0, None, &[])[2].standing, Standing::InService);
+}
+
+#[test]
+fn slow_return_probe_ejects_again() {
+    let (mut pool, keys) = pool(&[0, 0]);
+    for _ in 0..3 {
+        pool.on_end(0, keys[0], AttemptEnd::Failed);
+    }
+    pool.on_sent(1_000, keys[0]);
+    pool.on_end(2_000, keys[0], AttemptEnd::Completed { ratio: 10.0 });
+    assert_eq!(pool.candidates(3_000, None, &[])[0].standing, Standing::Ejected);
+    assert_eq!(pool.candidates(4_000, None, &[])[0].standing, Standing::ProbeDue);
+}
+
 #[test]
 fn old_load_reports_fade() {
     let (pool, _) = pool(&[8]);
--- a/crates/core/tests/routing_fuzz.rs
+++ b/crates/core/tests/routing_fuzz.rs
@@ -45,6 +45,7 @@
 fn event() -> impl Strategy<Value = Event> {
     let end = prop_oneof![
         3 => (0.1..20.0_f64).prop_map(|ratio| AttemptEnd::Completed { ratio }),
+        1 => (0.1..20.0_f64).prop_map(|ratio| AttemptEnd::Abandoned { ratio }),
         4 => Just(AttemptEnd::Failed),
         1 => Just(AttemptEnd::NotRun),
     ];
--- a/crates/fakes/src/model/sim.rs
+++ b/crates/fakes/src/model/sim.rs
@@ -79,6 +79,7 @@
 enum Answer {
     Completed,
     NotRun,
+    Abandoned,
     Lost,
 }
 
@@ -549,6 +550,11 @@
                 entry.on_end(now_ms, stage.pool, attempt.upstream, AttemptEnd::Failed);
                 self.retry(index, true);
             }
+            (Answer::Abandoned, State::Ended(usage)) => {
+                let ratio = usage.engine_ms as f64 / attempt.expected_ms.max(1) as f64;
+                let end = AttemptEnd::Abandoned { ratio };
+                entry.on_end(now_ms, stage.pool, attempt.upstream, end);
+            }
             _ => {
                 entry.on_end(now_ms, stage.pool, attempt.upstream, AttemptEnd::NotRun);
                 self.retry(index, false);
@@ -629,7 +635,7 @@
                 self.agents[agent].upstream.end(index);
                 self.stop_running(index);
                 self.agents[agent].finish(self.now_us, index, CallEnd::Abandoned);
-                self.answer(index, Answer::NotRun);
+                self.answer(index, Answer::Abandoned);
             }
             _ => {}
         }
