Capacity: notice latency jumps earlier and believe calls before probes

After a jump only steady completions show warmth; a probe that reports it contradicts what the calls saw. The factors that make a jump and an outlier are 3.

--- a/crates/core/src/capacity/mod.rs
+++ b/crates/core/src/capacity/mod.rs
@@ -129,6 +129,8 @@
     phase: Phase,
     epoch: Epoch,
     boot_id: Option<u64>,
+    /// Whether a latency jump contradicts probes that report warmth.
+    doubts_probes: bool,
     calls: SlotMap<CallKey, Call>,
     ramp: Ramp,
     #[cfg(feature = "sabotage")]
@@ -143,6 +145,7 @@
             phase: COLD,
             epoch: Epoch(0),
             boot_id: None,
+            doubts_probes: false,
             calls: SlotMap::with_key(),
             ramp: Ramp::new(config.cold_limit(), config.ceiling()),
             #[cfg(feature = "sabotage")]
@@ -241,7 +244,7 @@
         }
 
         match probe.warm {
-            Some(true) if self.counts_in_epoch(probe.epoch) => self.become_warm(),
+            Some(true) if self.shows_warmth(&probe) => self.become_warm(),
             Some(false) => self.clamp(),
             _ => {}
         }
@@ -295,7 +298,7 @@
             }
         }
         if overdue >= OVERDUE_CALLS {
-            self.clamp();
+            self.on_jump();
         }
     }
 
@@ -316,14 +319,20 @@
 
     fn on_warm_sample(&mut self, ratio: f64, ok: bool) {
         if self.ramp.on_sample(ratio, ok) == Sample::Jump {
-            self.clamp();
+            self.on_jump();
         }
     }
 
+    fn on_jump(&mut self) {
+        self.clamp();
+        self.doubts_probes = true;
+    }
+
     fn become_warm(&mut self) {
         if self.phase == Phase::Warm {
             return;
         }
+        self.doubts_probes = false;
         self.phase = Phase::Warm;
         self.ramp.restart();
     }
@@ -331,6 +340,7 @@
     /// Assumes a cold start: whatever was known of the upstream before counts no more.
     fn clamp(&mut self) {
         self.phase = COLD;
+        self.doubts_probes = false;
         self.epoch.0 = self.epoch.0.wrapping_add(1);
     }
 
@@ -345,6 +355,10 @@
         }
     }
 
+    fn shows_warmth(&self, probe: &Probe) -> bool {
+        self.counts_in_epoch(probe.epoch) && !self.doubts_probes
+    }
+
     fn counts_in_epoch(&self, epoch: Epoch) -> bool {
         #[cfg(feature = "sabotage")]
         if self.sabotage == Sabotage::AcceptOldEvidence {
--- a/crates/core/src/capacity/ramp.rs
+++ b/crates/core/src/capacity/ramp.rs
@@ -4,10 +4,10 @@
 //! shrinks by a quarter after a window that was slow or failed.
 
 /// Latency, relative to the usual one, above which a window counts as congested.
-const CONGESTED_FACTOR: f64 = 2.5;
+const CONGESTED_FACTOR: f64 = 2.0;
 
 /// Latency, relative to the usual one, above which a call counts towards a jump.
-const JUMP_FACTOR: f64 = 5.0;
+const JUMP_FACTOR: f64 = 3.0;
 
 /// Consecutive calls above the jump factor that make a jump.
 const JUMP_CALLS: u32 = 3;
--- a/crates/core/src/capacity/tests.rs
+++ b/crates/core/src/capacity/tests.rs
@@ -95,6 +95,17 @@
     assert!(capacity.is_cold());
 }
 
+#[test]
+fn steady_completions_rather_than_probes_end_a_latency_jump() {
+    let mut capacity = warm_capacity();
+    run_rounds(&mut capacity, 5, 100);
+    run_rounds(&mut capacity, 1, 2_000);
+    capacity.on_probe(probe(&capacity, 1, Some(true)));
+    assert!(capacity.is_cold());
+    run_rounds(&mut capacity, WARM_COMPLETIONS, 2_000);
+    assert!(!capacity.is_cold());
+}
+
 #[test]
 fn congestion_lowers_the_limit_step_by_step() {
     let mut capacity = warm_capacity();
--- a/crates/core/src/routing/health.rs
+++ b/crates/core/src/routing/health.rs
@@ -13,7 +13,7 @@
 const PROBE_TIMEOUT_MS: u64 = 10_000;
 
 /// Latency, relative to the rest of the pool, that ejects an upstream.
-const EJECT_LATENCY_FACTOR: f64 = 4.0;
+const EJECT_LATENCY_FACTOR: f64 = 3.0;
 
 /// Samples that the latency of an upstream rests on before it counts.
 const LATENCY_SAMPLES: u32 = 8;
