--- a/crates/core/src/capacity/mod.rs
+++ b/crates/core/src/capacity/mod.rs
@@ -21,6 +21,10 @@
 /// Calls overdue at the same time that count as a latency jump.
 const OVERDUE_CALLS: usize = 3;
 
+/// Time after a refused connection in which no call starts unless a probe is answered, in
+/// milliseconds.
+const CONNECT_BACKOFF_MS: u64 = 500;
+
 new_key_type! {
     /// Identifies a call in progress.
     pub struct CallKey;
@@ -108,8 +112,8 @@
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Phase {
-    /// The upstream stopped and has not answered since.
-    Stopped,
+    /// The upstream does not accept connections; without an end, until a probe is answered.
+    Stopped { until_ms: Option<u64> },
     /// The upstream may be in a cold start.
     Cold { steady: u32, last_ratio: Option<f64> },
     /// The upstream showed itself warm.
@@ -125,6 +129,8 @@
     phase: Phase,
     epoch: Epoch,
     boot_id: Option<u64>,
+    /// Whether a latency jump contradicts probes that report warmth.
+    doubts_probes: bool,
     calls: SlotMap<CallKey, Call>,
     ramp: Ramp,
     #[cfg(feature = "sabotage")]
@@ -139,6 +145,7 @@
             phase: COLD,
             epoch: Epoch(0),
             boot_id: None,
+            doubts_probes: false,
             calls: SlotMap::with_key(),
             ramp: Ramp::new(config.cold_limit(), config.ceiling()),
             #[cfg(feature = "sabotage")]
@@ -181,7 +188,7 @@
     /// Returns the number of calls that the upstream may run at once now.
     pub fn limit(&self) -> u32 {
         match self.phase {
-            Phase::Stopped => 0,
+            Phase::Stopped { .. } => 0,
             Phase::Cold { .. } => self.config.cold_limit(),
             Phase::Warm => self.warm_limit(),
         }
@@ -216,7 +223,7 @@
         let ratio = engine_ms as f64 / call.expected_ms as f64;
         let ok = end == CallEnd::Completed;
         match self.phase {
-            Phase::Stopped => {}
+            Phase::Stopped { .. } => {}
             Phase::Cold { steady, last_ratio } => {
                 self.on_cold_sample(steady, last_ratio, ratio, ok)
             }
@@ -232,23 +239,26 @@
         if probe.boot_id.is_some() {
             self.boot_id = probe.boot_id;
         }
-        if self.phase == Phase::Stopped {
+        if matches!(self.phase, Phase::Stopped { .. }) {
             self.phase = COLD;
         }
 
         match probe.warm {
-            Some(true) if self.counts_in_epoch(probe.epoch) => self.become_warm(),
+            Some(true) if self.shows_warmth(&probe) => self.become_warm(),
             Some(false) => self.clamp(),
             _ => {}
         }
     }
 
     /// Notes that a connection to the upstream was refused or timed out.
-    pub fn on_connect_failure(&mut self) {
+    ///
+    /// No call starts for a while, unless a probe is answered before.
+    pub fn on_connect_failure(&mut self, now_ms: u64) {
         if self.ignores_reset() {
             return;
         }
         self.clamp();
+        self.phase = Phase::Stopped { until_ms: Some(now_ms + CONNECT_BACKOFF_MS) };
     }
 
     /// Notes that a connection to the upstream broke.
@@ -262,11 +272,18 @@
     /// Notes that the upstream stopped; no call starts until a probe is answered.
     pub fn on_stop(&mut self) {
         self.clamp();
-        self.phase = Phase::Stopped;
+        self.phase = Phase::Stopped { until_ms: None };
     }
 
-    /// Checks the calls in progress for a latency jump.
+    /// Ends a backoff that is over and checks the calls in progress for a latency jump.
+    ///
+    /// Call it before [`Capacity::has_room`] or [`Capacity::limit`].
     pub fn on_tick(&mut self, now_ms: u64) {
+        if let Phase::Stopped { until_ms: Some(until_ms) } = self.phase
+            && now_ms >= until_ms
+        {
+            self.phase = COLD;
+        }
         if self.phase != Phase::Warm {
             return;
         }
@@ -281,7 +298,7 @@
             }
         }
         if overdue >= OVERDUE_CALLS {
-            self.clamp();
+            self.on_jump();
         }
     }
 
@@ -302,14 +319,20 @@
 
     fn on_warm_sample(&mut self, ratio: f64, ok: bool) {
         if self.ramp.on_sample(ratio, ok) == Sample::Jump {
-            self.clamp();
+            self.on_jump();
         }
     }
 
+    fn on_jump(&mut self) {
+        self.clamp();
+        self.doubts_probes = true;
+    }
+
     fn become_warm(&mut self) {
         if self.phase == Phase::Warm {
             return;
         }
+        self.doubts_probes = false;
         self.phase = Phase::Warm;
         self.ramp.restart();
     }
@@ -317,6 +340,7 @@
     /// Assumes a cold start: whatever was known of the upstream before counts no more.
     fn clamp(&mut self) {
         self.phase = COLD;
+        self.doubts_probes = false;
         self.epoch.0 = self.epoch.0.wrapping_add(1);
     }
 
@@ -331,6 +355,10 @@
         }
     }
 
+    fn shows_warmth(&self, probe: &Probe) -> bool {
+        self.counts_in_epoch(probe.epoch) && !self.doubts_probes
+    }
+
     fn counts_in_epoch(&self, epoch: Epoch) -> bool {
         #[cfg(feature = "sabotage")]
         if self.sabotage == Sabotage::AcceptOldEvidence {
