--- a/crates/fakes/src/bench/closed_loop.rs
+++ b/crates/fakes/src/bench/closed_loop.rs
@@ -1,6 +1,7 @@
 //! Closed loop: each caller makes its next call as soon as the last one ended.
 
 use std::{
+    collections::BTreeMap,
     future::Future,
     sync::{
         Arc,
@@ -14,13 +15,16 @@
 
 use crate::load::tally::histogram;
 
+/// Numbers of calls without the right answer, by what came instead.
+pub type Faults = BTreeMap<String, u64>;
+
 /// Results of a closed loop.
 #[derive(Clone, Debug)]
 pub struct ClosedLoop {
     /// Latency of right answers, in microseconds.
     pub latency_us: Histogram<u64>,
-    /// Calls without the right answer.
-    pub faults: u64,
+    /// Calls without the right answer, by what came instead.
+    pub faults: Faults,
     /// Length of the run in seconds.
     pub seconds: f64,
 }
@@ -32,12 +36,12 @@
     }
 }
 
-/// Runs `callers` callers for `length`; `call` gets a number of its own and tells whether the
-/// answer was right.
+/// Runs `callers` callers for `length`; `call` gets a number of its own and returns what came
+/// instead of the right answer, if so.
 pub async fn run<F, Fut>(callers: usize, length: Duration, call: F) -> ClosedLoop
 where
     F: Fn(u64) -> Fut + Clone + Send + 'static,
-    Fut: Future<Output = bool> + Send + 'static,
+    Fut: Future<Output = Result<(), String>> + Send + 'static,
 {
     let next = Arc::new(AtomicU64::new(0));
     let start = Instant::now();
@@ -46,33 +50,34 @@
         tasks.spawn(one_caller(start + length, next.clone(), call.clone()));
     }
     let mut latency_us = histogram();
-    let mut faults = 0;
+    let mut faults = Faults::new();
     while let Some(joined) = tasks.join_next().await {
         let Ok((times, failed)) = joined else {
-            faults += 1;
+            *faults.entry("caller failed".to_owned()).or_default() += 1;
             continue;
         };
-        faults += failed;
+        for (fault, count) in failed {
+            *faults.entry(fault).or_default() += count;
+        }
         // Both histograms have the same bounds, so adding cannot fail.
         let _ = latency_us.add(times);
     }
     ClosedLoop { latency_us, faults, seconds: start.elapsed().as_secs_f64() }
 }
 
-async fn one_caller<F, Fut>(end: Instant, next: Arc<AtomicU64>, call: F) -> (Histogram<u64>, u64)
+async fn one_caller<F, Fut>(end: Instant, next: Arc<AtomicU64>, call: F) -> (Histogram<u64>, Faults)
 where
     F: Fn(u64) -> Fut,
-    Fut: Future<Output = bool>,
+    Fut: Future<Output = Result<(), String>>,
 {
     let mut times = histogram();
-    let mut faults = 0;
+    let mut faults = Faults::new();
     while Instant::now() < end {
         let number = next.fetch_add(1, Ordering::Relaxed);
         let begin = Instant::now();
-        if call(number).await {
-            times.saturating_record(begin.elapsed().as_micros() as u64);
-        } else {
-            faults += 1;
+        match call(number).await {
+            Ok(()) => times.saturating_record(begin.elapsed().as_micros() as u64),
+            Err(fault) => *faults.entry(fault).or_default() += 1,
         }
     }
     (times, faults)
--- a/crates/fakes/src/bench/direct.rs
+++ b/crates/fakes/src/bench/direct.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     stack::{
-        caller::{Caller, CallerError},
+        caller::{Answer, Caller, CallerError},
         expected,
     },
     upstream::engine,
@@ -37,17 +37,46 @@
     pub engine: SocketAddr,
 }
 
-/// Calls a service stand-in; returns whether the answer is right.
-pub async fn service(caller: &Caller, upstream: SocketAddr, number: u64) -> bool {
+/// Calls a service stand-in.
+///
+/// # Errors
+///
+/// Returns what came instead of the right answer.
+pub async fn service(caller: &Caller, upstream: SocketAddr, number: u64) -> Result<(), String> {
     let path = format!("/order/{number}");
-    let Ok(answer) = caller.send(upstream, "GET", &path, &[], "").await else { return false };
-    answer.body == engine::serve_call("GET", &path, "")
+    let answer = caller.send(upstream, "GET", &path, &[], "").await;
+    expect(answer, |body| *body == engine::serve_call("GET", &path, ""))
 }
 
-/// Runs the demo pipeline's four calls in order; returns whether the text is right.
-pub async fn pipeline(caller: &Caller, stages: StageAddresses, input: &str) -> bool {
-    let text = four_calls(caller, stages, input).await;
-    text.is_ok_and(|it| it == expected::pipeline(input).text)
+/// Compares an answer with the expected one.
+///
+/// # Errors
+///
+/// Returns what came instead of the right answer: the reason and outcome of a problem document, the
+/// fault of the exchange, or `wrong answer`.
+pub fn expect(
+    answer: Result<Answer, CallerError>,
+    is_right: impl FnOnce(&Value) -> bool,
+) -> Result<(), String> {
+    let answer = answer.map_err(|it| it.detail)?;
+    if answer.status == 200 && is_right(&answer.body) {
+        return Ok(());
+    }
+    let text = |name: &str| answer.body[name].as_str().map(str::to_owned);
+    match (text("reason"), text("outcome")) {
+        (Some(reason), Some(outcome)) => Err(format!("{reason}/{outcome}")),
+        _ => Err("wrong answer".to_owned()),
+    }
+}
+
+/// Runs the demo pipeline's four calls in order.
+///
+/// # Errors
+///
+/// Returns what came instead of the right text.
+pub async fn pipeline(caller: &Caller, stages: StageAddresses, input: &str) -> Result<(), String> {
+    let text = four_calls(caller, stages, input).await.map_err(|it| it.detail)?;
+    if text == expected::pipeline(input).text { Ok(()) } else { Err("wrong answer".to_owned()) }
 }
 
 async fn four_calls(
--- a/crates/fakes/src/bench/overhead.rs
+++ b/crates/fakes/src/bench/overhead.rs
@@ -68,7 +68,7 @@
             let path = format!("/order/{number}");
             let target = format!("/v1/services/work-orders{path}");
             let answer = caller.send(entry, "GET", &target, &[], "").await;
-            answer.is_ok_and(|it| it.body == engine::serve_call("GET", &path, ""))
+            direct::expect(answer, |it| *it == engine::serve_call("GET", &path, ""))
         }
     })
     .await
@@ -83,7 +83,7 @@
             let input = format!("riser {number}");
             let answer = caller.pipeline(entry, "read-back", &input).await;
             let expected = expected::pipeline(&input).text;
-            answer.is_ok_and(|it| it.body["output"]["text"] == expected.as_str())
+            direct::expect(answer, |it| it["output"]["text"] == expected.as_str())
         }
     })
     .await
@@ -102,7 +102,7 @@
             p50_us: added(direct_times.p50_us, through_times.p50_us),
             p99_us: added(direct_times.p99_us, through_times.p99_us),
         },
-        faults: direct.faults + through.faults,
+        faults: direct.faults.values().chain(through.faults.values()).sum(),
     }
 }
 
--- a/crates/fakes/src/bench/report.rs
+++ b/crates/fakes/src/bench/report.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::closed_loop::Faults;
 use crate::{load::report::Quantiles, measure::machine::Machine};
 
 /// Latency added for each stage call.
@@ -31,7 +32,7 @@
 }
 
 /// One round of most calls a second.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Throughput {
     /// Callers, each with one call in progress.
     pub callers: usize,
@@ -39,8 +40,8 @@
     pub per_second: f64,
     /// Latency of right answers.
     pub latency: Quantiles,
-    /// Calls without the right answer.
-    pub faults: u64,
+    /// Calls without the right answer, by what came instead.
+    pub faults: Faults,
     /// Processor time of the entry for each call, in microseconds.
     pub entry_cpu_us: f64,
     /// Processor time of all agents for each call, in microseconds.
@@ -125,13 +126,16 @@
                 round.per_second,
                 millis(round.latency.p50_us),
                 millis(round.latency.p99_us),
-                round.faults,
+                round.faults.values().sum::<u64>(),
                 round.entry_cpu_us,
                 round.agent_cpu_us,
                 round.upstream_cpu_us,
                 round.caller_cpu_us,
                 round.per_core()
             );
+            for (fault, count) in &round.faults {
+                let _ = writeln!(table, "          {count} x {fault}");
+            }
         }
     }
 }
--- a/crates/fakes/src/bench/throughput.rs
+++ b/crates/fakes/src/bench/throughput.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{closed_loop, report::Throughput};
+use super::{closed_loop, direct, report::Throughput};
 use crate::{
     load::report::Quantiles,
     measure::usage::Usage,
@@ -30,7 +30,7 @@
             let path = format!("/order/{number}");
             let target = format!("/v1/services/work-orders{path}");
             let answer = caller.send(entry, "GET", &target, &[], "").await;
-            answer.is_ok_and(|it| it.body == engine::serve_call("GET", &path, ""))
+            direct::expect(answer, |it| *it == engine::serve_call("GET", &path, ""))
         }
     })
     .await;
--- a/crates/fakes/src/capacity/calls.rs
+++ b/crates/fakes/src/capacity/calls.rs
@@ -9,7 +9,7 @@
     slope::Slope,
 };
 use crate::{
-    bench::closed_loop,
+    bench::{closed_loop, direct},
     stack::{plan::DEMO_DOCUMENT, run::StackError},
     upstream::state::Switches,
 };
@@ -194,7 +194,7 @@
             let path = "/v1/services/work-orders/notices";
             let headers = [("idempotency-key", key.as_str())];
             let answer = caller.send(entry, "POST", path, &headers, "{}").await;
-            answer.is_ok_and(|it| it.status == 200)
+            direct::expect(answer, |_| true)
         }
     })
     .await;
--- /dev/null
+++ b/crates/fakes/tests/load_run.rs
@@ -0,0 +1,30 @@
+//! A short load on the real processes: every answer is the expected one.
+
+use yuccatrail_fakes::{
+    load::{
+        plan::{Mix, Phase},
+        run::{self, LoadSettings},
+        tally::Deadlines,
+    },
+    stack::{
+        plan::StackPlan,
+        run::{Stack, StackError},
+    },
+};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_of_a_short_load_are_right() -> Result<(), StackError> {
+    let stack = Stack::start(StackPlan::sized(1, 1)).await?;
+    let settings = LoadSettings {
+        entries: vec![stack.entry(0)],
+        phases: vec![Phase { seconds: 1.0, rate_per_second: 20.0, mix: Mix::demo() }],
+        seed: 1,
+        run: "load-run".to_owned(),
+        deadlines: Deadlines { pipeline_ms: 8_000, service_ms: 4_000 },
+    };
+    let tally = run::run(&settings).await;
+    stack.close().await?;
+    assert!(tally.sent > 0);
+    assert_eq!((tally.wrong, tally.broken), (0, 0), "{:?}", tally.examples);
+    Ok(())
+}
--- /dev/null
+++ b/crates/fakes/tests/scenario_checks.rs
@@ -0,0 +1,90 @@
+//! Checks of scenarios recognize each kind of violation.
+
+use yuccatrail_fakes::{
+    load::{
+        call::{Observation, Verdict},
+        plan::{CallKind, PlannedCall},
+        tally::{Deadlines, Tally},
+    },
+    scenarios::{check::violations, drive::Driven, observe::Totals},
+};
+
+const DEADLINES: Deadlines = Deadlines { pipeline_ms: 2_000, service_ms: 1_000 };
+
+fn observation(verdict: Verdict, latency_us: u64) -> Observation {
+    let call = PlannedCall {
+        number: 0,
+        at_us: 0,
+        kind: CallKind::ServiceRead,
+        customer: "lone-star".to_owned(),
+    };
+    Observation {
+        call,
+        verdict,
+        request_id: Some("request-1".to_owned()),
+        latency_us,
+        first_token_us: None,
+        token_gaps_us: Vec::new(),
+    }
+}
+
+fn refused(outcome: &str) -> Verdict {
+    Verdict::Refused { reason: "busy".to_owned(), outcome: outcome.to_owned() }
+}
+
+fn tally_of(verdict: Verdict) -> Tally {
+    let mut tally = Tally::new(DEADLINES);
+    tally.add(observation(verdict, 10));
+    tally
+}
+
+#[test]
+fn nothing_is_found_where_nothing_is_wrong() {
+    let mut totals = Totals::default();
+    totals.runs_by_key.insert("key-1".to_owned(), 1);
+    totals.runs_by_request.insert("request-2".to_owned(), 2);
+    let tally = tally_of(refused("not_run"));
+    assert!(violations(&tally, &totals, &Driven::default()).is_empty());
+}
+
+#[test]
+fn doubled_run_is_found() {
+    let mut totals = Totals::default();
+    totals.runs_by_key.insert("key-1".to_owned(), 2);
+    let found = violations(&tally_of(Verdict::Right), &totals, &Driven::default());
+    assert!(found.iter().any(|it| it.contains("key-1")));
+}
+
+#[test]
+fn untrue_not_run_is_found() {
+    let mut totals = Totals::default();
+    totals.runs_by_request.insert("request-1".to_owned(), 1);
+    let found = violations(&tally_of(refused("not_run")), &totals, &Driven::default());
+    assert!(found.iter().any(|it| it.contains("request-1")));
+    assert!(violations(&tally_of(refused("unknown")), &totals, &Driven::default()).is_empty());
+}
+
+#[test]
+fn wrong_and_broken_answers_are_found() {
+    for verdict in [Verdict::Wrong("text".to_owned()), Verdict::Broken("cut".to_owned())] {
+        let found = violations(&tally_of(verdict), &Totals::default(), &Driven::default());
+        assert!(!found.is_empty());
+    }
+}
+
+#[test]
+fn overloads_and_calls_in_a_data_centre_that_is_out_are_found() {
+    let totals = Totals { overloads: 1, ..Totals::default() };
+    assert_eq!(violations(&tally_of(Verdict::Right), &totals, &Driven::default()).len(), 1);
+    let driven = Driven { calls_while_out: 1, ..Driven::default() };
+    assert_eq!(violations(&tally_of(Verdict::Right), &Totals::default(), &driven).len(), 1);
+}
+
+#[test]
+fn right_answer_after_the_deadline_is_late() {
+    let mut tally = Tally::new(DEADLINES);
+    tally.add(observation(Verdict::Right, 999_999));
+    tally.add(observation(Verdict::Right, 1_000_001));
+    assert_eq!((tally.on_time, tally.late), (1, 1));
+    assert!((tally.attainment() - 0.5).abs() < 1e-9);
+}
