Wait for cold upstreams instead of failing a request that has begun

Cause: 200 requests at once turned warm stand-ins cold, because three calls of 3 ms after calls of 1 ms counted as a latency jump at an expected 20 ms; the entry then refused mid-pipeline. Ruled out: the admission alone (the refusals came from routing). Now a call within its expected duration is no sign of a cold start, a begun request waits for an upstream, the load report tells the outlook of a limit that still doubles, and a customer that is alone is never above its share.

--- a/crates/core/src/admission/fairness.rs
+++ b/crates/core/src/admission/fairness.rs
@@ -62,6 +62,10 @@
             }
         }
         let customer = &self.customers[key];
+        // Nobody else wants the part of a customer that is alone.
+        if active_shares <= f64::from(customer.share) {
+            return 0.0;
+        }
         let part_ms = admitted_ms * f64::from(customer.share) / active_shares.max(1.0);
         if part_ms > 0.0 { customer.admitted_ms / part_ms } else { 0.0 }
     }
--- a/crates/core/src/agent/core.rs
+++ b/crates/core/src/agent/core.rs
@@ -230,7 +230,7 @@
         self.queue.finish(call.waiting.entry);
         self.capacity.finish(now_ms, call.call, call_end(result));
         if *result == CallResult::NotConnected {
-            self.capacity.on_connect_failure();
+            self.capacity.on_connect_failure(now_ms);
         }
         let usage = usage(call.started_ms, now_ms, call.queued_ms, call.tokens);
         self.changed.push(call.waiting.attempt);
@@ -286,7 +286,7 @@
                 self.capacity.on_probe(Probe { epoch, boot_id, warm });
             }
             ProbeResult::Refused => self.capacity.on_stop(),
-            ProbeResult::Silent => self.capacity.on_connect_failure(),
+            ProbeResult::Silent => self.capacity.on_connect_failure(now_ms),
         }
         let Some(stop) = stop else { return Vec::new() };
         let agent = self.settings.incarnation;
@@ -318,6 +318,7 @@
             running: self.calls.len() as u32,
             queued: self.queue.queued(),
             limit: self.capacity.limit(),
+            outlook: self.capacity.outlook(),
             cold: self.capacity.is_cold(),
             draining: self.gate.is_draining(),
         }
--- a/crates/core/src/capacity/mod.rs
+++ b/crates/core/src/capacity/mod.rs
@@ -194,6 +194,16 @@
         }
     }
 
+    /// Returns the number of calls that the upstream is expected to run at once shortly.
+    ///
+    /// It exceeds the limit of a warm upstream whose limit still doubles.
+    pub fn outlook(&self) -> u32 {
+        match self.phase {
+            Phase::Warm => self.ramp.outlook().max(self.limit()),
+            Phase::Stopped { .. } | Phase::Cold { .. } => self.limit(),
+        }
+    }
+
     /// Tells whether a call may start now.
     pub fn has_room(&self) -> bool {
         self.running() < self.limit()
--- a/crates/core/src/capacity/ramp.rs
+++ b/crates/core/src/capacity/ramp.rs
@@ -9,6 +9,9 @@
 /// Latency, relative to the usual one, above which a call counts towards a jump.
 const JUMP_FACTOR: f64 = 3.0;
 
+/// Ratio of actual to expected duration up to which a call is never a sign of a cold start.
+const UNSUSPICIOUS_RATIO: f64 = 1.0;
+
 /// Consecutive calls above the jump factor that make a jump.
 const JUMP_CALLS: u32 = 3;
 
@@ -18,6 +21,9 @@
 /// Part of the difference by which a slower call raises the usual latency.
 const BASELINE_RISE: f64 = 0.02;
 
+/// Factor by which a limit that still doubles is expected to grow shortly.
+const OUTLOOK_FACTOR: u32 = 8;
+
 /// What a completed call says about the upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Sample {
@@ -80,9 +86,17 @@
         self.limit
     }
 
+    /// Returns the number of calls that are expected to run at once shortly, if there are that many.
+    pub(crate) fn outlook(&self) -> u32 {
+        match self.doubling {
+            true => self.limit.saturating_mul(OUTLOOK_FACTOR).min(self.ceiling),
+            false => self.limit,
+        }
+    }
+
     /// Returns the ratio above which a call is overdue, once the usual latency is known.
     pub(crate) fn jump_ratio(&self) -> Option<f64> {
-        self.baseline.map(|it| it * JUMP_FACTOR)
+        self.baseline.map(jump_ratio)
     }
 
     /// Notes that a call started and `running` calls are now in progress.
@@ -115,7 +129,7 @@
             return;
         };
 
-        if ratio > baseline * JUMP_FACTOR {
+        if ratio > jump_ratio(baseline) {
             self.slow_streak += 1;
         } else {
             self.slow_streak = 0;
@@ -150,3 +164,10 @@
         succeeded > 0 && window.ratio_sum / f64::from(succeeded) > baseline * CONGESTED_FACTOR
     }
 }
+
+/// Returns the ratio above which a call is a sign of a cold start.
+///
+/// Where calls are far faster than expected, three times their usual duration still is no trouble.
+fn jump_ratio(baseline: f64) -> f64 {
+    (baseline * JUMP_FACTOR).max(UNSUSPICIOUS_RATIO)
+}
--- a/crates/core/src/routing/pool.rs
+++ b/crates/core/src/routing/pool.rs
@@ -22,6 +22,8 @@
     pub queued: u32,
     /// Calls that the upstream may run at once.
     pub limit: u32,
+    /// Calls that the upstream is expected to run at once shortly.
+    pub outlook: u32,
     /// Whether the upstream is in a cold start.
     pub cold: bool,
     /// Whether the agent refuses new work.
@@ -31,7 +33,8 @@
 impl LoadReport {
     /// Returns what is assumed of an upstream that has not reported: cold and idle.
     pub fn unknown(cold_limit: u32) -> Self {
-        Self { running: 0, queued: 0, limit: cold_limit.max(1), cold: true, draining: false }
+        let limit = cold_limit.max(1);
+        Self { running: 0, queued: 0, limit, outlook: limit, cold: true, draining: false }
     }
 }
 
@@ -44,7 +47,7 @@
     pub outstanding: u32,
     /// Part of the outstanding calls that this entry sent.
     pub own: u32,
-    /// Calls that they may run at once.
+    /// Calls that they are expected to run at once shortly.
     pub limit: u32,
 }
 
@@ -266,7 +269,7 @@
             pool.upstreams += 1;
             pool.outstanding += load.running + load.queued + upstream.sent_since_reply;
             pool.own += upstream.in_flight;
-            pool.limit += load.limit;
+            pool.limit += load.outlook;
         }
         pool
     }
--- a/crates/entry/src/policy.rs
+++ b/crates/entry/src/policy.rs
@@ -2,6 +2,7 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use log::info;
 use yuccatrail_core::{
     FastMap,
     admission::{Admission, AdmissionKey, StageWork},
@@ -109,7 +110,10 @@
     }
     let State { admission, estimates, .. } = &mut *state;
     let customer = admission.customer(&request.customer, share);
-    let admitted = admission.admit(now_ms, estimates, customer, request.deadline_ms, &stages)?;
+    let admitted = admission.admit(now_ms, estimates, customer, request.deadline_ms, &stages);
+    let admitted = admitted.inspect_err(|refusal| {
+        info!(request:% = request.id, reason:% = refusal.reason; "request not admitted: {stages:?}");
+    })?;
     Ok(AdmittedRequest { entry: entry.clone(), key: admitted.key })
 }
 
--- a/crates/entry/src/run/stage.rs
+++ b/crates/entry/src/run/stage.rs
@@ -26,6 +26,10 @@
 
 /// Attempts of one stage, over all upstreams.
 const MAX_ATTEMPTS: u16 = 6;
+/// Time between two choices while no upstream can take the attempt.
+const CHOICE_INTERVAL: Duration = Duration::from_millis(20);
+/// Longest wait for an upstream to become reachable in a request that has begun, in milliseconds.
+const REACHABLE_WAIT_MS: u64 = 1_500;
 /// Time after which a caller may try again when no upstream is left, in milliseconds.
 const NO_UPSTREAM_RETRY_AFTER_MS: u64 = 500;
 
@@ -51,6 +55,7 @@
     work: &'a StageWork<'a>,
     tried: Vec<UpstreamKey>,
     next_number: u16,
+    begun_ms: u64,
     estimate_ms: u64,
 }
 
@@ -87,7 +92,9 @@
     work: &StageWork<'_>,
 ) -> Result<Output, Refusal> {
     let estimate_ms = entry.policy.expected_ms(work.demand);
-    let mut run = StageRun { entry, request, work, tried: Vec::new(), next_number: 0, estimate_ms };
+    let begun_ms = entry.clock.now_ms();
+    let mut run =
+        StageRun { entry, request, work, tried: Vec::new(), next_number: 0, begun_ms, estimate_ms };
     let mut execution = Execution::NotRun;
     let mut last = Refusal::not_run(Reason::NoUpstream, NO_UPSTREAM_RETRY_AFTER_MS);
     while run.next_number < MAX_ATTEMPTS {
@@ -100,6 +107,11 @@
         };
         let (chosen, id) = match run.choose(alone) {
             Ok(chosen) => chosen,
+            Err(reason) if run.may_wait(reason) => {
+                tokio::time::sleep(CHOICE_INTERVAL).await;
+                run.tried.clear();
+                continue;
+            }
             Err(reason) => {
                 // The refusal of an earlier attempt says more than that nothing is left to try.
                 if run.next_number == 0 {
@@ -142,6 +154,7 @@
         work,
         tried: std::mem::take(tried),
         next_number: number,
+        begun_ms: entry.clock.now_ms(),
         estimate_ms,
     };
     let chosen = run.choose(alone);
@@ -173,7 +186,6 @@
             number: self.next_number,
             entry: self.entry.incarnation,
         };
-        self.next_number += 1;
         let chosen = match chosen {
             Ok(chosen) => chosen,
             Err(reason) => {
@@ -181,6 +193,7 @@
                 return Err(reason);
             }
         };
+        self.next_number += 1;
         info!(
             attempt:% = id,
             pool = pool.as_str(),
@@ -285,6 +298,22 @@
         })
     }
 
+    /// Decides whether to choose again shortly when no upstream can take the attempt.
+    ///
+    /// A request whose earlier stages have run is worth a wait; one that has not begun is refused at
+    /// once, unless a cold upstream is about to have room.
+    fn may_wait(&self, reason: Reason) -> bool {
+        let now_ms = self.entry.clock.now_ms();
+        if now_ms + self.estimate_ms > self.request.deadline_ms {
+            return false;
+        }
+        let has_begun = self.work.index.0 > 0 || self.next_number > 0;
+        match reason {
+            Reason::Cold => true,
+            _ => has_begun && now_ms < self.begun_ms + REACHABLE_WAIT_MS,
+        }
+    }
+
     /// Decides whether another attempt may follow a failed one.
     fn may_retry(&self, failure: &Failure) -> bool {
         let refusal = failure.refusal;
--- a/crates/fakes/src/model/agent.rs
+++ b/crates/fakes/src/model/agent.rs
@@ -87,11 +87,13 @@
         let draining = self.draining;
         if self.mode == Mode::Baseline {
             let queued = self.fifo.len() as u32;
-            return LoadReport { running, queued, limit: self.concurrency, cold: false, draining };
+            let limit = self.concurrency;
+            return LoadReport { running, queued, limit, outlook: limit, cold: false, draining };
         }
         let queued = self.queue.queued();
         let limit = self.capacity.limit();
-        LoadReport { running, queued, limit, cold: self.capacity.is_cold(), draining }
+        let outlook = self.capacity.outlook();
+        LoadReport { running, queued, limit, outlook, cold: self.capacity.is_cold(), draining }
     }
 
     /// Queues an attempt; returns the one that made room for it.
--- a/crates/fakes/src/stack/process.rs
+++ b/crates/fakes/src/stack/process.rs
@@ -17,6 +17,8 @@
     sync::watch,
 };
 
+/// Environment variable that makes the harness pass on the processes' logs.
+const ECHO_VARIABLE: &str = "YUCCATRAIL_ECHO_LOGS";
 /// Time in which a process has to start listening.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time in which a planned stop has to finish.
@@ -181,6 +183,9 @@
         if let Some(addresses) = listening(&line) {
             found.send_replace(Some(addresses));
         }
+        if std::env::var_os(ECHO_VARIABLE).is_some() {
+            eprintln!("{line}");
+        }
         log.lock().unwrap_or_else(PoisonError::into_inner).push(line);
     }
 }
