--- a/crates/fakes/src/capacity/decisions.rs
+++ b/crates/fakes/src/capacity/decisions.rs
@@ -114,7 +114,7 @@
     let mut view = PoolView::new();
     for number in 0..candidates {
         let key = view.add(0, number as u64, number % 2 == 0, 1);
-        let load = LoadReport { running: 3, queued: 0, limit: 32, cold: false, draining: false };
+        let load = LoadReport { running: 3, limit: 32, ..LoadReport::default() };
         view.on_reply(500, key, load);
     }
     view
