--- a/crates/fakes/src/platform/server.rs
+++ b/crates/fakes/src/platform/server.rs
@@ -122,7 +122,7 @@
         let now = Instant::now();
         let mut state = self.shared.state();
         for (collection, name, object) in seed.objects {
-            // The platform's own objects may be listed twice; the first one counts.
+            // An object that stands twice in the seed keeps its first form.
             let _ = state.store.create(&collection, &name, object, now);
         }
         self.shared.newest.send_replace(state.store.version());
--- a/crates/platform/src/watcher.rs
+++ b/crates/platform/src/watcher.rs
@@ -89,7 +89,7 @@
         self.task.is_finished()
     }
 
-    /// Stops the watcher and waits until it has let go of its connection.
+    /// Stops the watcher and waits until it has closed its connection.
     pub async fn close(self) {
         self.cancel.cancel();
         // The runtime reports a panic of the task by itself.
