--- a/crates/fakes/src/capacity/product.rs
+++ b/crates/fakes/src/capacity/product.rs
@@ -67,6 +67,8 @@
 
 impl Line {
     fn new(role: &str, item: &str, amount: f64, unit: &str, budget: Option<f64>) -> Self {
+        // A line through noisy points may lie below zero at a small size.
+        let amount = amount.max(0.0);
         Self { role: role.to_owned(), item: item.to_owned(), amount, unit: unit.to_owned(), budget }
     }
 }
--- a/crates/fakes/src/commands/scenarios.rs
+++ b/crates/fakes/src/commands/scenarios.rs
@@ -56,10 +56,12 @@
     let mut report = ScenarioReport { machine: Machine::describe(), results: Vec::new() };
     for scenario in &scenarios {
         for seed in arguments.seed..arguments.seed + arguments.repeat {
-            match run::run(scenario, seed).await {
-                Ok(result) => report.results.push(result),
-                Err(error) => report.results.push(failed(scenario, seed, &error.to_string())),
-            }
+            let result = match run::run(scenario, seed).await {
+                Ok(result) => result,
+                Err(error) => failed(scenario, seed, &error.to_string()),
+            };
+            eprintln!("{} with seed {seed}: {} violations", result.name, result.violations.len());
+            report.results.push(result);
         }
     }
     print!("{}", report.table());
