Pin the pause limit by an exhaustive test of short pauses

The new test walks all pauses of up to 1.1 s.

control_fuzz now also checks that processes serve once they hold both parts.

--- a/crates/core/tests/control_fuzz/world.rs
+++ b/crates/core/tests/control_fuzz/world.rs
@@ -195,6 +195,9 @@
         self.processes[0].adopt(published);
         let versions = self.gossip(0);
         assert_eq!(versions.config, self.config.version(), "the newest state is not in force");
+        for process in &self.processes {
+            assert_eq!(process.may_serve().is_ok(), versions.config > 0);
+        }
         self.check_records();
     }
 }
--- a/crates/core/tests/drain_fuzz/main.rs
+++ b/crates/core/tests/drain_fuzz/main.rs
@@ -88,6 +88,22 @@
     assert_holds::<DrainWorld>(RUN);
 }
 
+#[test]
+fn repeated_short_pauses_do_not_break_the_bound() {
+    for ticks in 1..12 {
+        for lead in 1..24 {
+            let mut world = DrainWorld::start(None);
+            world.agents[0].is_frozen = true;
+            world.change(0);
+            world.advance(lead);
+            // The agent wakes for long enough to take a call, and no longer.
+            world.agents[0].is_frozen = false;
+            world.submit(0);
+            world.stutter(0, ticks, 8);
+        }
+    }
+}
+
 #[cfg(feature = "sabotage")]
 #[test]
 fn the_oracle_notices_each_missing_mechanism() {
