--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -1,7 +1,7 @@
 //! Versions of the shared control state: configuration and operational state.
 //!
-//! Each process holds a [`ControlState`], which only ever moves to higher versions. Operators change
-//! the state with a [`PromoteFlow`], which accepts a change by one conditional update.
+//! Each process holds a [`ControlState`], which only ever moves to higher versions. Operators
+//! change the state with a [`PromoteFlow`], which accepts a change by one conditional update.
 
 mod operations;
 mod promote;
--- a/crates/core/src/control/promote.rs
+++ b/crates/core/src/control/promote.rs
@@ -51,7 +51,8 @@
 pub enum PromoteAction<T> {
     /// Read the object; after a failed call, with a delay.
     Read,
-    /// Write the object if its revision is `if_revision`, or if it does not exist when that is none.
+    /// Write the object if its revision is `if_revision`, or if it does not exist when that is
+    /// none.
     Write {
         /// Revision that the object must have.
         if_revision: Option<u64>,
@@ -232,8 +233,8 @@
             return self.propose(Some(revision), Some(&stored));
         };
         let current = (self.identify)(&stored.record);
-        // The object has not moved, so the write may still take effect later. Sending it again under
-        // the same condition settles it: at most one of the two can take effect.
+        // The object has not moved, so the write may still take effect later. Sending it again
+        // under the same condition settles it: at most one of the two can take effect.
         if current.version < write.version {
             return self.send(write);
         }
--- a/crates/core/src/control/state.rs
+++ b/crates/core/src/control/state.rs
@@ -87,7 +87,8 @@
         matches!(self, Self::Adopted { .. })
     }
 
-    /// Tells whether the record contradicts the one in force or itself, which an operator should know.
+    /// Tells whether the record contradicts the one in force or itself, which an operator should
+    /// know.
     pub fn is_alarming(&self) -> bool {
         matches!(self, Self::Conflict { .. } | Self::DigestMismatch { .. } | Self::Invalid { .. })
     }
--- a/crates/core/src/control/tests.rs
+++ b/crates/core/src/control/tests.rs
@@ -1,3 +1,5 @@
+//! Tests of control state and changes by operators.
+
 use std::sync::Arc;
 
 use super::*;
--- a/crates/core/src/document/fault.rs
+++ b/crates/core/src/document/fault.rs
@@ -6,7 +6,8 @@
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 #[display("line {line}: {path}: {kind}")]
 pub struct Fault {
-    /// Path of the key, such as `pipeline[1].stage[0].pool`; `document` for the document as a whole.
+    /// Path of the key, such as `pipeline[1].stage[0].pool`; `document` for the document as a
+    /// whole.
     pub path: String,
     /// Line of the text, counted from one.
     pub line: usize,
--- a/crates/core/src/document/tests.rs
+++ b/crates/core/src/document/tests.rs
@@ -1,3 +1,5 @@
+//! Tests of the parser of environment documents.
+
 use insta::assert_snapshot;
 
 use super::*;
--- a/crates/core/src/drain/freshness.rs
+++ b/crates/core/src/drain/freshness.rs
@@ -14,8 +14,8 @@
 pub struct FreshnessSettings {
     /// Longest gap between two ticks that does not count as a pause, in milliseconds.
     pub pause_limit_ms: u64,
-    /// Time after a pause for which the process waits for a confirmation, in milliseconds. It has to
-    /// cover the rounds in which control state spreads.
+    /// Time after a pause for which the process waits for a confirmation, in milliseconds. It has
+    /// to cover the rounds in which control state spreads.
     pub confirmation_grace_ms: u64,
 }
 
@@ -89,15 +89,16 @@
         }
     }
 
-    /// Upper bound on the age of the control state, in milliseconds; none if it was never confirmed.
+    /// Upper bound on the age of the control state, in milliseconds; none if it was never
+    /// confirmed.
     pub fn age_ms(&self, now_ms: u64) -> Option<u64> {
         self.known_as_of_ms.map(|it| now_ms.saturating_sub(it))
     }
 
     /// Tells whether the process may act on its control state.
     ///
-    /// After a pause that needs a confirmation. Where none comes, because neither the platform nor a
-    /// peer with recent knowledge can be reached, the process goes on after the grace.
+    /// After a pause that needs a confirmation. Where none comes, because neither the platform nor
+    /// a peer with recent knowledge can be reached, the process goes on after the grace.
     pub fn is_trusted(&mut self, now_ms: u64) -> bool {
         self.tick(now_ms);
         let Some(woke_ms) = self.woke_ms else {
--- a/crates/core/src/drain/gate.rs
+++ b/crates/core/src/drain/gate.rs
@@ -116,7 +116,8 @@
         self.freshness.confirm(sent_ms, age_ms);
     }
 
-    /// Upper bound on the age of the control state, in milliseconds; none if it was never confirmed.
+    /// Upper bound on the age of the control state, in milliseconds; none if it was never
+    /// confirmed.
     pub fn age_ms(&self, now_ms: u64) -> Option<u64> {
         self.freshness.age_ms(now_ms)
     }
@@ -130,7 +131,8 @@
         }
     }
 
-    /// Tells whether the agent may pass a queued call to the upstream; asked straight before it does.
+    /// Tells whether the agent may pass a queued call to the upstream; asked straight before it
+    /// does.
     pub fn may_dispatch(&mut self, now_ms: u64) -> Result<(), DispatchHold> {
         if let Some(reason) = self.refusal() {
             return Err(DispatchHold::Refused(reason));
--- a/crates/core/src/drain/tests.rs
+++ b/crates/core/src/drain/tests.rs
@@ -1,3 +1,5 @@
+//! Tests of the gate for new work and planned stops.
+
 use std::sync::Arc;
 
 use super::*;
--- a/crates/core/src/membership/directory.rs
+++ b/crates/core/src/membership/directory.rs
@@ -183,8 +183,8 @@
 
     /// Adds or renews one upstream of the list.
     ///
-    /// Another address means another process, of which nothing is known yet, so it gets a key of its
-    /// own; late answers of the former one then can't pass for its own.
+    /// Another address means another process, of which nothing is known yet, so it gets a key of
+    /// its own; late answers of the former one then can't pass for its own.
     fn list_upstream(&mut self, record: InstanceRecord) -> UpstreamKey {
         let known = self.key(&record.name);
         let key = match known.filter(|it| self.upstreams[*it].address() == record.address) {
--- a/crates/core/src/membership/tests.rs
+++ b/crates/core/src/membership/tests.rs
@@ -1,3 +1,5 @@
+//! Tests of the directory and the assignment of upstreams.
+
 use std::sync::Arc;
 
 use super::*;
--- a/crates/core/src/membership/upstream.rs
+++ b/crates/core/src/membership/upstream.rs
@@ -155,8 +155,8 @@
 
 /// Tells whether an answer was given after a known one.
 ///
-/// Answers of one run are ordered by the agent's clock, since an answer may be held back on purpose.
-/// Another run replaces the known one only if it answered a later question.
+/// Answers of one run are ordered by the agent's clock, since an answer may be held back on
+/// purpose. Another run replaces the known one only if it answered a later question.
 fn is_later(evidence: &Evidence, known: &Evidence) -> bool {
     match evidence.incarnation == known.incarnation {
         true => evidence.agent_now_ms >= known.agent_now_ms,
--- a/crates/core/src/placement/fence.rs
+++ b/crates/core/src/placement/fence.rs
@@ -24,8 +24,8 @@
 
 /// Guards one upstream against orders with old fencing numbers.
 ///
-/// The guard serves upstreams that ignore the numbers as well as those that check them. It passes one
-/// order at a time, so that no order can overtake another on its way.
+/// The guard serves upstreams that ignore the numbers as well as those that check them. It passes
+/// one order at a time, so that no order can overtake another on its way.
 #[derive(Clone, Debug)]
 pub struct FenceGuard {
     highest: Option<FencingNumber>,
@@ -40,8 +40,9 @@
 impl FenceGuard {
     /// Creates the guard of an agent that starts at `now_ms`.
     ///
-    /// `settle_ms` is the time for which an order of an earlier run of the agent, or one whose answer
-    /// was lost, may still arrive; zero is enough for an upstream that checks the numbers itself.
+    /// `settle_ms` is the time for which an order of an earlier run of the agent, or one whose
+    /// answer was lost, may still arrive; zero is enough for an upstream that checks the numbers
+    /// itself.
     pub fn new(now_ms: u64, settle_ms: u64) -> Self {
         Self {
             highest: None,
@@ -58,8 +59,8 @@
         self.switch.turn_off(mechanism);
     }
 
-    /// Notes a number that was read after the agent's start: that of the platform's lease record, or
-    /// the highest that the upstream reports to have taken.
+    /// Notes a number that was read after the agent's start: that of the platform's lease record,
+    /// or the highest that the upstream reports to have taken.
     pub fn learn(&mut self, fence: FencingNumber) {
         self.highest = self.highest.max(Some(fence));
     }
--- a/crates/core/src/placement/keeper.rs
+++ b/crates/core/src/placement/keeper.rs
@@ -271,7 +271,8 @@
         self.hold(write);
     }
 
-    /// Holds the lease from before the write was sent, so that it ends here before it does elsewhere.
+    /// Holds the lease from before the write was sent, so that it ends here before it does
+    /// elsewhere.
     fn hold(&mut self, write: SentWrite) {
         let usable_ms = write.lease.duration_ms.saturating_sub(self.settings.margin_ms);
         let valid_until_ms = write.sent_ms + usable_ms;
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -1,3 +1,5 @@
+//! Tests of leases, fences and orders.
+
 use super::*;
 
 const SETTINGS: LeaseSettings =
