--- a/crates/core/src/placement/keeper.rs
+++ b/crates/core/src/placement/keeper.rs
@@ -162,7 +162,10 @@
     ///
     /// While a call is under way, the keeper waits for its event.
     pub fn tick(&mut self, now_ms: u64) -> LeaseAction {
-        if !matches!(self.call, Call::None) || now_ms < self.due_ms {
+        if !matches!(self.call, Call::None) {
+            return LeaseAction::Wait { until_ms: now_ms + self.settings.interval_ms };
+        }
+        if now_ms < self.due_ms {
             return LeaseAction::Wait { until_ms: self.due_ms };
         }
         let Some(seen) = self.seen else {
@@ -268,7 +271,8 @@
         self.hold(write);
     }
 
-    /// Holds the lease from before the write was sent, so that it ends here before it does elsewhere.
+    /// Holds the lease from before the write was sent, so that it ends here before it does
+    /// elsewhere.
     fn hold(&mut self, write: SentWrite) {
         let usable_ms = write.lease.duration_ms.saturating_sub(self.settings.margin_ms);
         let valid_until_ms = write.sent_ms + usable_ms;
