--- a/crates/fakes/src/stack/process.rs
+++ b/crates/fakes/src/stack/process.rs
@@ -112,6 +112,11 @@
         Ok(Self { name: name.to_owned(), address, admin_address, log, child })
     }
 
+    /// Returns the operating system's id of the process, unless it has ended.
+    pub fn id(&self) -> Option<u32> {
+        self.child.id()
+    }
+
     /// Sends a signal.
     ///
     /// # Errors
@@ -143,6 +148,21 @@
         Ok(())
     }
 
+    /// Ends the process without warning and keeps its address and log.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the process cannot be ended.
+    pub async fn end_now(&mut self) -> Result<(), ProcessError> {
+        self.child.kill().await?;
+        Ok(())
+    }
+
+    /// Tells whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        !matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Waits for the process's end.
     ///
     /// # Errors
@@ -180,7 +200,8 @@
 ) {
     let mut lines = BufReader::new(output).lines();
     while let Ok(Some(line)) = lines.next_line().await {
-        if let Some(addresses) = listening(&line) {
+        let is_known = found.borrow().is_some();
+        if !is_known && let Some(addresses) = listening(&line) {
             found.send_replace(Some(addresses));
         }
         if std::env::var_os(ECHO_VARIABLE).is_some() {
