--- a/crates/core/src/capacity/ramp.rs
+++ b/crates/core/src/capacity/ramp.rs
@@ -4,7 +4,7 @@
 //! shrinks by a quarter after a window that was slow or failed.
 
 /// Latency, relative to the usual one, above which a window counts as congested.
-const CONGESTED_FACTOR: f64 = 2.0;
+const CONGESTED_FACTOR: f64 = 2.5;
 
 /// Latency, relative to the usual one, above which a call counts towards a jump.
 const JUMP_FACTOR: f64 = 3.0;
--- a/crates/core/src/deadline/estimates.rs
+++ b/crates/core/src/deadline/estimates.rs
@@ -8,7 +8,7 @@
 const SAMPLE_WEIGHT: f64 = 0.05;
 
 /// Multiple of the mean deviation that a safe estimate adds.
-const SAFE_DEVIATIONS: f64 = 2.0;
+const SAFE_DEVIATIONS: f64 = 1.0;
 
 /// Largest factor by which one sample may pull the averages.
 const MAX_PULL: f64 = 8.0;
