--- a/crates/fakes/src/model/entry.rs
+++ b/crates/fakes/src/model/entry.rs
@@ -7,8 +7,8 @@
     hedge::{HedgeDecision, HedgeQuery, RecentLatency, RetryBudget, decide},
     outcome::{Refusal, Usage},
     routing::{
-        AttemptEnd, LoadReport, NoChoice, Policy, PoolView, RandomNumbers, RouteContext,
-        UpstreamKey, choose,
+        AttemptEnd, LoadReport, NoChoice, PoolView, RandomNumbers, RouteContext, UpstreamKey,
+        choose,
     },
 };
 
@@ -38,6 +38,8 @@
     customers: Vec<CustomerKey>,
     estimates: StageEstimates,
     pools: Vec<PoolState>,
+    /// Choices made so far.
+    turn: u64,
 }
 
 /// A completed attempt as the entry learns from it.
@@ -88,7 +90,7 @@
             declared.push(DeclaredPipeline { deadline_ms: pipeline.deadline_ms, stages });
         }
         admission.set_pipelines(&estimates, &declared);
-        Self { data_centre, mode, admission, customers, estimates, pools }
+        Self { data_centre, mode, admission, customers, estimates, pools, turn: 0 }
     }
 
     pub(crate) fn admit(
@@ -114,7 +116,7 @@
 
     /// Chooses an upstream for a stage, other than those in `tried`.
     pub(crate) fn choose(
-        &self,
+        &mut self,
         now_ms: u64,
         stage: StageSpec,
         tried: &[usize],
@@ -124,12 +126,13 @@
         let is_tried = |it: &&(UpstreamKey, usize)| tried.contains(&it.1);
         let tried: Vec<_> = pool.upstreams.iter().filter(is_tried).map(|it| it.0).collect();
         let candidates = pool.view.candidates(now_ms, None, &tried);
-        let policy = match self.mode {
-            Mode::Managed => Policy::PowerOfTwo,
-            Mode::Baseline => Policy::Random,
+        let context = RouteContext {
+            policy: self.mode.routing(),
+            turn: self.turn,
+            no_probe: !stage.idempotent,
+            ..RouteContext::default()
         };
-        let context =
-            RouteContext { policy, no_probe: !stage.idempotent, ..RouteContext::default() };
+        self.turn += 1;
         let random =
             RandomNumbers { first: rng.next_u64(), second: rng.next_u64(), probe: rng.next_u64() };
         let key = choose(&candidates, &context, random)?.key;
