--- a/crates/core/tests/capacity_fuzz.rs
+++ b/crates/core/tests/capacity_fuzz.rs
@@ -188,7 +188,10 @@
 use yuccatrail_core::capacity::Sabotage;
 #[cfg(not(feature = "sabotage"))]
 #[derive(Clone, Copy, Default)]
-struct Sabotage;
+enum Sabotage {
+    #[default]
+    None,
+}
 
 thread_local! {
     static SABOTAGE: Cell<Sabotage> = Cell::default();
--- a/crates/core/tests/queue_fuzz.rs
+++ b/crates/core/tests/queue_fuzz.rs
@@ -138,7 +138,10 @@
 use yuccatrail_core::queue::Sabotage;
 #[cfg(not(feature = "sabotage"))]
 #[derive(Clone, Copy, Default)]
-struct Sabotage;
+enum Sabotage {
+    #[default]
+    None,
+}
 
 thread_local! {
     static SABOTAGE: Cell<Sabotage> = Cell::default();
--- a/crates/core/tests/routing_fuzz.rs
+++ b/crates/core/tests/routing_fuzz.rs
@@ -106,7 +106,10 @@
 use yuccatrail_core::routing::Sabotage;
 #[cfg(not(feature = "sabotage"))]
 #[derive(Clone, Copy, Default)]
-struct Sabotage;
+enum Sabotage {
+    #[default]
+    None,
+}
 
 thread_local! {
     static SABOTAGE: Cell<Sabotage> = Cell::default();
