--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -30,7 +30,7 @@
 const WITHIN_SHARE: Thinning = Thinning { starts: 0.8, refuses_all: 0.95 };
 
 /// Wait relative to the slack, for a customer above its share.
-const ABOVE_SHARE: Thinning = Thinning { starts: 0.1, refuses_all: 0.5 };
+const ABOVE_SHARE: Thinning = Thinning { starts: 0.2, refuses_all: 0.5 };
 
 /// Use of the share up to which a customer counts as fully within it.
 const WITHIN_SHARE_USE: f64 = 0.95;
