Queue: the same lead in work for every customer

A long call put a customer of share 1 four times as far ahead in virtual time as one of share 4, so its next short call expired.

--- a/crates/core/src/queue/shares.rs
+++ b/crates/core/src/queue/shares.rs
@@ -1,7 +1,7 @@
 //! Weighted sharing of one upstream between customers by virtual time.
 //!
 //! Each customer's virtual time advances by the work it was given, divided by its share. A customer
-//! may go next while its virtual time is within a window of the least one.
+//! may go next while it is not too far ahead of the customer with the least virtual time.
 
 use std::collections::BTreeSet;
 
@@ -9,8 +9,8 @@
 
 use crate::{FastMap, queue::EntryKey};
 
-/// Lead in virtual time that a customer may have and still go next, in milliseconds per share.
-const LEAD_WINDOW_MS: u64 = 2_000;
+/// Work by which a customer may be ahead of the others and still go next, in milliseconds.
+const LEAD_WORK_MS: u64 = 8_000;
 
 /// Virtual time of one millisecond of work at a share of one.
 const VIRTUAL_UNIT: u64 = 1_000;
@@ -35,6 +35,16 @@
     waiting: BTreeSet<SortKey>,
 }
 
+impl Customer {
+    /// Returns the lead in virtual time with which the customer may still go next.
+    ///
+    /// One long call puts a small customer as far ahead as many put a large one, so the lead is the
+    /// same for all in work, not in virtual time.
+    fn lead(&self) -> u64 {
+        LEAD_WORK_MS * VIRTUAL_UNIT / u64::from(self.share)
+    }
+}
+
 /// Waiting entries by customer.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Shares {
@@ -90,13 +100,12 @@
         for customer in self.customers.values() {
             let first = customer.waiting.iter().find(|it| may_start(it.key));
             let Some(&first) = first else { continue };
-            firsts.push((customer.virtual_time, first));
+            firsts.push((customer.virtual_time, customer.lead(), first));
         }
 
-        let least = firsts.iter().map(|(virtual_time, _)| *virtual_time).min()?;
-        let bound = least + LEAD_WINDOW_MS * VIRTUAL_UNIT;
-        firsts.retain(|(virtual_time, _)| *virtual_time <= bound);
-        firsts.iter().map(|(_, first)| *first).min().map(|it| it.key)
+        let least = firsts.iter().map(|(virtual_time, ..)| *virtual_time).min()?;
+        firsts.retain(|(virtual_time, lead, _)| *virtual_time <= least + lead);
+        firsts.iter().map(|(.., first)| *first).min().map(|it| it.key)
     }
 
     /// Returns the entry with the earliest deadline of all customers.
--- a/crates/core/src/queue/tests.rs
+++ b/crates/core/src/queue/tests.rs
@@ -38,11 +38,11 @@
     let large = queue.customer("large", 1);
     let small = queue.customer("small", 1);
     for number in 0..100 {
-        let entry = QueueEntry { estimate_ms: 100, ..entry(large, number, 100_000) };
+        let entry = QueueEntry { estimate_ms: 1_000, ..entry(large, number, 1_000_000) };
         queue.push(0, entry).unwrap();
     }
     for number in 100..110 {
-        let entry = QueueEntry { estimate_ms: 100, ..entry(small, number, 200_000) };
+        let entry = QueueEntry { estimate_ms: 1_000, ..entry(small, number, 2_000_000) };
         queue.push(0, entry).unwrap();
     }
 
