One retry budget, pipelines declared to admission, log level as a setting

Cause: two slices had built the same budget, and the entry never told its budget the rate nor admission the declared pipelines. Attempts that are dropped now count towards their upstream's latency.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -10,13 +10,13 @@
 
 use std::process::ExitCode;
 
-use log::{LevelFilter, error};
+use log::error;
 use yuccatrail_runtime::logging;
 
 #[tokio::main]
 async fn main() -> ExitCode {
     let settings = settings::options().run();
-    if let Err(error) = logging::install(LevelFilter::Info) {
+    if let Err(error) = logging::install(settings.log_level) {
         eprintln!("{error}");
         return ExitCode::FAILURE;
     }
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use bpaf::{OptionParser, Parser, construct, long};
+use log::LevelFilter;
 
 /// Settings of one agent process.
 #[derive(Clone, Debug)]
@@ -23,6 +24,8 @@
     pub(crate) probe_interval_ms: u64,
     /// Longest time that a planned stop waits for work in progress, in milliseconds.
     pub(crate) stop_limit_ms: u64,
+    /// Least severe level that is logged.
+    pub(crate) log_level: LevelFilter,
 }
 
 /// Parses the command line and the environment.
@@ -65,6 +68,11 @@
         .help("Longest wait of a planned stop for work in progress in milliseconds")
         .argument("MS")
         .fallback(60_000);
+    let log_level = long("log-level")
+        .env("YUCCATRAIL_LOG_LEVEL")
+        .help("Least severe level that is logged: off, error, warn, info, debug or trace")
+        .argument("LEVEL")
+        .fallback(LevelFilter::Info);
     construct!(Settings {
         name,
         pool,
@@ -74,6 +82,7 @@
         upstream,
         probe_interval_ms,
         stop_limit_ms,
+        log_level,
     })
     .to_options()
     .descr("The process beside one upstream: all work for the upstream passes it")
--- a/crates/core/src/attempt/retry_budget.rs
+++ b/crates/core/src/attempt/retry_budget.rs
@@ -40,6 +40,11 @@
         Self { mechanisms, ..Self::new(retries_per_hundred, reserve) }
     }
 
+    /// Takes over a changed rate.
+    pub fn set_retries_per_hundred(&mut self, retries_per_hundred: u32) {
+        self.credits_per_stage = u64::from(retries_per_hundred);
+    }
+
     /// Records a completed attempt.
     ///
     /// `first_of_stage` tells whether no attempt for the same stage of the same request completed
--- a/crates/core/src/hedge/mod.rs
+++ b/crates/core/src/hedge/mod.rs
@@ -3,14 +3,14 @@
 //! Hedges and retries spend the same budget, a fraction of the completed attempts, so that a slow
 //! stage does not receive a multiple of its load.
 
-mod budget;
 mod latency;
 #[cfg(test)]
 mod tests;
 
 use derive_more::Display;
 
-pub use crate::hedge::{budget::RetryBudget, latency::RecentLatency};
+use crate::attempt::RetryBudget;
+pub use crate::hedge::latency::RecentLatency;
 
 /// Shortest time after which a stage is hedged, in milliseconds.
 const MIN_HEDGE_DELAY_MS: u64 = 10;
@@ -92,7 +92,7 @@
     if !query.other_has_room {
         return HedgeDecision::No(NoHedge::NoRoom);
     }
-    if !budget.try_spend() {
+    if !budget.try_retry() {
         return HedgeDecision::No(NoHedge::Budget);
     }
     HedgeDecision::Hedge
--- a/crates/core/src/hedge/tests.rs
+++ b/crates/core/src/hedge/tests.rs
@@ -19,7 +19,7 @@
 
 #[test]
 fn hedges_after_the_p95_and_charges_the_budget() {
-    let mut budget = RetryBudget::new(20);
+    let mut budget = RetryBudget::new(20, 1);
     let latency = latency();
     assert_eq!(decide(0, &QUERY, &latency, &mut budget), HedgeDecision::WaitUntil(196));
     assert_eq!(decide(196, &QUERY, &latency, &mut budget), HedgeDecision::Hedge);
@@ -36,20 +36,20 @@
         (HedgeQuery { other_has_room: false, ..QUERY }, NoHedge::NoRoom),
     ];
     for (query, reason) in cases {
-        let mut budget = RetryBudget::new(20);
+        let mut budget = RetryBudget::new(20, 1);
         assert_eq!(decide(300, &query, &latency(), &mut budget), HedgeDecision::No(reason));
-        assert!(budget.try_spend());
+        assert!(budget.try_retry());
     }
 }
 
 #[test]
 fn budget_is_a_fraction_of_completions() {
-    let mut budget = RetryBudget::new(20);
-    assert!(budget.try_spend());
+    let mut budget = RetryBudget::new(20, 1);
+    assert!(budget.try_retry());
     let mut spent = 0;
     for _ in 0..1_000 {
-        budget.on_complete();
-        spent += u32::from(budget.try_spend());
+        budget.on_completed(true);
+        spent += u32::from(budget.try_retry());
     }
     assert_eq!(spent, 200);
 }
--- a/crates/core/tests/admission_fuzz.rs
+++ b/crates/core/tests/admission_fuzz.rs
@@ -6,8 +6,8 @@
 };
 use yuccatrail_core::{
     admission::{Admission, StageWork},
+    attempt::RetryBudget,
     deadline::{EstimateSeed, StageEstimates, effective_deadline_ms},
-    hedge::RetryBudget,
     outcome::{Execution, Reason, Usage},
     routing::PoolLoad,
 };
@@ -128,14 +128,14 @@
         per_hundred in 0..50_u32,
         events in prop::collection::vec(any::<bool>(), 1..500),
     ) {
-        let mut budget = RetryBudget::new(per_hundred);
+        let mut budget = RetryBudget::new(per_hundred, 1);
         let mut completed = 0;
         let mut spent = 0;
         for is_completion in events {
             if is_completion {
                 completed += 1;
-                budget.on_complete();
-            } else if budget.try_spend() {
+                budget.on_completed(true);
+            } else if budget.try_retry() {
                 spent += 1;
             }
             prop_assert!(spent * 100 <= completed * per_hundred + 100);
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -6,13 +6,16 @@
 };
 
 use yuccatrail_core::{
-    control::Versions, document::Document, hedge::RetryBudget, ids::Incarnation, outcome::Reason,
+    attempt::RetryBudget, control::Versions, document::Document, ids::Incarnation, outcome::Reason,
 };
 use yuccatrail_platform::Client;
 use yuccatrail_runtime::{clock::Clock, control::SharedControl};
 
 use crate::{fleet::Fleet, metrics::Metrics, policy::Policy, settings::Settings, strikes::Strikes};
 
+/// Retries that can be saved up for later.
+const RETRY_RESERVE: u32 = 10;
+
 /// The running entry.
 pub(crate) struct Entry {
     /// Name of the instance.
@@ -66,7 +69,7 @@
             platform,
             policy: Policy::new(),
             metrics,
-            retry_budget: Mutex::new(RetryBudget::new(0)),
+            retry_budget: Mutex::new(RetryBudget::new(0, RETRY_RESERVE)),
             stopping: AtomicBool::new(false),
             in_progress: AtomicU32::new(0),
         })
--- a/crates/entry/src/policy.rs
+++ b/crates/entry/src/policy.rs
@@ -5,14 +5,17 @@
 use log::info;
 use yuccatrail_core::{
     FastMap,
-    admission::{Admission, AdmissionKey, StageWork},
+    admission::{Admission, AdmissionKey, DeclaredPipeline, StageWork},
     deadline::{EstimateSeed, PoolKey, StageEstimates},
     document::{Document, Pool},
     hedge::RecentLatency,
     outcome::{Refusal, Usage},
 };
 
-use crate::{entry::Entry, run::RequestContext};
+use crate::{
+    entry::Entry,
+    run::{RequestContext, stage_call},
+};
 
 /// Admission of requests and learned estimates.
 pub(crate) struct Policy {
@@ -47,6 +50,22 @@
         Self { state: Mutex::default() }
     }
 
+    /// Takes over the pipelines of the document in force.
+    pub(crate) fn apply_document(&self, document: &Document) {
+        let mut state = self.lock();
+        let mut pipelines = Vec::with_capacity(document.pipelines.len());
+        for pipeline in &document.pipelines {
+            let mut stages = Vec::with_capacity(pipeline.stages.len());
+            for stage in &pipeline.stages {
+                let Some(pool) = document.pool(&stage.pool) else { continue };
+                stages.push((state.pool(pool), stage_call::declared_tokens(pool, stage)));
+            }
+            pipelines.push(DeclaredPipeline { deadline_ms: pipeline.deadline_ms, stages });
+        }
+        let State { admission, estimates, .. } = &mut *state;
+        admission.set_pipelines(estimates, &pipelines);
+    }
+
     /// Returns the expected run time of a stage, in milliseconds.
     pub(crate) fn expected_ms(&self, demand: StageDemand<'_>) -> u64 {
         let mut state = self.lock();
--- a/crates/entry/src/run/pipeline.rs
+++ b/crates/entry/src/run/pipeline.rs
@@ -97,10 +97,7 @@
         let Some(pool) = document.pool(&stage.pool) else {
             return Err(Refusal::not_run(Reason::NoConfiguration, 0));
         };
-        let max_tokens = match pool.kind {
-            PoolKind::Generate => stage_call::max_tokens(stage, input),
-            _ => 0,
-        };
+        let max_tokens = stage_call::max_tokens(pool, stage, input);
         demands.push(StageDemand { pool, max_tokens });
     }
     Ok(demands)
--- a/crates/entry/src/run/stage.rs
+++ b/crates/entry/src/run/stage.rs
@@ -63,19 +63,28 @@
 struct Begun {
     fleet: Arc<Fleet>,
     key: UpstreamKey,
-    end: AttemptEnd,
+    sent_ms: u64,
+    estimate_ms: u64,
+    end: Option<AttemptEnd>,
 }
 
 impl Begun {
     /// Notes how the attempt ended.
     fn ends(&mut self, end: AttemptEnd) {
-        self.end = end;
+        self.end = Some(end);
+    }
+
+    /// Returns the end of an attempt that is dropped before it has one.
+    fn abandoned(&self) -> AttemptEnd {
+        let elapsed_ms = self.fleet.clock.now_ms().saturating_sub(self.sent_ms);
+        AttemptEnd::Abandoned { ratio: elapsed_ms as f64 / self.estimate_ms.max(1) as f64 }
     }
 }
 
 impl Drop for Begun {
     fn drop(&mut self) {
-        self.fleet.end(self.key, self.end);
+        let end = self.end.unwrap_or_else(|| self.abandoned());
+        self.fleet.end(self.key, end);
     }
 }
 
@@ -269,8 +278,9 @@
     ) -> AttemptFuture<'a> {
         let (entry, request, work) = (self.entry, self.request, self.work);
         let estimate_ms = self.estimate_ms;
-        let mut begun =
-            Begun { fleet: entry.fleet.clone(), key: chosen.key, end: AttemptEnd::NotRun };
+        let sent_ms = entry.clock.now_ms();
+        let fleet = entry.fleet.clone();
+        let mut begun = Begun { fleet, key: chosen.key, sent_ms, estimate_ms, end: None };
         let plan = AttemptPlan {
             id,
             pool: work.demand.pool.name.clone(),
@@ -281,7 +291,6 @@
             sink: work.sink.clone(),
         };
         Box::pin(async move {
-            let sent_ms = entry.clock.now_ms();
             let result = attempt::run(entry, &chosen.link, request, plan).await;
             let latency_ms = entry.clock.now_ms().saturating_sub(sent_ms);
             begun.ends(attempt_end(&result, estimate_ms));
@@ -290,7 +299,7 @@
                     let usage = output.completion.usage;
                     entry.policy.on_complete(work.demand, usage, latency_ms);
                     entry.strikes.complete(request.fingerprint);
-                    entry.retry_budget().on_complete();
+                    entry.retry_budget().on_completed(true);
                 }
                 Err(failure) => report_failure(entry, request, work, id, failure),
             }
@@ -327,7 +336,7 @@
             // Output that the caller has seen cannot be replaced by that of another run.
             _ if self.work.sink.is_some() => false,
             _ => {
-                let allowed = self.entry.retry_budget().try_spend();
+                let allowed = self.entry.retry_budget().try_retry();
                 if allowed {
                     self.entry.metrics.retries.inc();
                 }
--- a/crates/entry/src/run/stage_call.rs
+++ b/crates/entry/src/run/stage_call.rs
@@ -67,7 +67,7 @@
             let body = json!({
                 "model": pool.model,
                 "prompt": prompt(input, data),
-                "max_tokens": max_tokens(stage, input),
+                "max_tokens": max_tokens(pool, stage, input),
                 "stream": true,
             });
             UpstreamCall { response: ResponseForm::Events, ..post("/v1/completions", &body) }
@@ -76,9 +76,17 @@
     }
 }
 
-/// Returns the longest text that a generate stage may produce for a request, in tokens.
-pub(crate) fn max_tokens(stage: &Stage, input: &PipelineInput) -> u32 {
-    let limit = stage.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
+/// Returns the longest text that a stage may produce for any request, in tokens.
+pub(crate) fn declared_tokens(pool: &Pool, stage: &Stage) -> u32 {
+    match pool.kind {
+        PoolKind::Generate => stage.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
+        _ => 0,
+    }
+}
+
+/// Returns the longest text that a stage may produce for a request, in tokens.
+pub(crate) fn max_tokens(pool: &Pool, stage: &Stage, input: &PipelineInput) -> u32 {
+    let limit = declared_tokens(pool, stage);
     input.max_tokens.map_or(limit, |it| it.min(limit))
 }
 
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -2,7 +2,7 @@
 
 use std::{io, process::ExitCode, sync::Arc, time::Duration};
 
-use log::{LevelFilter, error, info, warn};
+use log::{error, info, warn};
 use tokio::{net::TcpListener, task::JoinSet};
 use tokio_util::sync::CancellationToken;
 use yuccatrail_core::drain::{PlannedStop, StopPhase, StopSettings};
@@ -18,7 +18,7 @@
 
 /// Serves callers until a planned stop has finished.
 pub(crate) async fn run(settings: Settings) -> ExitCode {
-    if let Err(error) = logging::install(LevelFilter::Info) {
+    if let Err(error) = logging::install(settings.log_level) {
         eprintln!("{error}");
         return ExitCode::FAILURE;
     }
@@ -55,7 +55,7 @@
     tasks.spawn(platform_feed::follow_instances(entry.clone(), client, finished.clone()));
     tasks.spawn(gossip::run(entry.clone(), finished.clone()));
     tasks.spawn(gossip::serve(peer_listener, entry.clone(), finished.clone()));
-    tasks.spawn(apply_operations(entry.clone(), finished.clone()));
+    tasks.spawn(apply_control(entry.clone(), finished.clone()));
     let handler_entry = entry.clone();
     let handler = move |request| routes::handle(handler_entry.clone(), request);
     let callers = tokio::spawn(http::serve(listener, finished.clone(), handler));
@@ -69,11 +69,15 @@
     Ok(())
 }
 
-/// Passes each change of the operational state on to the fleet.
-async fn apply_operations(entry: Arc<Entry>, finished: CancellationToken) {
+/// Passes each change of the control state on to the parts that act on it.
+async fn apply_control(entry: Arc<Entry>, finished: CancellationToken) {
     let mut changed = entry.control.subscribe();
     while !finished.is_cancelled() {
         entry.fleet.apply_operations();
+        if let Ok(document) = entry.document() {
+            entry.policy.apply_document(&document);
+            entry.retry_budget().set_retries_per_hundred(document.limits.retries_per_hundred);
+        }
         tokio::select! {
             _ = changed.changed() => {}
             () = finished.cancelled() => {}
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use bpaf::{Parser, construct, long};
+use log::LevelFilter;
 
 /// Settings of one entry process.
 #[derive(Clone, Debug)]
@@ -23,6 +24,8 @@
     pub(crate) stop_notice_ms: u64,
     /// Longest time that a planned stop waits for work in progress, in milliseconds.
     pub(crate) stop_limit_ms: u64,
+    /// Least severe level that is logged.
+    pub(crate) log_level: LevelFilter,
 }
 
 /// Parses the flags and the environment.
@@ -65,6 +68,11 @@
         .help("Longest wait of a planned stop for work in progress in milliseconds")
         .argument("MS")
         .fallback(60_000);
+    let log_level = long("log-level")
+        .env("YUCCATRAIL_LOG_LEVEL")
+        .help("Least severe level that is logged: off, error, warn, info, debug or trace")
+        .argument("LEVEL")
+        .fallback(LevelFilter::Info);
     construct!(Settings {
         name,
         data_centre,
@@ -73,7 +81,8 @@
         platform,
         environment,
         stop_notice_ms,
-        stop_limit_ms
+        stop_limit_ms,
+        log_level,
     })
 }
 
--- a/crates/fakes/src/model/entry.rs
+++ b/crates/fakes/src/model/entry.rs
@@ -3,8 +3,9 @@
 use rand::{Rng, rngs::StdRng};
 use yuccatrail_core::{
     admission::{Admission, Admitted, CustomerKey, DeclaredPipeline, StageWork},
+    attempt::RetryBudget,
     deadline::{PoolKey, StageEstimates},
-    hedge::{HedgeDecision, HedgeQuery, RecentLatency, RetryBudget, decide},
+    hedge::{HedgeDecision, HedgeQuery, RecentLatency, decide},
     outcome::{Refusal, Usage},
     routing::{
         AttemptEnd, LoadReport, NoChoice, PoolView, RandomNumbers, RouteContext, UpstreamKey,
@@ -19,6 +20,8 @@
 
 /// Repeated attempts allowed for each hundred completed ones.
 const RETRIES_PER_HUNDRED: u32 = 20;
+/// Retries that can be saved up for later.
+const RETRY_RESERVE: u32 = 10;
 
 /// What an entry knows of one pool.
 struct PoolState {
@@ -79,7 +82,7 @@
                 key: estimates.pool(spec.name, spec.seed()),
                 view,
                 upstreams: keys,
-                budget: RetryBudget::new(RETRIES_PER_HUNDRED),
+                budget: RetryBudget::new(RETRIES_PER_HUNDRED, RETRY_RESERVE),
                 latency: RecentLatency::new(),
             });
         }
@@ -169,7 +172,7 @@
 
     /// Asks for the repetition of a failed attempt.
     pub(crate) fn may_retry(&mut self, pool: usize) -> bool {
-        self.mode == Mode::Baseline || self.pools[pool].budget.try_spend()
+        self.mode == Mode::Baseline || self.pools[pool].budget.try_retry()
     }
 
     pub(crate) fn on_sent(&mut self, now_ms: u64, pool: usize, upstream: usize) {
@@ -191,7 +194,7 @@
 
     pub(crate) fn on_completed(&mut self, now_ms: u64, it: Completed) {
         let pool = &mut self.pools[it.stage.pool];
-        pool.budget.on_complete();
+        pool.budget.on_completed(true);
         pool.latency.on_complete(it.latency_ms, it.expected_ms);
         self.estimates.on_complete(pool.key, it.stage.max_tokens, it.usage);
         let ratio = it.usage.engine_ms as f64 / it.expected_ms.max(1) as f64;
