--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -206,14 +206,18 @@
         self.lock().directory.contact_failed(key, now_ms);
     }
 
-    /// Returns the load of a pool.
+    /// Returns the load of a pool, without the upstreams that get no new work.
     pub(crate) fn pool_load(&self, pool: &str) -> PoolLoad {
         let now_ms = self.clock.now_ms();
-        let state = self.lock();
-        let mut load = state.pools.get(pool).map(|it| it.load(now_ms)).unwrap_or_default();
-        let open = state.directory.candidates(pool).len() as u32;
-        load.upstreams = load.upstreams.min(open);
-        load
+        let mut state = self.lock();
+        let State { directory, members, pools, .. } = &mut *state;
+        let Some(view) = pools.get_mut(pool) else { return PoolLoad::default() };
+        for (key, member) in members.iter() {
+            if member.pool == pool {
+                view.set_withdrawn(member.view, directory.check(key).is_err());
+            }
+        }
+        view.load(now_ms)
     }
 
     /// Returns the state of all upstreams, ordered by name.
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -156,12 +156,15 @@
     async fn beat(&self, client: &AgentClient) {
         let mut changed = self.fleet.control.subscribe();
         let mut known = self.fleet.control.versions();
+        let mut repeated = false;
         while !self.stop.is_cancelled() {
             if !self.exchange(client, known).await {
                 return;
             }
             known = self.lock().report.as_ref().map(|it| it.feedback.versions).unwrap_or_default();
-            if self.fleet.control.versions().has_newer_than(known) {
+            // An agent that refuses the update must not be asked again without a pause.
+            repeated = !repeated && self.fleet.control.versions().has_newer_than(known);
+            if repeated {
                 continue;
             }
             tokio::select! {
--- a/crates/entry/src/run/attempt.rs
+++ b/crates/entry/src/run/attempt.rs
@@ -58,6 +58,8 @@
     pub(crate) idempotent: bool,
     /// Latest time of dispatch on the entry's clock, in milliseconds.
     pub(crate) dispatch_by_ms: u64,
+    /// Time until which the output is awaited, on the entry's clock in milliseconds.
+    pub(crate) await_until_ms: u64,
     /// Expected run time, in milliseconds.
     pub(crate) estimate_ms: u64,
     /// The upstream call.
@@ -71,7 +73,7 @@
     entry: Arc<Entry>,
     link: Arc<Link>,
     handle: Handle,
-    deadline_ms: u64,
+    await_until_ms: u64,
     assembler: OutputAssembler,
     chunks: Vec<Bytes>,
     sink: Option<ChunkSink>,
@@ -91,6 +93,8 @@
     More,
     Done(Completion),
     Failed(Failure),
+    /// The agent does not know the attempt.
+    Unknown,
 }
 
 /// Runs an attempt to its end.
@@ -113,7 +117,7 @@
         entry: entry.clone(),
         link: link.clone(),
         handle,
-        deadline_ms: request.deadline_ms,
+        await_until_ms: plan.await_until_ms,
         assembler: OutputAssembler::new(plan.id, submit.agent),
         chunks: Vec::new(),
         sink: plan.sink,
@@ -162,6 +166,8 @@
                         Step::More => {}
                         Step::Done(completion) => return Ok(self.finish(completion)),
                         Step::Failed(failure) => return Err(self.fail(failure)),
+                        // A submit that never arrived is settled by its tombstone.
+                        Step::Unknown => return Err(self.give_up(Reason::UnknownAttempt).await),
                     }
                 }
                 Err(error) => {
@@ -169,7 +175,7 @@
                 }
             }
             let now_ms = self.entry.clock.now_ms();
-            if now_ms >= self.deadline_ms {
+            if now_ms >= self.await_until_ms {
                 return Err(self.give_up(Reason::DeadlineExpired).await);
             }
             if now_ms >= reached_ms + AGENT_LOST_AFTER_MS {
@@ -188,7 +194,7 @@
     ) -> Result<AttemptReply, RpcError> {
         for _ in 0..MAX_EXCHANGES {
             let sent_ms = self.entry.clock.now_ms();
-            let wait_ms = REPLY_WAIT_MS.min(self.deadline_ms.saturating_sub(sent_ms));
+            let wait_ms = REPLY_WAIT_MS.min(self.await_until_ms.saturating_sub(sent_ms));
             submit.wait_ms = wait_ms;
             let context = context_for(call_timeout(wait_ms));
             let reply = client.submit(context, submit.clone()).await?;
@@ -213,7 +219,7 @@
             tokio::time::sleep(RECONNECT_WAIT).await;
             return Err(RpcError::Shutdown);
         };
-        let wait_ms = REPLY_WAIT_MS.min(self.deadline_ms - now_ms);
+        let wait_ms = REPLY_WAIT_MS.min(self.await_until_ms - now_ms);
         let request = ReadRequest {
             versions: self.entry.versions(),
             attempt: self.handle.id,
@@ -236,7 +242,7 @@
             AttemptState::StaleVersions => {
                 Step::Failed(Refusal::not_run(Reason::NoConfiguration, LOST_RETRY_AFTER_MS).into())
             }
-            AttemptState::Unknown => Step::Failed(lost(Reason::UnknownAttempt).into()),
+            AttemptState::Unknown => Step::Unknown,
         }
     }
 
@@ -258,7 +264,7 @@
                 execution: failure.execution,
                 retry_after_ms: LOST_RETRY_AFTER_MS,
             };
-            return Step::Failed(Failure { refusal, usage: Some(failure.usage) });
+            return Step::Failed(Failure { refusal, usage: Some(failure.usage), delivered: false });
         }
         Step::More
     }
@@ -280,18 +286,23 @@
 
     fn fail(mut self, failure: Failure) -> Failure {
         self.ended = true;
-        // Output that the caller has seen shows that the call ran.
-        if !self.chunks.is_empty() && failure.refusal.execution == Execution::NotRun {
-            let refusal = Refusal { execution: Execution::Failed, ..failure.refusal };
-            return Failure { refusal, ..failure };
+        let delivered = !self.chunks.is_empty();
+        let mut refusal = failure.refusal;
+        // Output that was passed on shows that the call ran.
+        if delivered && refusal.execution == Execution::NotRun {
+            refusal.execution = Execution::Failed;
         }
-        failure
+        Failure { refusal, delivered, ..failure }
     }
 
     /// Cancels the attempt and reports what the agent confirms about it.
-    async fn give_up(mut self, reason: Reason) -> Failure {
-        self.ended = true;
-        let Some((client, _)) = self.link.connection() else { return lost(reason).into() };
+    async fn give_up(self, reason: Reason) -> Failure {
+        let refusal = self.settle(reason).await;
+        self.fail(refusal.into())
+    }
+
+    async fn settle(&self, reason: Reason) -> Refusal {
+        let Some((client, _)) = self.link.connection() else { return lost(reason) };
         let reply = cancel(&self.entry, &client, self.handle, CANCEL_TIMEOUT).await;
         let confirmed = reply.is_some_and(|it| {
             it.feedback.incarnation == self.handle.agent
@@ -299,9 +310,9 @@
         });
         info!(attempt:% = self.handle.id, reason:% = reason, confirmed = confirmed; "attempt given up");
         if confirmed {
-            return Refusal::not_run(reason, LOST_RETRY_AFTER_MS).into();
+            return Refusal::not_run(reason, LOST_RETRY_AFTER_MS);
         }
-        lost(reason).into()
+        lost(reason)
     }
 }
 
--- a/crates/entry/src/run/mod.rs
+++ b/crates/entry/src/run/mod.rs
@@ -39,11 +39,13 @@
     pub(crate) refusal: Refusal,
     /// Resources that were consumed, if known.
     pub(crate) usage: Option<Usage>,
+    /// Whether output was passed on before the end.
+    pub(crate) delivered: bool,
 }
 
 impl From<Refusal> for Failure {
     fn from(refusal: Refusal) -> Self {
-        Self { refusal, usage: None }
+        Self { refusal, usage: None, delivered: false }
     }
 }
 
--- a/crates/entry/src/run/stage.rs
+++ b/crates/entry/src/run/stage.rs
@@ -26,6 +26,9 @@
 
 /// Attempts of one stage, over all upstreams.
 const MAX_ATTEMPTS: u16 = 6;
+/// Time after the deadline for which the outcome of a call that may not be repeated is awaited, in
+/// milliseconds.
+const OUTCOME_WAIT_MS: u64 = 30_000;
 /// Time between two choices while no upstream can take the attempt.
 const CHOICE_INTERVAL: Duration = Duration::from_millis(20);
 /// Longest wait for an upstream to become reachable in a request that has begun, in milliseconds.
@@ -281,11 +284,17 @@
         let sent_ms = entry.clock.now_ms();
         let fleet = entry.fleet.clone();
         let mut begun = Begun { fleet, key: chosen.key, sent_ms, estimate_ms, end: None };
+        // The outcome of a call that may not be repeated matters to later copies as well.
+        let await_until_ms = match idempotent {
+            true => request.deadline_ms,
+            false => request.deadline_ms + OUTCOME_WAIT_MS,
+        };
         let plan = AttemptPlan {
             id,
             pool: work.demand.pool.name.clone(),
             idempotent,
             dispatch_by_ms,
+            await_until_ms,
             estimate_ms,
             call: work.call.clone(),
             sink: work.sink.clone(),
@@ -334,7 +343,7 @@
             Reason::DeadlineExpired | Reason::Quarantined | Reason::DeadlineUnreachable => false,
             _ if refusal.execution == Execution::NotRun => true,
             // Output that the caller has seen cannot be replaced by that of another run.
-            _ if self.work.sink.is_some() => false,
+            _ if self.work.sink.is_some() && failure.delivered => false,
             _ => {
                 let allowed = self.entry.retry_budget().try_retry();
                 if allowed {
@@ -382,7 +391,7 @@
         Err(failure) => failure,
     };
     let execution = first.refusal.execution.and(second.refusal.execution);
-    Err(Failure { refusal: Refusal { execution, ..second.refusal }, usage: None })
+    Err(Failure { refusal: Refusal { execution, ..second.refusal }, ..second })
 }
 
 fn attempt_end(result: &Result<Output, Failure>, estimate_ms: u64) -> AttemptEnd {
