Deadline: estimates without recent calls return to the declared ones

An entry whose estimates grew while a pool was slow or cold could refuse everything and so never see a call that corrects them.

--- a/crates/core/src/deadline/estimates.rs
+++ b/crates/core/src/deadline/estimates.rs
@@ -13,6 +13,9 @@
 /// Largest factor by which one sample may pull the averages.
 const MAX_PULL: f64 = 8.0;
 
+/// Part of the way back to the declared estimates that one relaxation goes.
+const RELAXATION: f64 = 0.1;
+
 new_key_type! {
     /// Identifies a pool within one entry.
     pub struct PoolKey;
@@ -37,6 +40,8 @@
     /// Mean absolute deviation relative to the expected time.
     deviation: f64,
     queue_ms: f64,
+    /// Whether a call completed since the last relaxation.
+    is_fresh: bool,
 }
 
 impl Estimate {
@@ -48,9 +53,20 @@
             token_part: 1.0,
             deviation: 0.0,
             queue_ms: 0.0,
+            is_fresh: false,
         }
     }
 
+    fn relax(&mut self) {
+        let declared = Self::new(self.seed);
+        let toward = |from: f64, to: f64| from + (to - from) * RELAXATION;
+        self.call_ms = toward(self.call_ms, declared.call_ms);
+        self.token_ms = toward(self.token_ms, declared.token_ms);
+        self.token_part = toward(self.token_part, declared.token_part);
+        self.deviation = toward(self.deviation, declared.deviation);
+        self.queue_ms = toward(self.queue_ms, declared.queue_ms);
+    }
+
     fn for_tokens(&self, tokens: f64) -> f64 {
         self.call_ms + self.token_ms * tokens
     }
@@ -105,6 +121,7 @@
     pub fn on_complete(&mut self, pool: PoolKey, max_tokens: u32, usage: Usage) {
         let expected_ms = self.expected_ms(pool, max_tokens).max(1) as f64;
         let estimate = &mut self.pools[pool];
+        estimate.is_fresh = true;
         let actual_ms = usage.engine_ms.max(1) as f64;
         let off = (actual_ms / expected_ms - 1.0).abs().min(MAX_PULL);
         estimate.deviation += (off - estimate.deviation) * SAMPLE_WEIGHT;
@@ -121,4 +138,16 @@
             estimate.token_part += (part - estimate.token_part) * SAMPLE_WEIGHT;
         }
     }
+    /// Moves estimates that rest on no recent call towards the declared ones; call it once a second.
+    ///
+    /// Estimates that grew while a pool was slow could otherwise refuse every request, so that no
+    /// call would ever correct them.
+    pub fn relax(&mut self) {
+        for estimate in self.pools.values_mut() {
+            if !estimate.is_fresh {
+                estimate.relax();
+            }
+            estimate.is_fresh = false;
+        }
+    }
 }
--- a/crates/core/src/deadline/tests.rs
+++ b/crates/core/src/deadline/tests.rs
@@ -38,3 +38,18 @@
     assert!(estimates.queue_ms(pool).abs_diff(30) <= 1);
     assert_eq!(estimates.pool("generate", SEED), pool);
 }
+
+#[test]
+fn estimates_without_completions_return_to_the_seed() {
+    let mut estimates = StageEstimates::new();
+    let pool = estimates.pool("generate", SEED);
+    for _ in 0..400 {
+        estimates.on_complete(pool, 40, Usage { engine_ms: 60_000, queued_ms: 0, tokens: 40 });
+    }
+    estimates.relax();
+    assert!(estimates.expected_ms(pool, 40) > 50_000);
+    for _ in 0..100 {
+        estimates.relax();
+    }
+    assert!(estimates.expected_ms(pool, 40).abs_diff(500) <= 10);
+}
--- a/crates/fakes/src/model/entry.rs
+++ b/crates/fakes/src/model/entry.rs
@@ -140,6 +140,10 @@
         Ok(chosen.expect("candidates are upstreams of the pool").1)
     }
 
+    pub(crate) fn relax(&mut self) {
+        self.estimates.relax();
+    }
+
     pub(crate) fn expected_ms(&self, stage: StageSpec) -> u64 {
         self.estimates.expected_ms(self.pools[stage.pool].key, stage.max_tokens)
     }
--- a/crates/fakes/src/model/sim/agents.rs
+++ b/crates/fakes/src/model/sim/agents.rs
@@ -7,8 +7,9 @@
 };
 
 use crate::model::{
-    US_PER_MS,
+    US_PER_MS, US_PER_S,
     agent::NotRun,
+    entry::Entry,
     scenario::Change,
     sim::{Answer, Event, NOISE, NOTICE_US, PROBE_US, SYNC_US, Sim, State},
     upstream::Start,
@@ -165,6 +166,9 @@
                 entry.on_load(now_ms, agent.pool, index, agent.load());
             }
         }
+        if self.now_us.is_multiple_of(US_PER_S) {
+            self.entries.iter_mut().for_each(Entry::relax);
+        }
         if !self.is_over() {
             self.after(SYNC_US, Event::Sync);
         }
