--- a/crates/fakes/src/model/sim/mod.rs
+++ b/crates/fakes/src/model/sim/mod.rs
@@ -141,6 +141,8 @@
     fleet: &'a Fleet,
     scenario: &'a Scenario,
     mode: Mode,
+    /// Draws the arrivals, which are the same whatever the decisions are.
+    arrivals: StdRng,
     rng: StdRng,
     now_us: u64,
     sequence: u64,
@@ -185,7 +187,8 @@
             fleet,
             scenario,
             mode,
-            rng: StdRng::seed_from_u64(seed),
+            arrivals: StdRng::seed_from_u64(seed),
+            rng: StdRng::seed_from_u64(!seed),
             now_us: 0,
             sequence: 0,
             events: BinaryHeap::new(),
@@ -260,7 +263,7 @@
         }
         let load = self.scenario.load_at(self.now_us);
         let rate_per_s = load * self.fleet.capacity_per_s();
-        let uniform: f64 = self.rng.random_range(f64::EPSILON..1.0);
+        let uniform: f64 = self.arrivals.random_range(f64::EPSILON..1.0);
         let gap_us = -uniform.ln() / rate_per_s * US_PER_S as f64;
         self.after(gap_us as u64, Event::Arrive);
 
@@ -281,7 +284,7 @@
             entry,
             arrived_us: self.now_us,
             deadline_us: self.now_us + deadline_ms * US_PER_MS,
-            token_part: self.rng.random_range(MIN_TOKEN_PART..1.0),
+            token_part: self.arrivals.random_range(MIN_TOKEN_PART..1.0),
             admission: None,
             plan: None,
             stage: 0,
@@ -295,7 +298,7 @@
 
     /// Draws a position with the given probabilities.
     fn draw(&mut self, parts: &[f64]) -> usize {
-        let mut left = self.rng.random_range(0.0..parts.iter().sum());
+        let mut left = self.arrivals.random_range(0.0..parts.iter().sum());
         for (position, part) in parts.iter().enumerate() {
             if left < *part {
                 return position;
