Process faults in tests; proofs of at most once and of not_run

The stand-in writes a line for each call when asked to, so that runs are counted also when it is killed. Calls that were in progress when it turned cold no longer count against what it bears.

Ruled out on the way: a released claim may run once after the refusal, so the tests of frozen processes check that nothing ran before the resend and at most one run after it.

--- a/crates/fakes/src/stack/caller.rs
+++ b/crates/fakes/src/stack/caller.rs
@@ -97,6 +97,38 @@
         read_stream(response).await
     }
 
+    /// Makes a service call that may not be repeated.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the HTTP exchange breaks.
+    pub async fn notice(
+        &self,
+        entry: SocketAddr,
+        key: &str,
+        headers: &[(&str, &str)],
+    ) -> Result<Answer, CallerError> {
+        let mut headers = headers.to_vec();
+        headers.push(("idempotency-key", key));
+        let path = "/v1/services/work-orders/notices";
+        self.send(entry, "POST", path, &headers, json!({ "notice": key }).to_string()).await
+    }
+
+    /// Makes a service call that may be repeated.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the HTTP exchange breaks.
+    pub async fn search(
+        &self,
+        entry: SocketAddr,
+        body: &str,
+        headers: &[(&str, &str)],
+    ) -> Result<Answer, CallerError> {
+        let path = "/v1/services/work-orders/search";
+        self.send(entry, "POST", path, headers, body.to_owned()).await
+    }
+
     /// Sends any request and waits for the whole answer.
     ///
     /// # Errors
--- a/crates/fakes/src/stack/mod.rs
+++ b/crates/fakes/src/stack/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod caller;
 pub mod expected;
+pub mod faults;
 pub mod plan;
 pub mod process;
 pub mod run;
--- a/crates/fakes/src/stack/plan.rs
+++ b/crates/fakes/src/stack/plan.rs
@@ -31,6 +31,9 @@
 /// The four-stage document that demonstrations and tests use.
 pub const DEMO_DOCUMENT: &str = include_str!("demo.toml");
 
+/// A document with a pipeline of two stages and one service, for tests of faults.
+pub const SHORT_DOCUMENT: &str = include_str!("short.toml");
+
 impl StackPlan {
     /// Plans two entries and two upstreams for each pool of the demo document.
     pub fn demo() -> Self {
@@ -49,6 +52,24 @@
         Self { document: DEMO_DOCUMENT.to_owned(), entries, upstreams }
     }
 
+    /// Plans two entries and the given number of upstreams of each pool of the short document.
+    pub fn short(pools: &[(&str, usize)]) -> Self {
+        let data_centres = ["north", "south"];
+        let mut upstreams = Vec::new();
+        for (pool, count) in pools {
+            for number in 0..*count {
+                upstreams.push(UpstreamPlan {
+                    name: format!("{pool}-{number}"),
+                    pool: (*pool).to_owned(),
+                    data_centre: data_centres[number % data_centres.len()].to_owned(),
+                    switches: Switches { log_calls: true, ..Switches::default() },
+                });
+            }
+        }
+        let entries = data_centres.map(str::to_owned).to_vec();
+        Self { document: SHORT_DOCUMENT.to_owned(), entries, upstreams }
+    }
+
     /// Applies a change to the switches of every upstream of a pool.
     pub fn switch_pool(&mut self, pool: &str, change: impl Fn(&mut Switches)) {
         for upstream in &mut self.upstreams {
--- a/crates/fakes/src/stack/process.rs
+++ b/crates/fakes/src/stack/process.rs
@@ -15,6 +15,7 @@
     io::{AsyncBufReadExt, AsyncRead, BufReader},
     process::{Child, Command},
     sync::watch,
+    task::JoinSet,
 };
 
 /// Environment variable that makes the harness pass on the processes' logs.
@@ -75,6 +76,7 @@
     /// Lines that the process wrote.
     pub log: Arc<Mutex<Vec<String>>>,
     child: Child,
+    readers: JoinSet<()>,
 }
 
 impl Process {
@@ -97,11 +99,12 @@
             .spawn()?;
         let log = Arc::new(Mutex::new(Vec::new()));
         let (sender, mut receiver) = watch::channel(None);
+        let mut readers = JoinSet::new();
         if let Some(output) = child.stdout.take() {
-            tokio::spawn(collect(output, log.clone(), sender.clone()));
+            readers.spawn(collect(output, log.clone(), sender.clone()));
         }
         if let Some(output) = child.stderr.take() {
-            tokio::spawn(collect(output, log.clone(), sender));
+            readers.spawn(collect(output, log.clone(), sender));
         }
         let not_listening = || ProcessError::NotListening { name: name.to_owned() };
         let waiting = receiver.wait_for(Option::is_some);
@@ -109,7 +112,7 @@
             tokio::time::timeout(START_TIMEOUT, waiting).await.map_err(|_| not_listening())?;
         let addresses = *found.map_err(|_| not_listening())?;
         let Some((address, admin_address)) = addresses else { return Err(not_listening()) };
-        Ok(Self { name: name.to_owned(), address, admin_address, log, child })
+        Ok(Self { name: name.to_owned(), address, admin_address, log, child, readers })
     }
 
     /// Sends a signal.
@@ -143,14 +146,17 @@
         Ok(())
     }
 
-    /// Waits for the process's end.
+    /// Waits for the process's end and the last lines that it wrote.
     ///
     /// # Errors
     ///
     /// Returns an error when the process does not end in time.
     pub async fn wait(&mut self) -> Result<ExitStatus, ProcessError> {
         match tokio::time::timeout(STOP_TIMEOUT, self.child.wait()).await {
-            Ok(status) => Ok(status?),
+            Ok(status) => {
+                while self.readers.join_next().await.is_some() {}
+                Ok(status?)
+            }
             Err(_) => Err(ProcessError::NotStopped { name: self.name.clone() }),
         }
     }
--- a/crates/fakes/src/stack/run.rs
+++ b/crates/fakes/src/stack/run.rs
@@ -71,6 +71,8 @@
     pub upstreams: Vec<UpstreamPair>,
     /// Caller for requests and for the stand-ins' switches.
     pub caller: Caller,
+    /// Upstream stand-ins that were ended and replaced.
+    pub(crate) ended: Vec<Process>,
 }
 
 impl Stack {
@@ -100,7 +102,8 @@
                 start_entry(&format!("entry-{number}"), data_centre, platform.address).await?,
             );
         }
-        let stack = Self { platform, client, entries, upstreams, caller: Caller::new("lone-star") };
+        let caller = Caller::new("lone-star");
+        let stack = Self { platform, client, entries, upstreams, caller, ended: Vec::new() };
         for entry in &stack.entries {
             stack.wait_connected(entry.address, stack.upstreams.len()).await?;
         }
@@ -227,7 +230,7 @@
     Ok(())
 }
 
-/// Starts an entry process.
+/// Starts an entry process on a free port.
 ///
 /// # Errors
 ///
@@ -236,6 +239,20 @@
     name: &str,
     data_centre: &str,
     platform: SocketAddr,
+) -> Result<Process, StackError> {
+    start_entry_at(name, data_centre, platform, "127.0.0.1:0").await
+}
+
+/// Starts an entry process on an address.
+///
+/// # Errors
+///
+/// Returns an error when the process does not start.
+pub async fn start_entry_at(
+    name: &str,
+    data_centre: &str,
+    platform: SocketAddr,
+    listen: &str,
 ) -> Result<Process, StackError> {
     let platform = platform.to_string();
     let arguments = strings(&[
@@ -245,7 +262,7 @@
         "--data-centre",
         data_centre,
         "--listen",
-        "127.0.0.1:0",
+        listen,
         "--peer-listen",
         "127.0.0.1:0",
         "--platform",
--- a/crates/fakes/src/upstream/server.rs
+++ b/crates/fakes/src/upstream/server.rs
@@ -18,10 +18,12 @@
 
 use super::{
     engine,
-    state::{Switches, Upstream},
+    state::{Call, Switches, Upstream},
 };
 
 const JSON: &str = "application/json";
+/// Start of the line that names a call by request identifier and idempotency key.
+pub const CALL_LINE: &str = "call ";
 
 /// Serves the stand-in until `stop` is cancelled.
 pub async fn serve(listener: TcpListener, upstream: Arc<Upstream>, stop: CancellationToken) {
@@ -57,11 +59,14 @@
 }
 
 /// Ends a call when it is dropped, also when the caller went away.
-struct Running(Arc<Upstream>);
+struct Running {
+    upstream: Arc<Upstream>,
+    call: Call,
+}
 
 impl Drop for Running {
     fn drop(&mut self) {
-        self.0.end();
+        self.upstream.end(self.call);
     }
 }
 
@@ -104,14 +109,16 @@
     let body = read_body(request).await;
     let text = String::from_utf8_lossy(&body).into_owned();
     let switches = upstream.switches();
+    if switches.log_calls {
+        println!("{CALL_LINE}{request_id} {}", key.as_deref().unwrap_or_default());
+    }
     if switches.crash_on.as_ref().is_some_and(|it| text.contains(it.as_str())) {
         std::process::abort();
     }
-    if !upstream.begin(&request_id, key.as_deref()) {
-        upstream.end();
+    let Some(call) = upstream.begin(&request_id, key.as_deref()) else {
         return respond(StatusCode::SERVICE_UNAVAILABLE, JSON, r#"{"error":"engine restarted"}"#);
-    }
-    let running = Running(upstream);
+    };
+    let running = Running { upstream, call };
     tokio::time::sleep(Duration::from_millis(switches.delay_ms)).await;
     if let Some(status) = switches.fail_status {
         let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
--- a/crates/fakes/src/upstream/state.rs
+++ b/crates/fakes/src/upstream/state.rs
@@ -23,6 +23,8 @@
     pub cut_after_tokens: Option<u32>,
     /// HTTP status that every call is answered with.
     pub fail_status: Option<u16>,
+    /// Writes a line for each call before it begins, which outlives the process.
+    pub log_calls: bool,
 }
 
 /// What the stand-in saw.
@@ -48,10 +50,19 @@
     pub runs_by_request: FastMap<String, u32>,
     /// Orders executed, as fencing numbers in order.
     pub fences: Vec<u64>,
+    /// Calls in progress that began since the engine start.
+    started: u32,
     /// Completed calls since the engine start.
     warm_up: u32,
 }
 
+/// A call in progress.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Call {
+    /// Engine start that the call belongs to.
+    boot_id: u64,
+}
+
 /// State of one upstream stand-in.
 #[derive(Debug)]
 pub struct Upstream {
@@ -86,34 +97,43 @@
         make_cold(&mut inner.1);
     }
 
-    /// Begins a call; returns false when the engine falls over instead.
-    pub fn begin(&self, request: &str, key: Option<&str>) -> bool {
+    /// Begins a call; returns none when the engine falls over instead.
+    ///
+    /// Calls that were in progress when the engine turned cold do not count against what it bears.
+    pub fn begin(&self, request: &str, key: Option<&str>) -> Option<Call> {
         let mut inner = self.lock();
         let (switches, record) = &mut *inner;
         record.calls += 1;
-        record.running += 1;
-        record.peak = record.peak.max(record.running);
         *record.runs_by_request.entry(request.to_owned()).or_default() += 1;
         if let Some(key) = key {
             *record.runs_by_key.entry(key.to_owned()).or_default() += 1;
         }
+        record.running += 1;
+        record.started += 1;
+        record.peak = record.peak.max(record.running);
+        let call = Call { boot_id: record.boot_id };
         if record.warm {
-            return true;
+            return Some(call);
         }
-        record.cold_peak = record.cold_peak.max(record.running);
-        if record.running <= switches.cold_bearable {
-            return true;
+        record.cold_peak = record.cold_peak.max(record.started);
+        if record.started <= switches.cold_bearable {
+            return Some(call);
         }
         record.overloads += 1;
+        record.running -= 1;
         make_cold(record);
-        false
+        None
     }
 
     /// Ends a call.
-    pub fn end(&self) {
+    pub fn end(&self, call: Call) {
         let mut inner = self.lock();
         let (switches, record) = &mut *inner;
-        record.running = record.running.saturating_sub(1);
+        record.running -= 1;
+        if call.boot_id != record.boot_id {
+            return;
+        }
+        record.started -= 1;
         record.warm_up += 1;
         if record.warm_up >= switches.cold_calls {
             record.warm = true;
@@ -133,5 +153,6 @@
 fn make_cold(record: &mut Record) {
     record.boot_id += 1;
     record.warm = false;
+    record.started = 0;
     record.warm_up = 0;
 }
