--- a/crates/entry/src/run/stage.rs
+++ b/crates/entry/src/run/stage.rs
@@ -107,8 +107,16 @@
 ) -> Result<Output, Refusal> {
     let estimate_ms = entry.policy.expected_ms(work.demand);
     let begun_ms = entry.clock.now_ms();
-    let mut run =
-        StageRun { entry, request, work, tried: Vec::new(), next_number: 0, begun_ms, estimate_ms };
+    let mut run = StageRun {
+        entry,
+        request,
+        work,
+        tried: Vec::new(),
+        next_number: 0,
+        begun_ms,
+        estimate_ms,
+        no_probe: false,
+    };
     let mut execution = Execution::NotRun;
     let mut last = Refusal::not_run(Reason::NoUpstream, NO_UPSTREAM_RETRY_AFTER_MS);
     while run.next_number < MAX_ATTEMPTS {
