Keep the last upstreams of a pool in service although they were ejected

A pool of two upstreams whose one was ejected as slow refused every request with no_upstream for good once the other's data centre was taken out: the load counted only upstreams in service, so admission let no request through, and without a request the ejected upstream never got the attempt on which its return depends.

Upstreams that the directory refuses now count as withdrawn in the pool's view, and ejection is ignored when no other open upstream is in service.

--- a/crates/core/src/routing/pool.rs
+++ b/crates/core/src/routing/pool.rs
@@ -222,8 +222,13 @@
     ) -> Vec<Candidate> {
         let mut candidates = Vec::with_capacity(self.upstreams.len());
         let pool_ratio = self.typical_ratio();
+        let ignores_ejection = self.ignores_ejection(now_ms);
         for (key, upstream) in &self.upstreams {
             let health = &self.health[key];
+            let standing = match ignores_ejection {
+                true => Standing::InService,
+                false => health.standing(now_ms),
+            };
             let ratio = health.latency_ratio().unwrap_or(pool_ratio);
             candidates.push(Candidate {
                 key,
@@ -233,7 +238,7 @@
                 in_flight: upstream.in_flight,
                 latency_factor: ratio / pool_ratio,
                 is_local: upstream.is_local,
-                standing: health.standing(now_ms),
+                standing,
                 has_prefix: prefix.is_some_and(|it| self.hints.holds(key, it)),
                 tried: tried.contains(&key),
             });
@@ -261,9 +266,12 @@
     /// Returns the load of the upstreams that may receive work.
     pub fn load(&self, now_ms: u64) -> PoolLoad {
         let mut pool = PoolLoad::default();
+        let ignores_ejection = self.ignores_ejection(now_ms);
         for (key, upstream) in &self.upstreams {
             let load = upstream.current_load(now_ms);
-            if load.draining || self.health[key].standing(now_ms) != Standing::InService {
+            let is_in_service =
+                ignores_ejection || self.health[key].standing(now_ms) == Standing::InService;
+            if load.draining || !is_in_service {
                 continue;
             }
             pool.upstreams += 1;
@@ -274,6 +282,20 @@
         pool
     }
 
+    /// Tells whether every upstream that is not withdrawn has been ejected.
+    ///
+    /// That happens when the others of the pool are withdrawn after the ejection. Ejection is a
+    /// choice among upstreams, so it must not take the last ones out of service.
+    fn ignores_ejection(&self, now_ms: u64) -> bool {
+        for (key, upstream) in &self.upstreams {
+            let is_open = !upstream.current_load(now_ms).draining;
+            if is_open && self.health[key].standing(now_ms) == Standing::InService {
+                return false;
+            }
+        }
+        true
+    }
+
     fn is_outlier(&self, key: UpstreamKey) -> bool {
         self.health[key].is_outlier(self.typical_ratio())
     }
--- a/crates/core/src/routing/tests.rs
+++ b/crates/core/src/routing/tests.rs
@@ -160,6 +160,18 @@
     assert_eq!(ejected, 2);
 }
 
+#[test]
+fn last_upstream_serves_although_it_was_ejected_before_the_other_was_withdrawn() {
+    let (mut pool, keys) = pool(&[0, 0]);
+    for _ in 0..3 {
+        pool.on_end(0, keys[0], AttemptEnd::Failed);
+    }
+    assert_eq!(route(&pool, RouteContext::default(), NO_PROBE).unwrap().key, keys[1]);
+    pool.set_withdrawn(keys[1], true);
+    assert_eq!(pool.load(0).upstreams, 1);
+    assert_eq!(route(&pool, RouteContext::default(), NO_PROBE).unwrap().key, keys[0]);
+}
+
 #[test]
 fn slow_upstream_is_ejected() {
     let (mut pool, keys) = pool(&[0, 0, 0]);
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -209,7 +209,8 @@
     /// Returns the load of a pool.
     pub(crate) fn pool_load(&self, pool: &str) -> PoolLoad {
         let now_ms = self.clock.now_ms();
-        let state = self.lock();
+        let mut state = self.lock();
+        state.withdraw(pool);
         let mut load = state.pools.get(pool).map(|it| it.load(now_ms)).unwrap_or_default();
         let open = state.directory.candidates(pool).len() as u32;
         load.upstreams = load.upstreams.min(open);
@@ -292,14 +293,25 @@
 }
 
 impl State {
+    /// Withdraws the upstreams of a pool that the directory refuses, and returns the others.
+    fn withdraw(&mut self, pool: &str) {
+        let Some(view) = self.pools.get_mut(pool) else { return };
+        for (key, member) in &self.members {
+            if member.pool == pool {
+                view.set_withdrawn(member.view, self.directory.check(key).is_err());
+            }
+        }
+    }
+
     /// Lists the candidates of a pool that the directory allows.
     fn candidates(
-        &self,
+        &mut self,
         pool: &str,
         tried: &[UpstreamKey],
         prefix: Option<u64>,
         now_ms: u64,
     ) -> Result<Vec<Candidate>, Reason> {
+        self.withdraw(pool);
         let Some(view) = self.pools.get(pool) else { return Err(Reason::NoUpstream) };
         let tried: Vec<_> =
             tried.iter().filter_map(|it| self.members.get(*it).map(|it| it.view)).collect();
