Refuse a claim that cannot be settled after a second instead of at the deadline

With the platform answering 500, closing connections or hanging, the first write of a claim counts as lost and the read-back fails for as long as the outage lasts, so callers of non-idempotent calls waited for the whole declared deadline (10 s in the test) before they got a refusal. A platform that refuses with 503 was not affected. Ruled out: the platform client's own timeouts (2 s at most) and admission.

A flow with a lost first write is now given up 1 s after the loss, on the path that the dispatch limit already used: reply, then release the claim in the background. A slow platform that answers is waited for as before. Before: 3 of 4 forms of outage ran into the declared deadline. After: all 4 refuse in time; at_most_once_fuzz passes with and without sabotage.

--- a/crates/core/src/at_most_once/flow.rs
+++ b/crates/core/src/at_most_once/flow.rs
@@ -10,6 +10,9 @@
     sabotage::{Mechanisms, Sabotage},
 };
 
+/// Time for which a caller waits until a lost answer of the platform is settled, in milliseconds.
+const UNSETTLED_LIMIT_MS: u64 = 1_000;
+
 /// A call that may not be repeated, as one entry received it. All times are on the entry's clock.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ClaimRequest {
@@ -45,6 +48,8 @@
     pub(crate) epoch: u32,
     pub(crate) only_copy: bool,
     pub(crate) acquire_unsettled: bool,
+    /// Latest time at which a lost answer has to be settled for a dispatch, in milliseconds.
+    pub(crate) claim_by_ms: u64,
     pub(crate) replied: bool,
     pub(crate) dispatches: u16,
     pub(crate) mechanisms: Mechanisms,
@@ -95,6 +100,7 @@
             base: Base::Absent,
             epoch: 1,
             acquire_unsettled: false,
+            claim_by_ms: u64::MAX,
             replied: false,
             dispatches: 0,
             mechanisms: Mechanisms::default(),
@@ -139,7 +145,7 @@
             Phase::Finished => return None,
             _ if self.replied => self.settle_by_ms().saturating_add(1),
             Phase::Dispatched => self.request.deadline_ms,
-            _ => self.request.dispatch_by_ms.saturating_add(1),
+            _ => self.request.dispatch_by_ms.min(self.claim_by_ms).saturating_add(1),
         };
         match self.phase {
             Phase::Waiting { until_ms } => Some(limit_ms.min(until_ms)),
@@ -171,7 +177,10 @@
         if !self.mechanisms.has(Sabotage::ReadBack) {
             return self.on_written(purpose, 0, now_ms);
         }
-        self.acquire_unsettled |= purpose == Purpose::Acquire;
+        if purpose == Purpose::Acquire {
+            self.acquire_unsettled = true;
+            self.claim_by_ms = self.claim_by_ms.min(now_ms.saturating_add(UNSETTLED_LIMIT_MS));
+        }
         self.read()
     }
 
--- a/crates/core/src/at_most_once/steps.rs
+++ b/crates/core/src/at_most_once/steps.rs
@@ -21,7 +21,8 @@
 impl ClaimFlow {
     /// Replies that the claim could not be settled in time, and from then on only releases it.
     pub(crate) fn abandon_if_expired(&mut self, now_ms: u64) -> Vec<ClaimAction> {
-        if self.goal != Goal::Acquire || !self.is_expired(now_ms) {
+        let is_expired = self.is_expired(now_ms) || now_ms > self.claim_by_ms;
+        if self.goal != Goal::Acquire || !is_expired {
             return Vec::new();
         }
         self.goal = Goal::Settle(ClaimState::NotRun);
