Pass an accepted change on to the entries from the operators' command

Entries read the platform about once a second. Only the operators' command knew the accepted record.

Before: no_new_work_when_the_platform_goes_down_after_acceptance failed (2 of 2). After: it passes; crates/entry/tests/operator.rs passes (11 of 11).

--- a/crates/entry/src/operator/change.rs
+++ b/crates/entry/src/operator/change.rs
@@ -3,20 +3,35 @@
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::time::Instant;
 use yuccatrail_core::control::{
-    AuthorToken, PromoteAction, PromoteEvent, PromoteFlow, PromoteResult, Stored,
+    AuthorToken, ConfigRecord, ControlUpdate, PromoteAction, PromoteEvent, PromoteFlow,
+    PromoteResult, Stored,
 };
 use yuccatrail_platform::{
     Backoff, BackoffSettings, CURRENT, Client, Kind, PlatformError, ResourceVersion,
 };
 
+use super::announce::Entries;
+
 /// Result of a change with the last error on the way.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Settled {
+pub(crate) struct Settled<T> {
+    /// Result of the change.
     pub(crate) result: PromoteResult,
+    /// Record that was written last, which is the accepted one if the change was accepted.
+    pub(crate) written: Option<T>,
+    /// Last error on the way.
     pub(crate) last_error: Option<PlatformError>,
 }
 
-impl Settled {
+impl<T> Settled<T> {
+    /// Returns the record that is in force through this change.
+    pub(crate) fn accepted(&self) -> Option<&T> {
+        match self.result {
+            PromoteResult::Accepted { .. } => self.written.as_ref(),
+            _ => None,
+        }
+    }
+
     /// Describes why the change did not come through.
     pub(crate) fn detail(&self) -> String {
         match &self.last_error {
@@ -37,21 +52,25 @@
     kind: Kind,
     mut flow: PromoteFlow<T>,
     deadline: Instant,
-) -> Settled
+) -> Settled<T>
 where
     T: Clone + Serialize + DeserializeOwned,
 {
     let mut calls = Calls::new(client, kind);
     let mut action = flow.start();
+    let mut written = None;
     loop {
         if let PromoteAction::Finished(result) = action {
-            return Settled { result, last_error: calls.last_error };
+            return Settled { result, written, last_error: calls.last_error };
         }
         if Instant::now() >= deadline {
             return calls.give_up();
         }
         let event = match &action {
-            PromoteAction::Write { if_revision, stored } => calls.write(*if_revision, stored).await,
+            PromoteAction::Write { if_revision, stored } => {
+                written = Some(stored.record.clone());
+                calls.write(*if_revision, stored).await
+            }
             _ => calls.read().await,
         };
         let Some(event) = event else { return calls.give_up() };
@@ -62,6 +81,21 @@
     }
 }
 
+/// Puts a document into force and passes it on to the entries.
+pub(crate) async fn put_into_force(
+    client: &Client,
+    flow: PromoteFlow<ConfigRecord>,
+    deadline: Instant,
+) -> Settled<ConfigRecord> {
+    let change = carry_out(client, Kind::Environments, flow, deadline);
+    let (entries, settled) = tokio::join!(Entries::listed(client), change);
+    if let Some(record) = settled.accepted() {
+        let config = Some(record.clone());
+        entries.announce(ControlUpdate { config, operations: None }).await;
+    }
+    settled
+}
+
 /// Platform calls of one change.
 struct Calls<'a> {
     client: &'a Client,
@@ -160,11 +194,11 @@
     }
 
     /// Ends without the flow's result; a write without an answer may still take effect.
-    fn give_up(self) -> Settled {
+    fn give_up<T>(self) -> Settled<T> {
         let result = match self.is_ambiguous {
             true => PromoteResult::Undecided,
             false => PromoteResult::NotAccepted,
         };
-        Settled { result, last_error: self.last_error }
+        Settled { result, written: None, last_error: self.last_error }
     }
 }
--- a/crates/entry/src/operator/mod.rs
+++ b/crates/entry/src/operator/mod.rs
@@ -1,5 +1,6 @@
 //! Operators' commands: each runs once, prints what happened and says so in its exit code.
 
+mod announce;
 mod change;
 mod check;
 mod confirm;
--- a/crates/entry/src/operator/operate.rs
+++ b/crates/entry/src/operator/operate.rs
@@ -4,12 +4,13 @@
 
 use bpaf::{Parser, construct};
 use yuccatrail_core::{
-    control::{OperationsChange, PromoteFlow},
+    control::{ControlUpdate, OperationsChange, PromoteFlow},
     membership::InstanceRecord,
 };
 use yuccatrail_platform::{Client, Kind};
 
 use super::{
+    announce::Entries,
     change,
     confirm::{Part, confirm},
     options::{self, Connection},
@@ -60,7 +61,12 @@
 async fn operate(options: &Options, client: &Client, change: OperationsChange) -> Outcome {
     let flow = PromoteFlow::operate(change, change::new_author());
     let deadline = options.connection.deadline();
-    let settled = change::carry_out(client, Kind::Operations, flow, deadline).await;
+    let change = change::carry_out(client, Kind::Operations, flow, deadline);
+    let (entries, settled) = tokio::join!(Entries::listed(client), change);
+    if let Some(record) = settled.accepted() {
+        let operations = Some(record.clone());
+        entries.announce(ControlUpdate { config: None, operations }).await;
+    }
     confirm(settled.into(), client, Part::Operations, options.wait_ms).await
 }
 
--- a/crates/entry/src/operator/outcome.rs
+++ b/crates/entry/src/operator/outcome.rs
@@ -148,8 +148,8 @@
     }
 }
 
-impl From<Settled> for Outcome {
-    fn from(settled: Settled) -> Self {
+impl<T> From<Settled<T>> for Outcome {
+    fn from(settled: Settled<T>) -> Self {
         let detail = settled.detail();
         match settled.result {
             PromoteResult::Accepted { version } => Self::Accepted { version, entries: None },
--- a/crates/entry/src/operator/peer_status.rs
+++ b/crates/entry/src/operator/peer_status.rs
@@ -1,4 +1,4 @@
-//! Asks an entry for its status at its peer address, which the instance list holds.
+//! Talks to an entry at its peer address, which the instance list holds.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -19,13 +19,21 @@
 
 /// Reads the versions that the entry at `address` holds.
 pub(crate) async fn read(address: SocketAddr) -> Result<EntryStatus, StatusError> {
+    send(address, ControlUpdate::default()).await
+}
+
+/// Passes on control state that was accepted, and reads the versions that the entry holds then.
+pub(crate) async fn send(
+    address: SocketAddr,
+    update: ControlUpdate,
+) -> Result<EntryStatus, StatusError> {
     let Some(client) = gossip::connect(address).await else {
         return Err(StatusError::unreachable("no connection"));
     };
     let request = SyncRequest {
         from: Incarnation(rand::random()),
         versions: NOTHING_WANTED,
-        update: ControlUpdate::default(),
+        update,
         ages: Ages::default(),
         echo: None,
         strikes: Vec::new(),
--- a/crates/entry/src/operator/promote.rs
+++ b/crates/entry/src/operator/promote.rs
@@ -75,7 +75,7 @@
         Err(faults) => return Outcome::faulty(&arguments.from, &faults),
     };
     let target = arguments.connection.client(&arguments.to);
-    let settled = change::carry_out(&target, Kind::Environments, flow, deadline).await;
+    let settled = change::put_into_force(&target, flow, deadline).await;
     confirm(settled.into(), &target, Part::Config, arguments.wait_ms).await
 }
 
--- a/crates/entry/src/operator/trial.rs
+++ b/crates/entry/src/operator/trial.rs
@@ -4,7 +4,6 @@
 
 use bpaf::{Parser, construct, long, positional};
 use yuccatrail_core::control::PromoteFlow;
-use yuccatrail_platform::Kind;
 
 use super::{
     change,
@@ -60,6 +59,6 @@
     };
     let client = arguments.connection.client(&arguments.environment);
     let deadline = arguments.connection.deadline();
-    let settled = change::carry_out(&client, Kind::Environments, flow, deadline).await;
+    let settled = change::put_into_force(&client, flow, deadline).await;
     confirm(settled.into(), &client, Part::Config, arguments.wait_ms).await
 }
