--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -210,14 +210,8 @@
     pub(crate) fn pool_load(&self, pool: &str) -> PoolLoad {
         let now_ms = self.clock.now_ms();
         let mut state = self.lock();
-        let State { directory, members, pools, .. } = &mut *state;
-        let Some(view) = pools.get_mut(pool) else { return PoolLoad::default() };
-        for (key, member) in members.iter() {
-            if member.pool == pool {
-                view.set_withdrawn(member.view, directory.check(key).is_err());
-            }
-        }
-        view.load(now_ms)
+        state.withdraw(pool);
+        state.pools.get(pool).map(|it| it.load(now_ms)).unwrap_or_default()
     }
 
     /// Returns the state of all upstreams, ordered by name.
@@ -296,14 +290,25 @@
 }
 
 impl State {
+    /// Withdraws the upstreams of a pool that the directory refuses, and returns the others.
+    fn withdraw(&mut self, pool: &str) {
+        let Some(view) = self.pools.get_mut(pool) else { return };
+        for (key, member) in &self.members {
+            if member.pool == pool {
+                view.set_withdrawn(member.view, self.directory.check(key).is_err());
+            }
+        }
+    }
+
     /// Lists the candidates of a pool that the directory allows.
     fn candidates(
-        &self,
+        &mut self,
         pool: &str,
         tried: &[UpstreamKey],
         prefix: Option<u64>,
         now_ms: u64,
     ) -> Result<Vec<Candidate>, Reason> {
+        self.withdraw(pool);
         let Some(view) = self.pools.get(pool) else { return Err(Reason::NoUpstream) };
         let tried: Vec<_> =
             tried.iter().filter_map(|it| self.members.get(*it).map(|it| it.view)).collect();
