--- a/crates/fakes/src/stack/mod.rs
+++ b/crates/fakes/src/stack/mod.rs
@@ -5,4 +5,5 @@
 pub mod faults;
 pub mod plan;
 pub mod process;
+pub mod relay;
 pub mod run;
