--- a/crates/entry/src/run/stage.rs
+++ b/crates/entry/src/run/stage.rs
@@ -26,6 +26,9 @@
 
 /// Attempts of one stage, over all upstreams.
 const MAX_ATTEMPTS: u16 = 6;
+/// Time after the deadline for which the outcome of a call that may not be repeated is awaited, in
+/// milliseconds.
+const OUTCOME_WAIT_MS: u64 = 30_000;
 /// Time between two choices while no upstream can take the attempt.
 const CHOICE_INTERVAL: Duration = Duration::from_millis(20);
 /// Longest wait for an upstream to become reachable in a request that has begun, in milliseconds.
@@ -63,19 +66,28 @@
 struct Begun {
     fleet: Arc<Fleet>,
     key: UpstreamKey,
-    end: AttemptEnd,
+    sent_ms: u64,
+    estimate_ms: u64,
+    end: Option<AttemptEnd>,
 }
 
 impl Begun {
     /// Notes how the attempt ended.
     fn ends(&mut self, end: AttemptEnd) {
-        self.end = end;
+        self.end = Some(end);
+    }
+
+    /// Returns the end of an attempt that is dropped before it has one.
+    fn abandoned(&self) -> AttemptEnd {
+        let elapsed_ms = self.fleet.clock.now_ms().saturating_sub(self.sent_ms);
+        AttemptEnd::Abandoned { ratio: elapsed_ms as f64 / self.estimate_ms.max(1) as f64 }
     }
 }
 
 impl Drop for Begun {
     fn drop(&mut self) {
-        self.fleet.end(self.key, self.end);
+        let end = self.end.unwrap_or_else(|| self.abandoned());
+        self.fleet.end(self.key, end);
     }
 }
 
@@ -269,19 +281,25 @@
     ) -> AttemptFuture<'a> {
         let (entry, request, work) = (self.entry, self.request, self.work);
         let estimate_ms = self.estimate_ms;
-        let mut begun =
-            Begun { fleet: entry.fleet.clone(), key: chosen.key, end: AttemptEnd::NotRun };
+        let sent_ms = entry.clock.now_ms();
+        let fleet = entry.fleet.clone();
+        let mut begun = Begun { fleet, key: chosen.key, sent_ms, estimate_ms, end: None };
+        // The outcome of a call that may not be repeated matters to later copies as well.
+        let await_until_ms = match idempotent {
+            true => request.deadline_ms,
+            false => request.deadline_ms + OUTCOME_WAIT_MS,
+        };
         let plan = AttemptPlan {
             id,
             pool: work.demand.pool.name.clone(),
             idempotent,
             dispatch_by_ms,
+            await_until_ms,
             estimate_ms,
             call: work.call.clone(),
             sink: work.sink.clone(),
         };
         Box::pin(async move {
-            let sent_ms = entry.clock.now_ms();
             let result = attempt::run(entry, &chosen.link, request, plan).await;
             let latency_ms = entry.clock.now_ms().saturating_sub(sent_ms);
             begun.ends(attempt_end(&result, estimate_ms));
@@ -290,7 +308,7 @@
                     let usage = output.completion.usage;
                     entry.policy.on_complete(work.demand, usage, latency_ms);
                     entry.strikes.complete(request.fingerprint);
-                    entry.retry_budget().on_complete();
+                    entry.retry_budget().on_completed(true);
                 }
                 Err(failure) => report_failure(entry, request, work, id, failure),
             }
@@ -325,9 +343,9 @@
             Reason::DeadlineExpired | Reason::Quarantined | Reason::DeadlineUnreachable => false,
             _ if refusal.execution == Execution::NotRun => true,
             // Output that the caller has seen cannot be replaced by that of another run.
-            _ if self.work.sink.is_some() => false,
+            _ if self.work.sink.is_some() && failure.delivered => false,
             _ => {
-                let allowed = self.entry.retry_budget().try_spend();
+                let allowed = self.entry.retry_budget().try_retry();
                 if allowed {
                     self.entry.metrics.retries.inc();
                 }
@@ -373,7 +391,7 @@
         Err(failure) => failure,
     };
     let execution = first.refusal.execution.and(second.refusal.execution);
-    Err(Failure { refusal: Refusal { execution, ..second.refusal }, usage: None })
+    Err(Failure { refusal: Refusal { execution, ..second.refusal }, ..second })
 }
 
 fn attempt_end(result: &Result<Output, Failure>, estimate_ms: u64) -> AttemptEnd {
