Control traffic that does not grow with entries times agents

Now a heartbeat announces versions and the agent asks one entry for the state; the interval grows with the number of links; two entries of a data centre read for all; an agent gathers output for 20 ms after the first chunk. An agent that waits for a confirmation after a pause asks for it at once, and a call that is not answered takes the upstream out until a heartbeat is.

--- a/crates/agent/src/executor.rs
+++ b/crates/agent/src/executor.rs
@@ -29,6 +29,9 @@
 /// Largest size of the output in one reply, in bytes.
 const MAX_PAGE_BYTES: usize = 256 * 1024;
 
+/// Time for which output is gathered before it is sent, so that a fast stream needs few calls.
+const GATHER_TIME: Duration = Duration::from_millis(20);
+
 /// Everything that the agent's decisions and tasks share.
 struct State {
     core: AgentCore,
@@ -84,6 +87,7 @@
         let now_ms = self.clock.now_ms();
         let is_changed = !request.update.is_empty();
         self.control.adopt(request.update, "entry");
+        let again;
         {
             let mut state = self.lock();
             if is_changed {
@@ -97,6 +101,7 @@
             {
                 state.core.confirm_control(sent_ms, age_ms);
             }
+            again = state.core.asks_again(!holds_all, now_ms);
             self.wake(&mut state);
         }
         self.start_ready();
@@ -104,6 +109,7 @@
             feedback: self.feedback(),
             update: self.control.update_for(request.versions),
             ages: self.ages(),
+            again,
         }
     }
 
@@ -289,25 +295,30 @@
         self.wake(&mut state);
     }
 
+    /// Waits for output from `from` on; further output is gathered for a moment, except the first.
     async fn wait_output(&self, attempt: AttemptId, from: u64, wait: Duration) -> AttemptState {
-        let deadline = Instant::now() + wait;
+        let mut until = Instant::now() + wait;
+        let mut gathers = false;
         loop {
             let changed = {
                 let mut state = self.lock();
                 let lookup = state.core.read(attempt, from, MAX_PAGE_BYTES);
                 let notify = state.changed.get(&attempt).cloned();
-                let (true, Some(notify)) = (is_idle(&lookup), notify) else {
+                let output = output_of(&lookup);
+                let is_over = output == Output::Ended || Instant::now() >= until;
+                let is_first = output == Output::New && from == 0;
+                let (false, false, Some(notify)) = (is_over, is_first, notify) else {
                     note_read(&mut state, attempt, &lookup);
                     return attempt_state(lookup);
                 };
+                if output == Output::New && !gathers {
+                    gathers = true;
+                    until = until.min(Instant::now() + GATHER_TIME);
+                }
                 notify.notified_owned()
             };
-            if tokio::time::timeout_at(deadline, changed).await.is_err() {
-                let mut state = self.lock();
-                let lookup = state.core.read(attempt, from, MAX_PAGE_BYTES);
-                note_read(&mut state, attempt, &lookup);
-                return attempt_state(lookup);
-            }
+            // The next look tells whether there is news or the time is over.
+            let _ = tokio::time::timeout_at(until, changed).await;
         }
     }
 
@@ -350,11 +361,24 @@
     }
 }
 
-/// Tells whether there is nothing new to report.
-fn is_idle(lookup: &AttemptLookup) -> bool {
-    let AttemptLookup::Accepted(page) = lookup else { return false };
-    let in_progress = matches!(page.progress, Progress::Queued | Progress::Running);
-    in_progress && page.chunks.is_empty()
+/// What a look at an attempt found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Output {
+    /// Nothing new.
+    None,
+    /// New chunks of an attempt that goes on.
+    New,
+    /// The attempt has ended or is not known.
+    Ended,
+}
+
+fn output_of(lookup: &AttemptLookup) -> Output {
+    let AttemptLookup::Accepted(page) = lookup else { return Output::Ended };
+    match page.progress {
+        Progress::Completed(_) | Progress::Failed(_) => Output::Ended,
+        Progress::Queued | Progress::Running if page.chunks.is_empty() => Output::None,
+        Progress::Queued | Progress::Running => Output::New,
+    }
 }
 
 /// Notes that an entry reads the end of an attempt.
--- a/crates/core/src/agent/core.rs
+++ b/crates/core/src/agent/core.rs
@@ -28,6 +28,8 @@
 const BUSY_RETRY_AFTER_MS: u64 = 250;
 /// Time after which a caller may come back when an upstream refuses new work, in milliseconds.
 const CLOSED_RETRY_AFTER_MS: u64 = 1_000;
+/// Time after which another entry is asked for control state that one did not send, in milliseconds.
+const FETCH_PATIENCE_MS: u64 = 300;
 /// Calls that wait in front of an upstream whose pool is not known yet.
 const INITIAL_QUEUE: u32 = 0;
 
@@ -97,6 +99,8 @@
     keys_by_entry: FastMap<EntryKey, AttemptKey>,
     calls: FastMap<AttemptKey, Call>,
     changed: Vec<AttemptId>,
+    /// Time until which an entry that was asked for newer state is given to send it.
+    fetch_until_ms: u64,
 }
 
 impl AgentCore {
@@ -113,6 +117,7 @@
             keys_by_entry: FastMap::default(),
             calls: FastMap::default(),
             changed: Vec::new(),
+            fetch_until_ms: 0,
             settings,
         }
     }
@@ -131,6 +136,7 @@
 
     /// Takes over the control state of the process.
     pub fn set_control(&mut self, control: &ControlState, now_ms: u64) {
+        self.fetch_until_ms = 0;
         let change = self.gate.set_control(control);
         if let Ok(document) = control.may_serve() {
             self.set_document(document);
@@ -160,6 +166,20 @@
         self.gate.age_ms(now_ms)
     }
 
+    /// Decides whether to ask the sender of a heartbeat for another exchange at once.
+    ///
+    /// Only one of the entries that announce newer versions is asked for them at a time.
+    pub fn asks_again(&mut self, lacks_state: bool, now_ms: u64) -> bool {
+        if self.gate.awaits_confirmation() {
+            return true;
+        }
+        if !lacks_state || now_ms < self.fetch_until_ms {
+            return false;
+        }
+        self.fetch_until_ms = now_ms + FETCH_PATIENCE_MS;
+        true
+    }
+
     /// Accepts or refuses an attempt.
     pub fn submit(&mut self, order: &SubmitOrder, now_ms: u64) -> AttemptLookup {
         if order.agent != self.settings.incarnation {
--- a/crates/core/src/drain/freshness.rs
+++ b/crates/core/src/drain/freshness.rs
@@ -95,6 +95,11 @@
         self.known_as_of_ms.map(|it| now_ms.saturating_sub(it))
     }
 
+    /// Tells whether the process waits for a confirmation after a pause.
+    pub fn awaits_confirmation(&self) -> bool {
+        self.woke_ms.is_some()
+    }
+
     /// Tells whether the process may act on its control state.
     ///
     /// After a pause that needs a confirmation. Where none comes, because neither the platform nor
--- a/crates/core/src/drain/gate.rs
+++ b/crates/core/src/drain/gate.rs
@@ -116,6 +116,11 @@
         self.freshness.confirm(sent_ms, age_ms);
     }
 
+    /// Tells whether queued calls wait for a confirmation after a pause.
+    pub fn awaits_confirmation(&self) -> bool {
+        self.freshness.awaits_confirmation()
+    }
+
     /// Upper bound on the age of the control state, in milliseconds; none if it was never
     /// confirmed.
     pub fn age_ms(&self, now_ms: u64) -> Option<u64> {
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -3,6 +3,7 @@
 use std::{
     hash::{Hash, Hasher},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
 
 use log::info;
@@ -27,7 +28,11 @@
 use crate::{link::Link, strikes::Strikes};
 
 /// Bounds of the upstreams of one pool that an entry connects to.
-const SUBSET_SIZES: SubsetSizes = SubsetSizes { size: 32, coverage: 3 };
+const SUBSET_SIZES: SubsetSizes = SubsetSizes { size: 8, coverage: 3 };
+/// Shortest time between two heartbeats on a connection, in milliseconds.
+const MIN_HEARTBEAT_MS: u64 = 500;
+/// Time between two heartbeats of the entry, over all connections, in milliseconds.
+const HEARTBEAT_SPACING_MS: u64 = 40;
 /// Calls that an upstream is assumed to bear before its agent has reported.
 const ASSUMED_COLD_LIMIT: u32 = 1;
 
@@ -206,6 +211,14 @@
         self.lock().directory.contact_failed(key, now_ms);
     }
 
+    /// Returns the time between two heartbeats on one connection.
+    ///
+    /// It grows with the number of connections, so that the entry's heartbeats take a bounded rate.
+    pub(crate) fn heartbeat_interval(&self) -> Duration {
+        let links = self.lock().members.len() as u64;
+        Duration::from_millis(MIN_HEARTBEAT_MS.max(links * HEARTBEAT_SPACING_MS))
+    }
+
     /// Returns the load of a pool, without the upstreams that get no new work.
     pub(crate) fn pool_load(&self, pool: &str) -> PoolLoad {
         let now_ms = self.clock.now_ms();
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -131,6 +131,7 @@
             },
             update: entry.control.update_for(request.versions),
             ages: entry.control.ages(now_ms),
+            again: false,
         }
     }
 }
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -21,8 +21,6 @@
 
 use crate::fleet::Fleet;
 
-/// Time between two heartbeats on a connection.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after which an unanswered heartbeat closes the connection.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time between two attempts to connect.
@@ -52,6 +50,15 @@
     }
 }
 
+/// What an agent asks for in a reply to a heartbeat.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Wish {
+    /// Whether another exchange is to follow at once.
+    pub(crate) again: bool,
+    /// Versions that the agent holds.
+    pub(crate) holds: Versions,
+}
+
 #[derive(Default)]
 struct State {
     client: Option<AgentClient>,
@@ -118,15 +125,19 @@
 
     /// Sends the agent what it lacks of the control state, and takes what the entry lacks.
     ///
-    /// Returns false when the agent cannot be reached.
-    pub(crate) async fn exchange(&self, client: &AgentClient, known: Versions) -> bool {
+    /// Returns the agent's reply unless it cannot be reached.
+    pub(crate) async fn exchange(&self, client: &AgentClient, known: Versions) -> Option<Wish> {
         let sent_ms = self.fleet.clock.now_ms();
         let request = self.sync_request(known, sent_ms);
-        let Ok(reply) = client.sync(context_for(HEARTBEAT_TIMEOUT), request).await else {
-            return false;
-        };
+        let reply = client.sync(context_for(HEARTBEAT_TIMEOUT), request).await.ok()?;
+        let wish = Wish { again: reply.again, holds: reply.feedback.versions };
         self.take_sync(client, reply, sent_ms);
-        true
+        Some(wish)
+    }
+
+    /// Notes that a call to the agent was not answered; the next heartbeat shows whether it is back.
+    pub(crate) fn suspect(&self) {
+        self.fleet.on_contact_failed(self.key);
     }
 
     async fn maintain(self: Arc<Self>) {
@@ -152,23 +163,28 @@
         Ok(AgentClient::new(Config::default(), Box::pin(transport)).spawn())
     }
 
-    /// Sends heartbeats until one stays unanswered; a change of the control state is sent at once.
+    /// Sends heartbeats until one stays unanswered.
+    ///
+    /// A heartbeat announces the versions that the entry holds, at once after a change. The state
+    /// itself follows when the agent asks for it, so that an agent receives it from one entry.
     async fn beat(&self, client: &AgentClient) {
         let mut changed = self.fleet.control.subscribe();
-        let mut known = self.fleet.control.versions();
-        let mut repeated = false;
+        let mut wish = Wish { again: false, holds: Versions::default() };
+        let mut asked = false;
         while !self.stop.is_cancelled() {
-            if !self.exchange(client, known).await {
-                return;
-            }
-            known = self.lock().report.as_ref().map(|it| it.feedback.versions).unwrap_or_default();
-            // An agent that refuses the update must not be asked again without a pause.
-            repeated = !repeated && self.fleet.control.versions().has_newer_than(known);
-            if repeated {
+            let known = match wish.again {
+                true => wish.holds,
+                false => self.fleet.control.versions(),
+            };
+            let Some(reply) = self.exchange(client, known).await else { return };
+            wish = reply;
+            // An agent that refuses the state must not be sent it again without a pause.
+            asked = wish.again && !asked;
+            if asked {
                 continue;
             }
             tokio::select! {
-                () = tokio::time::sleep(HEARTBEAT_INTERVAL) => {}
+                () = tokio::time::sleep(self.fleet.heartbeat_interval()) => {}
                 _ = changed.changed() => {}
                 () = self.stop.cancelled() => {}
             }
--- a/crates/entry/src/platform_feed.rs
+++ b/crates/entry/src/platform_feed.rs
@@ -1,8 +1,8 @@
 //! Feeds the control state and the instance list from the platform.
 //!
-//! The instance list is watched. The control state is read only when it has grown stale, that is,
-//! when no peer has passed on a recent confirmation either. So the reads of the platform do not grow
-//! with the number of entries.
+//! The instance list is watched. The control state is read by a few entries of each data centre, and
+//! by the others only when no peer has passed on a recent confirmation. So the reads of the platform
+//! do not grow with the number of entries.
 
 use std::{sync::Arc, time::Duration};
 
@@ -20,10 +20,14 @@
 
 /// Time between two checks of the control state's age.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Age from which on the operational state is read again, in milliseconds.
+/// Age from which on a reader reads the operational state again, in milliseconds.
 const OPERATIONS_STALE_MS: u64 = 1_000;
-/// Age from which on the environment document is read again, in milliseconds.
+/// Age from which on a reader reads the environment document again, in milliseconds.
 const CONFIG_STALE_MS: u64 = 2_000;
+/// Age from which on an entry reads that leaves this to the readers, in milliseconds.
+const UNREAD_STALE_MS: u64 = 3_500;
+/// Entries of each data centre that read the platform for all.
+const READERS_A_DATA_CENTRE: usize = 2;
 /// Largest random addition to a stale age, in milliseconds, so that one entry reads for all.
 const STALE_JITTER_MS: u64 = 400;
 /// Name of the one environment object and of the one operations object.
@@ -78,15 +82,35 @@
 async fn read_stale(entry: &Entry, client: &Client) -> Result<(), PlatformError> {
     let now_ms = entry.clock.now_ms();
     let ages = entry.control.ages(now_ms);
-    if is_stale(ages.operations_ms, OPERATIONS_STALE_MS) {
+    let (operations_limit_ms, config_limit_ms) = match is_reader(entry) {
+        true => (OPERATIONS_STALE_MS, CONFIG_STALE_MS),
+        false => (UNREAD_STALE_MS, UNREAD_STALE_MS),
+    };
+    if is_stale(ages.operations_ms, operations_limit_ms) {
         read_operations(entry, client, now_ms).await?;
     }
-    if is_stale(ages.config_ms, CONFIG_STALE_MS) {
+    if is_stale(ages.config_ms, config_limit_ms) {
         read_config(entry, client, now_ms).await?;
     }
     Ok(())
 }
 
+/// Tells whether the entry is one of those that read for all, by the order of names in the list.
+///
+/// An entry that is not listed cannot rely on others. Should all readers fail, the others' knowledge
+/// grows old and they read themselves.
+fn is_reader(entry: &Entry) -> bool {
+    let mut names = Vec::new();
+    for instance in entry.fleet.entries() {
+        if instance.data_centre == entry.data_centre {
+            names.push(instance.name);
+        }
+    }
+    names.sort_unstable();
+    let position = names.iter().position(|it| *it == entry.name);
+    position.is_none_or(|it| it < READERS_A_DATA_CENTRE)
+}
+
 fn is_stale(age_ms: Option<u64>, limit_ms: u64) -> bool {
     let jitter_ms = rand::random::<u64>() % STALE_JITTER_MS;
     age_ms.is_none_or(|it| it > limit_ms + jitter_ms)
--- a/crates/entry/src/run/attempt.rs
+++ b/crates/entry/src/run/attempt.rs
@@ -171,6 +171,7 @@
                     }
                 }
                 Err(error) => {
+                    self.link.suspect();
                     info!(attempt:% = self.handle.id, error:% = error; "call to agent failed");
                 }
             }
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -194,7 +194,12 @@
             load: LoadReport::default(),
             strikes: Vec::new(),
         };
-        SyncReply { feedback, update: ControlUpdate::default(), ages: Ages::default() }
+        SyncReply {
+            feedback,
+            update: ControlUpdate::default(),
+            ages: Ages::default(),
+            again: false,
+        }
     }
 }
 
--- a/crates/rpc/src/messages.rs
+++ b/crates/rpc/src/messages.rs
@@ -57,6 +57,9 @@
     pub update: ControlUpdate,
     /// Age of the answering process's control state.
     pub ages: Ages,
+    /// Whether the answering process asks for another exchange at once, with the state that it
+    /// lacks, because it has seen newer versions or needs a confirmation.
+    pub again: bool,
 }
 
 /// State of an answering process, which every reply carries.
