Pass the listed state of an upstream on to its agent

An upstream that the platform's instance list shows as leaving got no new requests from entries, but its agent did not know and went on with its queue: 2 calls began at the upstream more than 3 s after the list said so. The gate of the agent has the listed state as an input that nothing fed. The operators' command was not affected.

Heartbeats now carry whether the sender's list shows the upstream as leaving.

--- a/crates/agent/src/executor.rs
+++ b/crates/agent/src/executor.rs
@@ -14,6 +14,7 @@
     attempt::{AttemptKey, AttemptLookup, Progress},
     control::{ControlUpdate, Versions},
     ids::{AttemptId, Incarnation},
+    membership::InstanceState,
 };
 use yuccatrail_rpc::messages::{
     Ages, AttemptReply, AttemptState, CancelRequest, Echo, Feedback, ReadRequest, SubmitRequest,
@@ -22,6 +23,7 @@
 use yuccatrail_runtime::{clock::Clock, control::SharedControl};
 
 use crate::{
+    listed::Listed,
     metrics::Metrics,
     upstream::{AnswerHead, CallError, UpstreamClient},
 };
@@ -40,6 +42,17 @@
     cuts: FastMap<AttemptKey, CancellationToken>,
     /// Ended attempts whose end no entry has read yet.
     unread: FastSet<AttemptId>,
+    /// State of the upstream in the instance list.
+    listed: Listed,
+}
+
+impl State {
+    /// Passes a change of the listed state on to the core.
+    fn set_listed(&mut self, change: Option<(u64, InstanceState)>, now_ms: u64) {
+        let Some((version, state)) = change else { return };
+        info!(version = version; "upstream listed as {state:?}");
+        self.core.set_listed(version, state, now_ms);
+    }
 }
 
 /// Call of an attempt that waits for dispatch.
@@ -75,6 +88,7 @@
             changed: FastMap::default(),
             cuts: FastMap::default(),
             unread: FastSet::default(),
+            listed: Listed::default(),
         };
         Arc::new(Self { incarnation, clock, upstream, control, metrics, state: Mutex::new(state) })
     }
@@ -89,6 +103,8 @@
             if is_changed {
                 self.control.with(|it| state.core.set_control(it, now_ms));
             }
+            let listed = state.listed.hear(request.is_listed_leaving, now_ms);
+            state.set_listed(listed, now_ms);
             state.core.merge_strikes(&request.strikes, now_ms);
             let holds_all = !request.versions.has_newer_than(self.control.versions());
             if let Some(sent_ms) = self.echoed_ms(request.echo)
@@ -154,7 +170,10 @@
     /// Does the periodic work.
     pub(crate) fn tick(self: &Arc<Self>) {
         let mut state = self.lock();
-        state.core.tick(self.clock.now_ms());
+        let now_ms = self.clock.now_ms();
+        let listed = state.listed.tick(now_ms);
+        state.set_listed(listed, now_ms);
+        state.core.tick(now_ms);
         self.wake(&mut state);
         self.metrics.observe_load(state.core.load());
         drop(state);
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod executor;
+mod listed;
 mod metrics;
 mod run;
 mod server;
--- a/crates/core/src/membership/upstream.rs
+++ b/crates/core/src/membership/upstream.rs
@@ -75,6 +75,11 @@
         self.in_progress
     }
 
+    /// Tells whether the instance list shows the upstream as leaving.
+    pub fn is_listed_leaving(&self) -> bool {
+        self.record.state == InstanceState::Leaving
+    }
+
     /// Tells whether the upstream may get new work, or why not.
     pub fn check(&self) -> Result<(), Reason> {
         if !self.is_listed || self.is_leaving || self.record.state == InstanceState::Leaving {
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -206,6 +206,12 @@
         self.lock().directory.contact_failed(key, now_ms);
     }
 
+    /// Tells whether the instance list shows an upstream as leaving.
+    pub(crate) fn is_listed_leaving(&self, key: UpstreamKey) -> bool {
+        let state = self.lock();
+        state.directory.upstream(key).is_some_and(|it| it.is_listed_leaving())
+    }
+
     /// Returns the load of a pool.
     pub(crate) fn pool_load(&self, pool: &str) -> PoolLoad {
         let now_ms = self.clock.now_ms();
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -90,6 +90,7 @@
         update: entry.control.update_for(link.known),
         ages: entry.control.ages(sent_ms),
         echo: None,
+        is_listed_leaving: false,
         strikes: entry.strikes.recent(sent_ms),
     };
     let reply = link.client.sync(context_for(PEER_TIMEOUT), request).await.ok()?;
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -174,6 +174,8 @@
 
     fn sync_request(&self, known: Versions, now_ms: u64) -> SyncRequest {
         let control = &self.fleet.control;
+        // The fleet is asked before this link is locked, because it locks links itself.
+        let is_listed_leaving = self.fleet.is_listed_leaving(self.key);
         SyncRequest {
             from: self.fleet.incarnation,
             versions: control.versions(),
@@ -181,6 +183,7 @@
             ages: control.ages(now_ms),
             echo: self.lock().report.as_ref().map(Report::echo),
             strikes: self.fleet.strikes.recent(now_ms),
+            is_listed_leaving,
         }
     }
 
--- a/crates/entry/src/operator/peer_status.rs
+++ b/crates/entry/src/operator/peer_status.rs
@@ -36,6 +36,7 @@
         update,
         ages: Ages::default(),
         echo: None,
+        is_listed_leaving: false,
         strikes: Vec::new(),
     };
     match client.sync(context_for(STATUS_TIMEOUT), request).await {
--- a/crates/fakes/src/stack/mod.rs
+++ b/crates/fakes/src/stack/mod.rs
@@ -2,6 +2,8 @@
 
 pub mod caller;
 pub mod expected;
+pub mod operate;
 pub mod plan;
 pub mod process;
 pub mod run;
+pub mod traffic;
--- a/crates/fakes/src/stack/process.rs
+++ b/crates/fakes/src/stack/process.rs
@@ -182,7 +182,7 @@
 }
 
 /// Returns the path of a workspace binary beside the running one.
-fn binary_path(binary: &str) -> io::Result<PathBuf> {
+pub(crate) fn binary_path(binary: &str) -> io::Result<PathBuf> {
     let mut directory = std::env::current_exe()?;
     directory.pop();
     if directory.ends_with("deps") {
--- /dev/null
+++ b/crates/fakes/tests/configuration.rs
@@ -0,0 +1,193 @@
+//! An accepted promotion is in force everywhere within seconds, and no version ever falls.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use serde_json::Value;
+use tokio::{task::JoinHandle, time::Instant};
+use tokio_util::sync::CancellationToken;
+use yuccatrail_core::{FastMap, ids::Digest};
+use yuccatrail_fakes::{
+    platform::Outage,
+    stack::{
+        caller::Caller,
+        operate::{Relay, start_entry_at},
+        plan::StackPlan,
+        process::{Process, Signal},
+        run::{Stack, promote, start_agent},
+        traffic::{Verdict, read_order},
+    },
+};
+use yuccatrail_platform::{Client, ClientSettings};
+
+/// Time after acceptance in which a promotion is in force everywhere.
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(5);
+/// Time between two looks at the versions.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(25);
+/// Address where nothing listens (RFC 863, discard).
+const NOWHERE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 9);
+
+/// Versions that each process reported, by name and run.
+type Seen = FastMap<String, (u64, u64)>;
+
+/// Looks at the versions of entries and agents all the time.
+struct Sampler {
+    stop: CancellationToken,
+    task: JoinHandle<()>,
+}
+
+impl Sampler {
+    /// Starts to look; entries that do not answer are passed over.
+    fn start(entries: Vec<SocketAddr>) -> Self {
+        let stop = CancellationToken::new();
+        let stopped = stop.clone();
+        let task = tokio::spawn(async move {
+            let (caller, mut seen) = (Caller::new("lone-star"), Seen::default());
+            while !stopped.is_cancelled() {
+                for entry in &entries {
+                    if let Some(status) = status(&caller, *entry).await {
+                        note(&mut seen, &status);
+                    }
+                }
+                tokio::time::sleep(SAMPLE_INTERVAL).await;
+            }
+        });
+        Self { stop, task }
+    }
+
+    async fn close(self) {
+        self.stop.cancel();
+        self.task.await.expect("no version fell");
+    }
+}
+
+/// Checks that no version of a status page is older than one that was seen before.
+fn note(seen: &mut Seen, status: &Value) {
+    let entry = status["incarnation"].as_str().unwrap_or_default().to_owned();
+    take(seen, entry.clone(), &status["versions"]);
+    for upstream in status["upstreams"].as_array().into_iter().flatten() {
+        // Replies of one agent may reach different entries in any order, so each counts alone.
+        let name = format!("{entry} {}", upstream["name"]);
+        take(seen, name, &upstream["versions"]);
+    }
+}
+
+fn take(seen: &mut Seen, name: String, versions: &Value) {
+    if versions.is_null() {
+        // The connection broke; the next run of the agent starts from nothing.
+        seen.remove(&name);
+        return;
+    }
+    let now = (number(&versions["config"]), number(&versions["operations"]));
+    let before = seen.insert(name.clone(), now).unwrap_or_default();
+    assert!(now.0 >= before.0 && now.1 >= before.1, "{name}: {before:?} before {now:?}");
+}
+
+fn number(value: &Value) -> u64 {
+    value.as_u64().unwrap_or_default()
+}
+
+async fn status(caller: &Caller, entry: SocketAddr) -> Option<Value> {
+    Some(caller.send(entry, "GET", "/v1/status", &[], "").await.ok()?.body)
+}
+
+/// Waits until entries and their agents report the configuration, at most until `deadline`.
+async fn wait_in_force(entries: &[SocketAddr], agents: usize, config: u64, deadline: Instant) {
+    let caller = Caller::new("lone-star");
+    for entry in entries {
+        loop {
+            let status = status(&caller, *entry).await.unwrap_or_default();
+            let upstreams = status["upstreams"].as_array().cloned().unwrap_or_default();
+            let reported = upstreams.iter().filter(|it| it["versions"]["config"] == config);
+            if status["versions"]["config"] == config && reported.count() >= agents {
+                break;
+            }
+            assert!(Instant::now() < deadline, "not in force in time: {status}");
+            tokio::time::sleep(SAMPLE_INTERVAL).await;
+        }
+    }
+}
+
+/// Puts a changed document into trial; returns its digest.
+async fn put_into_trial(stack: &Stack, document: &str) -> String {
+    let trial = Client::new(ClientSettings {
+        address: stack.platform.address,
+        environment: "trial".to_owned(),
+        ..ClientSettings::default()
+    });
+    promote(&trial, 1, document).await.expect("in trial");
+    Digest::of(document.as_bytes()).to_string()
+}
+
+/// Ends an agent and starts another one at its address.
+async fn restart_agent(stack: &mut Stack, position: usize) {
+    let pair = stack.upstreams.remove(position);
+    let listen = pair.agent.address.to_string();
+    pair.agent.kill().await.expect("killed");
+    let agent = start_agent(&pair.plan, pair.upstream.address, &listen).await.expect("an agent");
+    let pair = yuccatrail_fakes::stack::run::UpstreamPair { agent, ..pair };
+    stack.upstreams.insert(position, pair);
+}
+
+/// Ends the last entry and starts another one without the platform at its peer address.
+async fn restart_last_entry(stack: &mut Stack) -> SocketAddr {
+    let entry = stack.entries.pop().expect("an entry");
+    let peer = entry.admin_address.expect("a peer address").to_string();
+    let name = entry.name.clone();
+    entry.kill().await.expect("killed");
+    let entry = start_entry_at(&name, "north", NOWHERE, &peer).await.expect("an entry");
+    let address = entry.address;
+    stack.entries.push(entry);
+    address
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_promotion_reaches_all_although_the_platform_goes_down() {
+    let plan = StackPlan::small(&["north"], &["north", "south"]).only_pool("work-orders");
+    let document = plan.document.replace("estimate_ms = 20", "estimate_ms = 21");
+    let mut stack = Stack::start(plan).await.expect("the stack starts");
+    let relay = Relay::start(stack.platform.address).await.expect("a relay");
+    stack.add_entry("north", relay.address).await.expect("a second entry");
+    stack.add_entry("north", stack.platform.address).await.expect("a third entry");
+    stack.list_entries(&["north"; 3]).await.expect("the entries know each other");
+    let entries: Arc<[SocketAddr]> = stack.entries.iter().map(|it| it.address).collect();
+    let sampler = Sampler::start(entries.to_vec());
+    stack.accepted(&["data-centre", "out", "south"]).await.expect("accepted");
+    let digest = put_into_trial(&stack, &document).await;
+
+    relay.close();
+    stack.accepted(&["promote", "--digest", &digest]).await.expect("accepted");
+    let deadline = Instant::now() + IN_FORCE_WITHIN;
+    stack.set_outage(Some(Outage::Reset)).await.expect("an outage");
+    wait_in_force(&entries, 2, 2, deadline).await;
+
+    restart_agent(&mut stack, 0).await;
+    stack.wait_connected(entries[0], 2).await.expect("the agent is reached");
+    wait_in_force(&entries[..2], 2, 2, Instant::now() + IN_FORCE_WITHIN).await;
+    sampler.close().await;
+    let restarted = restart_last_entry(&mut stack).await;
+    wait_in_force(&[restarted], 0, 2, Instant::now() + IN_FORCE_WITHIN).await;
+
+    let before = stack.calls_in("south").await.unwrap();
+    for number in 0..20 {
+        let verdict = read_order(&stack.caller, entries[number % 2], number).await;
+        assert_eq!(verdict, Verdict::Whole);
+    }
+    assert_eq!(stack.calls_in("south").await.unwrap(), before);
+    stack.close().await.expect("a clean stop");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_and_an_agent_that_never_held_a_version_serve_nothing() {
+    let entry = start_entry_at("entry", "north", NOWHERE, "127.0.0.1:0").await.expect("an entry");
+    let caller = Caller::new("lone-star");
+    let verdict = read_order(&caller, entry.address, 0).await;
+    assert!(matches!(verdict, Verdict::NotRun(_)), "{verdict:?}");
+    let ready = caller.send(entry.address, "GET", "/readyz", &[], "").await.expect("an answer");
+    assert_eq!(ready.status, 503);
+    stop(entry).await;
+}
+
+async fn stop(process: Process) {
+    process.signal(Signal::Terminate).await.expect("a signal");
+    assert_eq!(process.close().await.expect("it stops").code(), Some(0));
+}
--- /dev/null
+++ b/crates/fakes/tests/leaving.rs
@@ -0,0 +1,74 @@
+//! A leaving upstream gets no new work and finishes what it has.
+
+use std::{net::SocketAddr, time::Duration};
+
+use tokio::sync::Mutex;
+use yuccatrail_core::membership::InstanceState;
+use yuccatrail_fakes::stack::{
+    caller::Caller,
+    plan::StackPlan,
+    run::Stack,
+    traffic::{Traffic, is_whole_draft},
+};
+
+/// Time after acceptance from which on there is no new work.
+const NO_NEW_WORK_AFTER: Duration = Duration::from_secs(3);
+/// Time for which the calls are then watched.
+const WATCH_TIME: Duration = Duration::from_secs(2);
+/// Time between two requests.
+const INTERVAL: Duration = Duration::from_millis(20);
+
+/// Keeps one stack at a time on the machine.
+static ONE_STACK: Mutex<()> = Mutex::const_new(());
+
+/// How an upstream comes to leave.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Cause {
+    /// An operator's command.
+    Command,
+    /// The state in the platform's instance list.
+    List,
+}
+
+async fn leave(cause: Cause) {
+    let _one = ONE_STACK.lock().await;
+    let mut plan = StackPlan::small(&["north", "south"], &["north", "south"]);
+    plan.upstreams.retain(|it| it.name != "engines-south");
+    plan.switch_pool("engines", |it| it.token_delay_ms = 250);
+    let stack = Stack::start(plan).await.expect("the stack starts");
+    let entries: Vec<SocketAddr> = stack.entries.iter().map(|it| it.address).collect();
+    let caller = Caller::new("lone-star");
+    let streaming = caller.pipeline_stream(entries[0], "draft", "long dispute");
+    let operated = async {
+        let engine = stack.position("engines-north").expect("an engine");
+        stack.wait_running(engine, 1).await.expect("the stream runs in north");
+        let traffic = Traffic::start(caller.clone(), entries.clone(), INTERVAL);
+        stack.wait_calls_in("north", 20).await.expect("work in north");
+        for name in ["engines-north", "work-orders-north"] {
+            match cause {
+                Cause::Command => stack.accepted(&["upstream", "leave", name]).await,
+                Cause::List => stack.list_state(name, InstanceState::Leaving).await,
+            }
+            .expect("accepted");
+        }
+        tokio::time::sleep(NO_NEW_WORK_AFTER).await;
+        let north = stack.calls_in("north").await.unwrap();
+        tokio::time::sleep(WATCH_TIME).await;
+        assert_eq!(stack.calls_in("north").await.unwrap(), north);
+        traffic.close().await
+    };
+    let (streamed, tally) = tokio::join!(streaming, operated);
+    assert!(is_whole_draft(&streamed.expect("a stream"), "long dispute"));
+    tally.check(&stack).await.expect("records");
+    stack.close().await.expect("a clean stop");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_new_work_after_the_operators_command() {
+    leave(Cause::Command).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_new_work_after_the_instance_list_says_so() {
+    leave(Cause::List).await;
+}
--- a/crates/rpc/src/messages.rs
+++ b/crates/rpc/src/messages.rs
@@ -28,6 +28,8 @@
     pub echo: Option<Echo>,
     /// Strikes against requests that the receiver may not know yet.
     pub strikes: Vec<Strike>,
+    /// Whether the sender's instance list shows the receiver's upstream as leaving.
+    pub is_listed_leaving: bool,
 }
 
 /// Upper bounds on the age of a process's control state; none where it was never confirmed.
