--- a/crates/fakes/src/stack/operate.rs
+++ b/crates/fakes/src/stack/operate.rs
@@ -120,7 +120,7 @@
     ) -> Result<(), StackError> {
         let name = format!("entry-{}", self.entries.len());
         let entry = start_entry_at(&name, data_centre, platform, "127.0.0.1:0").await?;
-        self.wait_connected(entry.address, self.upstreams.len()).await?;
+        self.wait_open(entry.address).await?;
         self.entries.push(entry);
         Ok(())
     }
--- a/crates/fakes/src/stack/run.rs
+++ b/crates/fakes/src/stack/run.rs
@@ -102,11 +102,27 @@
         }
         let stack = Self { platform, client, entries, upstreams, caller: Caller::new("lone-star") };
         for entry in &stack.entries {
-            stack.wait_connected(entry.address, stack.upstreams.len()).await?;
+            stack.wait_open(entry.address).await?;
         }
         Ok(stack)
     }
 
+    /// Waits until an entry may send work to every upstream.
+    ///
+    /// An agent that an entry has only just reached refuses work until it holds the control state.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when that is not reached in time.
+    pub async fn wait_open(&self, entry: SocketAddr) -> Result<(), StackError> {
+        self.wait_status(entry, "all upstreams open", |status| {
+            let upstreams = status["upstreams"].as_array().map_or(&[][..], Vec::as_slice);
+            let is_open = |it: &&Value| it["connected"] == true && it["refusal"].is_null();
+            upstreams.iter().filter(is_open).count() == self.upstreams.len()
+        })
+        .await
+    }
+
     /// Waits until an entry reaches `count` upstreams.
     ///
     /// # Errors
--- a/crates/fakes/tests/leaving.rs
+++ b/crates/fakes/tests/leaving.rs
@@ -2,13 +2,14 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use futures::future::join_all;
 use tokio::sync::Mutex;
 use yuccatrail_core::membership::InstanceState;
 use yuccatrail_fakes::stack::{
     caller::Caller,
     plan::StackPlan,
     run::Stack,
-    traffic::{Traffic, is_whole_draft},
+    traffic::{Traffic, Verdict, is_whole_draft, read_order},
 };
 
 /// Time after acceptance from which on there is no new work.
@@ -17,6 +18,8 @@
 const WATCH_TIME: Duration = Duration::from_secs(2);
 /// Time between two requests.
 const INTERVAL: Duration = Duration::from_millis(20);
+/// Requests that wait for two upstreams with one call at a time.
+const QUEUED: usize = 12;
 
 /// Keeps one stack at a time on the machine.
 static ONE_STACK: Mutex<()> = Mutex::const_new(());
@@ -30,6 +33,16 @@
     List,
 }
 
+impl Cause {
+    async fn apply(self, stack: &Stack, name: &str) {
+        match self {
+            Self::Command => stack.accepted(&["upstream", "leave", name]).await,
+            Self::List => stack.list_state(name, InstanceState::Leaving).await,
+        }
+        .expect("accepted");
+    }
+}
+
 async fn leave(cause: Cause) {
     let _one = ONE_STACK.lock().await;
     let mut plan = StackPlan::small(&["north", "south"], &["north", "south"]);
@@ -45,11 +58,7 @@
         let traffic = Traffic::start(caller.clone(), entries.clone(), INTERVAL);
         stack.wait_calls_in("north", 20).await.expect("work in north");
         for name in ["engines-north", "work-orders-north"] {
-            match cause {
-                Cause::Command => stack.accepted(&["upstream", "leave", name]).await,
-                Cause::List => stack.list_state(name, InstanceState::Leaving).await,
-            }
-            .expect("accepted");
+            cause.apply(&stack, name).await;
         }
         tokio::time::sleep(NO_NEW_WORK_AFTER).await;
         let north = stack.calls_in("north").await.unwrap();
@@ -63,6 +72,45 @@
     stack.close().await.expect("a clean stop");
 }
 
+async fn leave_with_a_queue(cause: Cause) {
+    let _one = ONE_STACK.lock().await;
+    let mut plan = StackPlan::small(&["north"], &["north", "south"]).only_pool("work-orders");
+    let limits = "concurrency = 1\ncold_concurrency = 1";
+    plan.document = plan.document.replace("concurrency = 32\ncold_concurrency = 2", limits);
+    plan.switch_pool("work-orders", |it| it.delay_ms = 700);
+    let stack = Stack::start(plan).await.expect("the stack starts");
+    let (caller, entry) = (Caller::new("lone-star"), stack.entry(0));
+    let requests = join_all((0..QUEUED).map(|it| read_order(&caller, entry, it)));
+    let left = async {
+        let has_queue = |status: &serde_json::Value| {
+            let mut upstreams = status["upstreams"].as_array().into_iter().flatten();
+            let queued = |it: &serde_json::Value| it["load"]["queued"].as_u64() > Some(2);
+            upstreams.any(|it| it["name"] == "work-orders-north" && queued(it))
+        };
+        stack.wait_status(entry, "a queue", has_queue).await.expect("a queue");
+        cause.apply(&stack, "work-orders-north").await;
+        tokio::time::sleep(NO_NEW_WORK_AFTER).await;
+        let north = stack.calls_in("north").await.unwrap();
+        tokio::time::sleep(WATCH_TIME).await;
+        assert_eq!(stack.calls_in("north").await.unwrap(), north);
+    };
+    let (verdicts, ()) = tokio::join!(requests, left);
+    for verdict in verdicts {
+        assert!(!matches!(verdict, Verdict::Broken(_)), "{verdict:?}");
+    }
+    stack.close().await.expect("a clean stop");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_queued_work_after_the_operators_command() {
+    leave_with_a_queue(Cause::Command).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_queued_work_after_the_instance_list_says_so() {
+    leave_with_a_queue(Cause::List).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn no_new_work_after_the_operators_command() {
     leave(Cause::Command).await;
