--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -212,15 +212,12 @@
         state.directory.upstream(key).is_some_and(|it| it.is_listed_leaving())
     }
 
-    /// Returns the load of a pool.
+    /// Returns the load of a pool, without the upstreams that get no new work.
     pub(crate) fn pool_load(&self, pool: &str) -> PoolLoad {
         let now_ms = self.clock.now_ms();
         let mut state = self.lock();
         state.withdraw(pool);
-        let mut load = state.pools.get(pool).map(|it| it.load(now_ms)).unwrap_or_default();
-        let open = state.directory.candidates(pool).len() as u32;
-        load.upstreams = load.upstreams.min(open);
-        load
+        state.pools.get(pool).map(|it| it.load(now_ms)).unwrap_or_default()
     }
 
     /// Returns the state of all upstreams, ordered by name.
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -52,7 +52,6 @@
                 links.insert(address, link);
             }
         }
-        entry.strikes.expire(entry.clock.now_ms());
         tokio::select! {
             () = tokio::time::sleep(ROUND_INTERVAL) => {}
             _ = changed.changed() => {}
--- a/crates/entry/src/policy.rs
+++ b/crates/entry/src/policy.rs
@@ -66,6 +66,18 @@
         admission.set_pipelines(estimates, &pipelines);
     }
 
+    /// Moves estimates of pools without recent calls back towards the declared ones.
+    pub(crate) fn relax(&self) {
+        self.lock().estimates.relax();
+    }
+
+    /// Returns the run time that most calls of a stage do not exceed, in milliseconds.
+    pub(crate) fn safe_ms(&self, demand: StageDemand<'_>) -> u64 {
+        let mut state = self.lock();
+        let key = state.pool(demand.pool);
+        state.estimates.safe_ms(key, demand.max_tokens)
+    }
+
     /// Returns the expected run time of a stage, in milliseconds.
     pub(crate) fn expected_ms(&self, demand: StageDemand<'_>) -> u64 {
         let mut state = self.lock();
--- a/crates/entry/src/run/stage.rs
+++ b/crates/entry/src/run/stage.rs
@@ -26,6 +26,9 @@
 
 /// Attempts of one stage, over all upstreams.
 const MAX_ATTEMPTS: u16 = 6;
+/// Time after the deadline for which the outcome of a call that may not be repeated is awaited, in
+/// milliseconds.
+const OUTCOME_WAIT_MS: u64 = 30_000;
 /// Time between two choices while no upstream can take the attempt.
 const CHOICE_INTERVAL: Duration = Duration::from_millis(20);
 /// Longest wait for an upstream to become reachable in a request that has begun, in milliseconds.
@@ -57,6 +60,8 @@
     next_number: u16,
     begun_ms: u64,
     estimate_ms: u64,
+    /// Whether the call is too precious to try out an ejected or cold upstream with.
+    no_probe: bool,
 }
 
 /// An attempt that counts as in progress at its upstream until it ends or is dropped.
@@ -102,8 +107,16 @@
 ) -> Result<Output, Refusal> {
     let estimate_ms = entry.policy.expected_ms(work.demand);
     let begun_ms = entry.clock.now_ms();
-    let mut run =
-        StageRun { entry, request, work, tried: Vec::new(), next_number: 0, begun_ms, estimate_ms };
+    let mut run = StageRun {
+        entry,
+        request,
+        work,
+        tried: Vec::new(),
+        next_number: 0,
+        begun_ms,
+        estimate_ms,
+        no_probe: false,
+    };
     let mut execution = Execution::NotRun;
     let mut last = Refusal::not_run(Reason::NoUpstream, NO_UPSTREAM_RETRY_AFTER_MS);
     while run.next_number < MAX_ATTEMPTS {
@@ -165,6 +178,7 @@
         next_number: number,
         begun_ms: entry.clock.now_ms(),
         estimate_ms,
+        no_probe: true,
     };
     let chosen = run.choose(alone);
     *tried = run.tried.clone();
@@ -183,7 +197,11 @@
         let chosen = match alone {
             true => self.entry.fleet.choose_alone(pool, self.request.fingerprint),
             false => {
-                let context = RouteContext { prefix: self.work.prefix, ..RouteContext::default() };
+                let context = RouteContext {
+                    prefix: self.work.prefix,
+                    no_probe: self.no_probe,
+                    ..RouteContext::default()
+                };
                 let [first, second, probe] = rand::random();
                 let random = RandomNumbers { first, second, probe };
                 self.entry.fleet.choose(pool, &self.tried, context, random)
@@ -281,12 +299,18 @@
         let sent_ms = entry.clock.now_ms();
         let fleet = entry.fleet.clone();
         let mut begun = Begun { fleet, key: chosen.key, sent_ms, estimate_ms, end: None };
+        // The outcome of a call that may not be repeated matters to later copies as well.
+        let await_until_ms = match idempotent {
+            true => request.deadline_ms,
+            false => request.deadline_ms + OUTCOME_WAIT_MS,
+        };
         let plan = AttemptPlan {
             id,
             pool: work.demand.pool.name.clone(),
             idempotent,
             dispatch_by_ms,
-            estimate_ms,
+            await_until_ms,
+            estimate_ms: entry.policy.safe_ms(work.demand),
             call: work.call.clone(),
             sink: work.sink.clone(),
         };
@@ -334,7 +358,7 @@
             Reason::DeadlineExpired | Reason::Quarantined | Reason::DeadlineUnreachable => false,
             _ if refusal.execution == Execution::NotRun => true,
             // Output that the caller has seen cannot be replaced by that of another run.
-            _ if self.work.sink.is_some() => false,
+            _ if self.work.sink.is_some() && failure.delivered => false,
             _ => {
                 let allowed = self.entry.retry_budget().try_retry();
                 if allowed {
@@ -382,7 +406,7 @@
         Err(failure) => failure,
     };
     let execution = first.refusal.execution.and(second.refusal.execution);
-    Err(Failure { refusal: Refusal { execution, ..second.refusal }, usage: None })
+    Err(Failure { refusal: Refusal { execution, ..second.refusal }, ..second })
 }
 
 fn attempt_end(result: &Result<Output, Failure>, estimate_ms: u64) -> AttemptEnd {
--- a/crates/fakes/src/stack/mod.rs
+++ b/crates/fakes/src/stack/mod.rs
@@ -2,8 +2,10 @@
 
 pub mod caller;
 pub mod expected;
+pub mod faults;
 pub mod operate;
 pub mod plan;
 pub mod process;
+pub mod relay;
 pub mod run;
 pub mod traffic;
--- a/crates/fakes/src/stack/operate.rs
+++ b/crates/fakes/src/stack/operate.rs
@@ -4,12 +4,7 @@
 
 use futures::future::join_all;
 use serde_json::Value;
-use tokio::{
-    io::copy_bidirectional,
-    net::{TcpListener, TcpStream},
-    process::Command,
-};
-use tokio_util::sync::CancellationToken;
+use tokio::process::Command;
 use yuccatrail_core::membership::{InstanceRecord, InstanceState};
 use yuccatrail_platform::Kind;
 
@@ -40,47 +35,6 @@
     pub result: Value,
 }
 
-/// TCP relay through which a process reaches the platform until the relay is closed.
-#[derive(Debug)]
-pub struct Relay {
-    /// Address on which the relay listens.
-    pub address: SocketAddr,
-    stop: CancellationToken,
-}
-
-impl Relay {
-    /// Starts to relay connections to `target`.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error when no address can be opened.
-    pub async fn start(target: SocketAddr) -> Result<Self, ProcessError> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let address = listener.local_addr()?;
-        let stop = CancellationToken::new();
-        let stopped = stop.clone();
-        tokio::spawn(stop.clone().run_until_cancelled_owned(accept(listener, target, stopped)));
-        Ok(Self { address, stop })
-    }
-
-    /// Breaks all connections and refuses new ones.
-    pub fn close(self) {
-        self.stop.cancel();
-    }
-}
-
-async fn accept(listener: TcpListener, target: SocketAddr, stop: CancellationToken) {
-    loop {
-        let Ok((mut near, _)) = listener.accept().await else { return };
-        let stop = stop.clone();
-        tokio::spawn(stop.run_until_cancelled_owned(async move {
-            let Ok(mut far) = TcpStream::connect(target).await else { return };
-            // The relay has nobody to report a broken connection to; both ends notice it.
-            let _ = copy_bidirectional(&mut near, &mut far).await;
-        }));
-    }
-}
-
 impl StackPlan {
     /// Plans entries in the given data centres, and one upstream of each pool of
     /// [`SMALL_DOCUMENT`] in each of `upstreams`.
@@ -236,7 +190,7 @@
     /// # Errors
     ///
     /// Returns an error when it does not in time.
-    pub async fn wait_running(&self, upstream: usize, count: u32) -> Result<(), StackError> {
+    pub async fn wait_calls_running(&self, upstream: usize, count: u32) -> Result<(), StackError> {
         for _ in 0..POLL_LIMIT {
             if self.record(&self.upstreams[upstream]).await?.running == count {
                 return Ok(());
--- a/crates/fakes/tests/callers.rs
+++ b/crates/fakes/tests/callers.rs
@@ -151,9 +151,9 @@
             INPUT.len()
         );
         stream.write_all(head.as_bytes()).await.expect("sent");
-        stack.wait_running(0, 1).await.expect("the request runs");
+        stack.wait_calls_running(0, 1).await.expect("the request runs");
         drop(stream);
-        stack.wait_running(0, 0).await.expect("the request is cancelled");
+        stack.wait_calls_running(0, 0).await.expect("the request is cancelled");
     }
     stack.switch(&stack.upstreams[0], &Switches::default()).await.expect("fast");
     let draft = caller.pipeline_stream(entry, "draft", "another").await;
--- a/crates/fakes/tests/data_centre_out.rs
+++ b/crates/fakes/tests/data_centre_out.rs
@@ -7,9 +7,9 @@
     platform::Outage,
     stack::{
         caller::Caller,
-        operate::Relay,
         plan::StackPlan,
         process::Signal,
+        relay::Relay,
         run::Stack,
         traffic::{Traffic, is_whole_draft, read_order},
     },
@@ -43,7 +43,7 @@
     plan.switch_pool("engines", |it| it.token_delay_ms = 250);
     let mut stack = Stack::start(plan).await.expect("the stack starts");
     let relay = Relay::start(stack.platform.address).await.expect("a relay");
-    stack.add_entry("north", relay.address).await.expect("a second entry");
+    stack.add_entry("north", relay.address()).await.expect("a second entry");
     stack.list_entries(&["north", "north"]).await.expect("the entries know each other");
     (stack, relay)
 }
@@ -56,7 +56,7 @@
     let streaming = caller.pipeline_stream(entries[0], "draft", "long dispute");
     let mut operated = Box::pin(async {
         let north = stack.position("engines-north").expect("an engine in north");
-        stack.wait_running(north, 1).await.expect("the stream runs in north");
+        stack.wait_calls_running(north, 1).await.expect("the stream runs in north");
         let traffic = Traffic::start(caller.clone(), entries.clone(), INTERVAL);
         stack.wait_calls_in("north", 20).await.expect("work in north");
         if faults.cut_entry {
--- a/crates/fakes/tests/leaving.rs
+++ b/crates/fakes/tests/leaving.rs
@@ -54,7 +54,7 @@
     let streaming = caller.pipeline_stream(entries[0], "draft", "long dispute");
     let operated = async {
         let engine = stack.position("engines-north").expect("an engine");
-        stack.wait_running(engine, 1).await.expect("the stream runs in north");
+        stack.wait_calls_running(engine, 1).await.expect("the stream runs in north");
         let traffic = Traffic::start(caller.clone(), entries.clone(), INTERVAL);
         stack.wait_calls_in("north", 20).await.expect("work in north");
         for name in ["engines-north", "work-orders-north"] {
--- a/crates/fakes/tests/planned_stop.rs
+++ b/crates/fakes/tests/planned_stop.rs
@@ -77,7 +77,7 @@
     let streamed = caller.pipeline_stream(entries[0], "draft", "long dispute");
     let stopped = async {
         let engine = stack.position("engines-north").expect("an engine");
-        stack.wait_running(engine, 1).await.expect("the stream runs");
+        stack.wait_calls_running(engine, 1).await.expect("the stream runs");
         let orders = stack.position("work-orders-north").expect("an upstream");
         // Every call slot is taken and further calls wait in the agent.
         let has_queue = |it: &serde_json::Value| {
