--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -31,6 +31,8 @@
 const SUBSET_SIZES: SubsetSizes = SubsetSizes { size: 8, coverage: 3 };
 /// Shortest time between two heartbeats on a connection, in milliseconds.
 const MIN_HEARTBEAT_MS: u64 = 500;
+/// Longest time between two heartbeats on a connection, in milliseconds.
+const MAX_HEARTBEAT_MS: u64 = 5_000;
 /// Time between two heartbeats of the entry, over all connections, in milliseconds.
 const HEARTBEAT_SPACING_MS: u64 = 40;
 /// Calls that an upstream is assumed to bear before its agent has reported.
@@ -216,7 +218,14 @@
     /// It grows with the number of connections, so that the entry's heartbeats take a bounded rate.
     pub(crate) fn heartbeat_interval(&self) -> Duration {
         let links = self.lock().members.len() as u64;
-        Duration::from_millis(MIN_HEARTBEAT_MS.max(links * HEARTBEAT_SPACING_MS))
+        let interval_ms = links * HEARTBEAT_SPACING_MS;
+        Duration::from_millis(interval_ms.clamp(MIN_HEARTBEAT_MS, MAX_HEARTBEAT_MS))
+    }
+
+    /// Tells whether the instance list shows an upstream as leaving.
+    pub(crate) fn is_listed_leaving(&self, key: UpstreamKey) -> bool {
+        let state = self.lock();
+        state.directory.upstream(key).is_some_and(|it| it.is_listed_leaving())
     }
 
     /// Returns the load of a pool, without the upstreams that get no new work.
