Entry: notice a cut connection to an agent at the first failed call

Cause: an attempt whose connection was cut called the dead client again without a pause until the next heartbeat noticed, 22,000 calls in 1.5 s, and was then given up as agent_lost; the loops also kept the heartbeat's task from running. Ruled out: the agent (it answered on the new connection at once). Before: tests/whole_answers answers_resume_after_cut_connections failed in two runs of five. After: passed in six runs of six.

--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -8,6 +8,7 @@
 
 use log::info;
 use tarpc::{client::Config, context};
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use yuccatrail_core::{
     control::Versions,
@@ -71,6 +72,7 @@
     key: UpstreamKey,
     fleet: Arc<Fleet>,
     state: Mutex<State>,
+    suspected: Notify,
     stop: CancellationToken,
 }
 
@@ -85,6 +87,7 @@
             key,
             fleet,
             state: Mutex::new(State::default()),
+            suspected: Notify::new(),
             stop: CancellationToken::new(),
         });
         tokio::spawn(link.clone().maintain());
@@ -109,6 +112,11 @@
         state.report.clone()
     }
 
+    /// Sends a heartbeat at once, because a call failed and the connection may be broken.
+    pub(crate) fn check(&self) {
+        self.suspected.notify_one();
+    }
+
     /// Takes in the feedback of a reply to a question that was sent at `sent_ms`.
     pub(crate) fn observe(&self, feedback: Feedback, sent_ms: u64) {
         self.fleet.on_reply(self.key, &feedback, sent_ms);
@@ -170,6 +178,7 @@
             tokio::select! {
                 () = tokio::time::sleep(HEARTBEAT_INTERVAL) => {}
                 _ = changed.changed() => {}
+                () = self.suspected.notified() => {}
                 () = self.stop.cancelled() => {}
             }
         }
--- a/crates/entry/src/run/attempt.rs
+++ b/crates/entry/src/run/attempt.rs
@@ -172,6 +172,8 @@
                 }
                 Err(error) => {
                     info!(attempt:% = self.handle.id, error:% = error; "call to agent failed");
+                    self.link.check();
+                    tokio::time::sleep(RECONNECT_WAIT).await;
                 }
             }
             let now_ms = self.entry.clock.now_ms();
@@ -213,12 +215,9 @@
         client.submit(context, submit).await
     }
 
-    /// Reads the next output, or waits for the connection to come back.
+    /// Reads the next output.
     async fn read(&self, now_ms: u64) -> Result<AttemptReply, RpcError> {
-        let Some((client, _)) = self.link.connection() else {
-            tokio::time::sleep(RECONNECT_WAIT).await;
-            return Err(RpcError::Shutdown);
-        };
+        let Some((client, _)) = self.link.connection() else { return Err(RpcError::Shutdown) };
         let wait_ms = REPLY_WAIT_MS.min(self.await_until_ms - now_ms);
         let request = ReadRequest {
             versions: self.entry.versions(),
