Capacity: an upstream that reports its warmth is not warm by its latency

Cause: three completions of steady latency made a cold upstream warm although its probes said it was not; until the next probe (250 ms) the limit doubled. Ruled out: entries (every start passed the agent's own limit). Before: tests/cold_start, burst of 100 at a fresh upstream: 40 overloads. After: none; agent_fuzz and capacity_fuzz still pass. Left red: bursts within one probe interval after a silent turn or a restart.

--- a/crates/core/src/capacity/mod.rs
+++ b/crates/core/src/capacity/mod.rs
@@ -129,6 +129,8 @@
     phase: Phase,
     epoch: Epoch,
     boot_id: Option<u64>,
+    /// Whether probes report warmth or its lack.
+    reports_warmth: bool,
     /// Whether a latency jump contradicts probes that report warmth.
     doubts_probes: bool,
     calls: SlotMap<CallKey, Call>,
@@ -145,6 +147,7 @@
             phase: COLD,
             epoch: Epoch(0),
             boot_id: None,
+            reports_warmth: false,
             doubts_probes: false,
             calls: SlotMap::with_key(),
             ramp: Ramp::new(config.cold_limit(), config.ceiling()),
@@ -234,6 +237,8 @@
         let ok = end == CallEnd::Completed;
         match self.phase {
             Phase::Stopped { .. } => {}
+            // The upstream itself knows better than its latency whether it is warm.
+            Phase::Cold { .. } if self.reports_warmth && !self.doubts_probes => {}
             Phase::Cold { steady, last_ratio } => {
                 self.on_cold_sample(steady, last_ratio, ratio, ok)
             }
@@ -249,6 +254,7 @@
         if probe.boot_id.is_some() {
             self.boot_id = probe.boot_id;
         }
+        self.reports_warmth = probe.warm.is_some();
         if matches!(self.phase, Phase::Stopped { .. }) {
             self.phase = COLD;
         }
