Quarantine: strikes are known before a loss is reported and reach every agent at once

Cause: (1) a probe on a connection that broke with the upstream said nothing, and the loss was reported to the entry without the strike; (2) another entry and its agents learned of strikes only with the next heartbeat, so a resend through it could run on a third upstream. Now the agent probes until a probe settles the loss (1 s at most), and the entry sends the strikes to all agents before it goes on after a lost attempt. Ruled out: the quarantine itself (quarantine_fuzz holds).

--- a/crates/agent/src/executor.rs
+++ b/crates/agent/src/executor.rs
@@ -28,6 +28,10 @@
 
 /// Largest size of the output in one reply, in bytes.
 const MAX_PAGE_BYTES: usize = 256 * 1024;
+/// Longest time for which the loss of an answer is kept back until a probe settles its cause.
+const LOSS_SETTLE_LIMIT: Duration = Duration::from_millis(1000);
+/// Time between two probes after a loss.
+const LOSS_PROBE_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Everything that the agent's decisions and tasks share.
 struct State {
@@ -272,12 +276,26 @@
         if result == CallResult::Lost {
             self.lock().core.on_lost();
             // The strikes of a stop have to be known before an entry learns of the loss.
-            self.probe().await;
+            let settled = tokio::time::timeout(LOSS_SETTLE_LIMIT, self.settle_loss());
+            if settled.await.is_err() {
+                info!(attempt:% = dispatch.attempt; "no probe settled the loss of an answer");
+            }
         }
         self.finish(dispatch, &result);
         self.start_ready();
     }
 
+    /// Probes the upstream until it is known whether it stopped.
+    async fn settle_loss(self: &Arc<Self>) {
+        loop {
+            self.probe().await;
+            if !self.lock().core.is_stop_suspected() {
+                return;
+            }
+            tokio::time::sleep(LOSS_PROBE_INTERVAL).await;
+        }
+    }
+
     fn finish(&self, dispatch: Dispatch, result: &CallResult) {
         let mut state = self.lock();
         state.cuts.remove(&dispatch.key);
--- a/crates/core/src/agent/core.rs
+++ b/crates/core/src/agent/core.rs
@@ -276,6 +276,11 @@
         self.capacity.epoch()
     }
 
+    /// Tells whether an answer broke off and no probe has settled yet whether the upstream stopped.
+    pub fn is_stop_suspected(&self) -> bool {
+        self.stops.is_suspected()
+    }
+
     /// Takes the result of a probe that was sent in `epoch`; returns new strikes.
     pub fn on_probe(&mut self, epoch: Epoch, result: ProbeResult, now_ms: u64) -> Vec<Strike> {
         let calls = &self.calls;
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -5,6 +5,7 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
+use futures::future::join_all;
 use log::info;
 use rustc_hash::FxHasher;
 use slotmap::SecondaryMap;
@@ -169,6 +170,13 @@
         state.begin(pool, choice, now_ms).ok_or(Reason::NoUpstream)
     }
 
+    /// Sends every agent the strikes that it may not know.
+    pub(crate) async fn pass_on_strikes(&self) {
+        let links: Vec<Arc<Link>> =
+            self.lock().members.values().map(|it| it.link.clone()).collect();
+        join_all(links.iter().map(|it| it.pass_on_strikes())).await;
+    }
+
     /// Counts the end of an attempt.
     pub(crate) fn end(&self, key: UpstreamKey, end: AttemptEnd) {
         let now_ms = self.clock.now_ms();
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -26,6 +26,8 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after which an unanswered heartbeat closes the connection.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Longest wait for an agent to take over strikes.
+const STRIKES_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time between two attempts to connect.
 const RECONNECT_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -137,6 +139,14 @@
         true
     }
 
+    /// Sends the agent the strikes that it may not know, if it can be reached.
+    pub(crate) async fn pass_on_strikes(&self) {
+        let Some((client, report)) = self.connection() else { return };
+        let sending = self.exchange(&client, report.feedback.versions);
+        // An agent that does not answer in time learns the strikes with the next heartbeat.
+        let _ = tokio::time::timeout(STRIKES_TIMEOUT, sending).await;
+    }
+
     async fn maintain(self: Arc<Self>) {
         while !self.stop.is_cancelled() {
             let Ok(client) = self.connect().await else {
--- a/crates/entry/src/run/stage.rs
+++ b/crates/entry/src/run/stage.rs
@@ -310,7 +310,14 @@
                     entry.strikes.complete(request.fingerprint);
                     entry.retry_budget().on_completed(true);
                 }
-                Err(failure) => report_failure(entry, request, work, id, failure),
+                Err(failure) => {
+                    report_failure(entry, request, work, id, failure);
+                    // Its caller may resend it through another entry as soon as it is answered.
+                    if !entry.strikes.against(request.fingerprint, entry.clock.now_ms()).is_empty()
+                    {
+                        entry.fleet.pass_on_strikes().await;
+                    }
+                }
             }
             result
         })
