--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -8,6 +8,7 @@
 
 use log::info;
 use tarpc::{client::Config, context};
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use yuccatrail_core::{
     control::Versions,
@@ -23,6 +24,8 @@
 
 /// Time after which an unanswered heartbeat closes the connection.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Longest wait for an agent to take over strikes.
+const STRIKES_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time between two attempts to connect.
 const RECONNECT_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -78,6 +81,7 @@
     key: UpstreamKey,
     fleet: Arc<Fleet>,
     state: Mutex<State>,
+    suspected: Notify,
     stop: CancellationToken,
 }
 
@@ -92,6 +96,7 @@
             key,
             fleet,
             state: Mutex::new(State::default()),
+            suspected: Notify::new(),
             stop: CancellationToken::new(),
         });
         tokio::spawn(link.clone().maintain());
@@ -116,6 +121,11 @@
         state.report.clone()
     }
 
+    /// Sends a heartbeat at once, because a call failed and the connection may be broken.
+    pub(crate) fn check(&self) {
+        self.suspected.notify_one();
+    }
+
     /// Takes in the feedback of a reply to a question that was sent at `sent_ms`.
     pub(crate) fn observe(&self, feedback: Feedback, sent_ms: u64) {
         self.fleet.on_reply(self.key, &feedback, sent_ms);
@@ -140,6 +150,14 @@
         self.fleet.on_contact_failed(self.key);
     }
 
+    /// Sends the agent the strikes that it may not know, if it can be reached.
+    pub(crate) async fn pass_on_strikes(&self) {
+        let Some((client, report)) = self.connection() else { return };
+        let sending = self.exchange(&client, report.feedback.versions);
+        // An agent that does not answer in time learns the strikes with the next heartbeat.
+        let _ = tokio::time::timeout(STRIKES_TIMEOUT, sending).await;
+    }
+
     async fn maintain(self: Arc<Self>) {
         while !self.stop.is_cancelled() {
             let Ok(client) = self.connect().await else {
@@ -186,6 +204,7 @@
             tokio::select! {
                 () = tokio::time::sleep(self.fleet.heartbeat_interval()) => {}
                 _ = changed.changed() => {}
+                () = self.suspected.notified() => {}
                 () = self.stop.cancelled() => {}
             }
         }
