Starts beyond the cold limit follow a probe by at most 5 ms

Evidence of warmth now expires after 5 ms; attempts that wait for it make the agent probe at once. Ruled out: completed calls as evidence, since those began before the turn. The ledger keeps 100,000 records for 5 s after their limit, since 50,000 for 30 s were full at 1,300 calls a second.

--- a/crates/agent/src/executor.rs
+++ b/crates/agent/src/executor.rs
@@ -51,6 +51,8 @@
     unread: FastSet<AttemptId>,
     /// State of the upstream in the instance list.
     listed: Listed,
+    /// Whether a probe that attempts wait for is under way.
+    probing: bool,
 }
 
 impl State {
@@ -96,6 +98,7 @@
             cuts: FastMap::default(),
             unread: FastSet::default(),
             listed: Listed::default(),
+            probing: false,
         };
         Arc::new(Self { incarnation, clock, upstream, control, metrics, state: Mutex::new(state) })
     }
@@ -190,16 +193,20 @@
         self.start_ready();
     }
 
-    /// Probes the upstream once.
+    /// Probes the upstream once and starts what its answer allows.
     pub(crate) async fn probe(self: &Arc<Self>) {
-        let epoch = self.lock().core.probe_epoch();
+        self.probe_upstream().await;
+        self.start_ready();
+    }
+
+    async fn probe_upstream(&self) {
+        let ticket = self.lock().core.begin_probe(self.clock.now_ms());
         let result = self.upstream.probe().await;
-        let strikes = self.lock().core.on_probe(epoch, result, self.clock.now_ms());
+        let strikes = self.lock().core.on_probe(ticket, result, self.clock.now_ms());
         for strike in strikes {
             self.metrics.strikes.inc();
             info!(fingerprint:% = strike.fingerprint, alone = strike.alone, stop = strike.number; "upstream stopped with a request in progress");
         }
-        self.start_ready();
     }
 
     /// Begins a planned stop: new work is refused and queued work handed back.
@@ -265,7 +272,7 @@
         None
     }
 
-    /// Starts every attempt that may start now.
+    /// Starts every attempt that may start now, and the probe that others wait for.
     fn start_ready(self: &Arc<Self>) {
         let mut state = self.lock();
         while let Some(dispatch) = state.core.next(self.clock.now_ms()) {
@@ -282,6 +289,16 @@
             tokio::spawn(self.clone().run(dispatch, pending.call, cut));
         }
         self.wake(&mut state);
+        if state.core.wants_probe() && !state.probing {
+            state.probing = true;
+            tokio::spawn(self.clone().probe_on_demand());
+        }
+    }
+
+    async fn probe_on_demand(self: Arc<Self>) {
+        self.probe_upstream().await;
+        self.lock().probing = false;
+        self.start_ready();
     }
 
     async fn run(self: Arc<Self>, dispatch: Dispatch, call: UpstreamCall, cut: CancellationToken) {
--- a/crates/core/examples/embed.rs
+++ b/crates/core/examples/embed.rs
@@ -25,9 +25,9 @@
     core.set_control(&control_state(), 0);
 
     // A probe shows the upstream warm, so more than the cold limit may start.
-    let epoch = core.probe_epoch();
+    let ticket = core.begin_probe(1);
     let answered = ProbeResult::Answered { boot_id: Some(1), warm: Some(true) };
-    core.on_probe(epoch, answered, 1);
+    core.on_probe(ticket, answered, 1);
 
     let order = order(agent);
     core.submit(&order, 2);
--- a/crates/core/src/agent/core.rs
+++ b/crates/core/src/agent/core.rs
@@ -4,7 +4,7 @@
 
 use super::{
     settings::AgentSettings,
-    stops::{CallResult, ProbeResult, StopDetector, usage},
+    stops::{CallResult, ProbeResult, ProbeTicket, StopDetector, usage},
 };
 use crate::{
     FastMap,
@@ -12,7 +12,7 @@
         AttemptFailure, AttemptKey, AttemptLedger, AttemptLookup, CancelResult, DispatchCheck,
         SubmitResult,
     },
-    capacity::{CallEnd, CallKey, Capacity, CapacityConfig, Epoch, Probe},
+    capacity::{CallEnd, CallKey, Capacity, CapacityConfig, Probe},
     control::ControlState,
     document::{Customer, Document},
     drain::{DispatchHold, Gate, GateChange},
@@ -28,6 +28,8 @@
 const BUSY_RETRY_AFTER_MS: u64 = 250;
 /// Time after which a caller may come back when an upstream refuses new work, in milliseconds.
 const CLOSED_RETRY_AFTER_MS: u64 = 1_000;
+/// Longest age of a probe on which starts beyond the cold limit rest, in milliseconds.
+const EVIDENCE_AGE_MS: u64 = 5;
 /// Time after which another entry is asked for control state that one did not send, in milliseconds.
 const FETCH_PATIENCE_MS: u64 = 300;
 /// Calls that wait in front of an upstream whose pool is not known yet.
@@ -99,6 +101,11 @@
     keys_by_entry: FastMap<EntryKey, AttemptKey>,
     calls: FastMap<AttemptKey, Call>,
     changed: Vec<AttemptId>,
+    /// Last probe that found the upstream as it was known.
+    evidence: Option<ProbeTicket>,
+    wants_probe: bool,
+    #[cfg(feature = "sabotage")]
+    ignores_evidence: bool,
     /// Time until which an entry that was asked for newer state is given to send it.
     fetch_until_ms: u64,
 }
@@ -117,6 +124,10 @@
             keys_by_entry: FastMap::default(),
             calls: FastMap::default(),
             changed: Vec::new(),
+            evidence: None,
+            wants_probe: false,
+            #[cfg(feature = "sabotage")]
+            ignores_evidence: false,
             fetch_until_ms: 0,
             settings,
         }
@@ -131,6 +142,7 @@
             super::Sabotage::Ledger(mechanism) => {
                 self.ledger = AttemptLedger::with_sabotage(self.settings.ledger, mechanism);
             }
+            super::Sabotage::Evidence => self.ignores_evidence = true,
         }
     }
 
@@ -218,6 +230,10 @@
             if !self.capacity.has_room() {
                 return None;
             }
+            if self.lacks_evidence(now_ms) {
+                self.wants_probe |= self.queue.queued() > 0;
+                return None;
+            }
             let next = self.queue.pop(now_ms)?;
             if let Some(dispatch) = self.start(next, now_ms) {
                 return Some(dispatch);
@@ -291,9 +307,15 @@
         self.ledger.read(attempt, from_sequence, max_bytes)
     }
 
-    /// Returns the epoch that the next probe carries.
-    pub fn probe_epoch(&self) -> Epoch {
-        self.capacity.epoch()
+    /// Returns the ticket of a probe that is sent at `now_ms`.
+    pub fn begin_probe(&mut self, now_ms: u64) -> ProbeTicket {
+        self.wants_probe = false;
+        ProbeTicket { epoch: self.capacity.epoch(), sent_ms: now_ms }
+    }
+
+    /// Tells whether a probe has to be sent at once, because attempts wait for its answer.
+    pub fn wants_probe(&self) -> bool {
+        self.wants_probe
     }
 
     /// Tells whether an answer broke off and no probe has settled yet whether the upstream stopped.
@@ -301,14 +323,23 @@
         self.stops.is_suspected()
     }
 
-    /// Takes the result of a probe that was sent in `epoch`; returns new strikes.
-    pub fn on_probe(&mut self, epoch: Epoch, result: ProbeResult, now_ms: u64) -> Vec<Strike> {
+    /// Takes the result of a probe; returns new strikes.
+    pub fn on_probe(
+        &mut self,
+        ticket: ProbeTicket,
+        result: ProbeResult,
+        now_ms: u64,
+    ) -> Vec<Strike> {
+        let epoch = ticket.epoch;
         let calls = &self.calls;
         let in_progress = || fingerprints(calls);
         let stop = self.stops.on_probe(epoch, result, in_progress);
         match result {
             ProbeResult::Answered { boot_id, warm } => {
                 self.capacity.on_probe(Probe { epoch, boot_id, warm });
+                if epoch == self.capacity.epoch() {
+                    self.evidence = Some(ticket);
+                }
             }
             ProbeResult::Refused => self.capacity.on_stop(),
             ProbeResult::Silent => self.capacity.on_connect_failure(now_ms),
@@ -370,6 +401,21 @@
         std::mem::take(&mut self.changed)
     }
 
+    /// Tells whether a start beyond the cold limit lacks recent evidence of a warm upstream.
+    ///
+    /// An upstream may turn cold without warning, so such a start follows a probe closely.
+    fn lacks_evidence(&self, now_ms: u64) -> bool {
+        #[cfg(feature = "sabotage")]
+        if self.ignores_evidence {
+            return false;
+        }
+        if self.capacity.running() < self.capacity.cold_limit() {
+            return false;
+        }
+        let epoch = self.capacity.epoch();
+        self.evidence.is_none_or(|it| it.epoch != epoch || now_ms > it.sent_ms + EVIDENCE_AGE_MS)
+    }
+
     fn set_document(&mut self, document: &Document) {
         for Customer { name, share } in &document.customers {
             self.queue.customer(name, *share);
--- a/crates/core/src/agent/mod.rs
+++ b/crates/core/src/agent/mod.rs
@@ -14,5 +14,5 @@
 pub use self::{
     core::{AgentCore, Dispatch, SubmitOrder},
     settings::AgentSettings,
-    stops::{CallResult, ProbeResult},
+    stops::{CallResult, ProbeResult, ProbeTicket},
 };
--- a/crates/core/src/agent/settings.rs
+++ b/crates/core/src/agent/settings.rs
@@ -5,11 +5,11 @@
 };
 
 /// Time for which an ended attempt is remembered, in milliseconds.
-const RETENTION_MS: u64 = 30_000;
+const RETENTION_MS: u64 = 5_000;
 /// Longest accepted time between a submit and its dispatch limit, in milliseconds.
 const DISPATCH_WINDOW_MS: u64 = 600_000;
 /// Largest number of attempts remembered.
-const MAX_RECORDS: usize = 50_000;
+const MAX_RECORDS: usize = 100_000;
 /// Total size of the output kept for ended attempts, in bytes.
 const MAX_ENDED_OUTPUT_BYTES: usize = 32 * 1024 * 1024;
 /// Time for which a strike against a request counts, in milliseconds.
@@ -44,6 +44,8 @@
     Gate(crate::drain::Sabotage),
     /// A mechanism of the ledger.
     Ledger(crate::sabotage::Sabotage),
+    /// Starts beyond the cold limit follow a probe closely.
+    Evidence,
 }
 
 impl AgentSettings {
--- a/crates/core/src/agent/stops.rs
+++ b/crates/core/src/agent/stops.rs
@@ -57,6 +57,15 @@
     Silent,
 }
 
+/// Accompanies a probe from its sending to its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ProbeTicket {
+    /// Epoch of the capacity in which the probe is sent.
+    pub(crate) epoch: Epoch,
+    /// Time of sending, in milliseconds.
+    pub(crate) sent_ms: u64,
+}
+
 /// Recognizes stops of the upstream; each stop is counted once.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StopDetector {
--- a/crates/core/src/capacity/mod.rs
+++ b/crates/core/src/capacity/mod.rs
@@ -188,6 +188,11 @@
         self.phase != Phase::Warm
     }
 
+    /// Returns the number of calls that the upstream can bear at once in a cold start.
+    pub fn cold_limit(&self) -> u32 {
+        self.config.cold_limit()
+    }
+
     /// Returns the number of calls that the upstream may run at once now.
     pub fn limit(&self) -> u32 {
         match self.phase {
--- a/crates/fakes/src/capacity/decisions.rs
+++ b/crates/fakes/src/capacity/decisions.rs
@@ -136,9 +136,9 @@
     control.adopt(update(DEMO_DOCUMENT, 1));
     core.set_control(&control, 0);
     core.confirm_control(0, 0);
-    let epoch = core.probe_epoch();
+    let ticket = core.begin_probe(0);
     let warm = ProbeResult::Answered { boot_id: Some(1), warm: Some(true) };
-    core.on_probe(epoch, warm, 0);
+    core.on_probe(ticket, warm, 0);
     core
 }
 
