--- a/crates/agent/src/executor.rs
+++ b/crates/agent/src/executor.rs
@@ -14,6 +14,7 @@
     attempt::{AttemptKey, AttemptLookup, Progress},
     control::{ControlUpdate, Versions},
     ids::{AttemptId, Incarnation},
+    membership::InstanceState,
 };
 use yuccatrail_rpc::messages::{
     Ages, AttemptReply, AttemptState, CancelRequest, Echo, Feedback, ReadRequest, SubmitRequest,
@@ -22,12 +23,20 @@
 use yuccatrail_runtime::{clock::Clock, control::SharedControl};
 
 use crate::{
+    listed::Listed,
     metrics::Metrics,
     upstream::{AnswerHead, CallError, UpstreamClient},
 };
 
 /// Largest size of the output in one reply, in bytes.
 const MAX_PAGE_BYTES: usize = 256 * 1024;
+/// Longest time for which the loss of an answer is kept back until a probe settles its cause.
+const LOSS_SETTLE_LIMIT: Duration = Duration::from_millis(1000);
+/// Time between two probes after a loss.
+const LOSS_PROBE_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Time for which output is gathered before it is sent, so that a fast stream needs few calls.
+const GATHER_TIME: Duration = Duration::from_millis(20);
 
 /// Everything that the agent's decisions and tasks share.
 struct State {
@@ -40,6 +49,17 @@
     cuts: FastMap<AttemptKey, CancellationToken>,
     /// Ended attempts whose end no entry has read yet.
     unread: FastSet<AttemptId>,
+    /// State of the upstream in the instance list.
+    listed: Listed,
+}
+
+impl State {
+    /// Passes a change of the listed state on to the core.
+    fn set_listed(&mut self, change: Option<(u64, InstanceState)>, now_ms: u64) {
+        let Some((version, state)) = change else { return };
+        info!(version = version; "upstream listed as {state:?}");
+        self.core.set_listed(version, state, now_ms);
+    }
 }
 
 /// Call of an attempt that waits for dispatch.
@@ -75,6 +95,7 @@
             changed: FastMap::default(),
             cuts: FastMap::default(),
             unread: FastSet::default(),
+            listed: Listed::default(),
         };
         Arc::new(Self { incarnation, clock, upstream, control, metrics, state: Mutex::new(state) })
     }
@@ -84,11 +105,14 @@
         let now_ms = self.clock.now_ms();
         let is_changed = !request.update.is_empty();
         self.control.adopt(request.update, "entry");
+        let again;
         {
             let mut state = self.lock();
             if is_changed {
                 self.control.with(|it| state.core.set_control(it, now_ms));
             }
+            let listed = state.listed.hear(request.is_listed_leaving, now_ms);
+            state.set_listed(listed, now_ms);
             state.core.merge_strikes(&request.strikes, now_ms);
             let holds_all = !request.versions.has_newer_than(self.control.versions());
             if let Some(sent_ms) = self.echoed_ms(request.echo)
@@ -97,6 +121,7 @@
             {
                 state.core.confirm_control(sent_ms, age_ms);
             }
+            again = state.core.asks_again(!holds_all, now_ms);
             self.wake(&mut state);
         }
         self.start_ready();
@@ -104,6 +129,7 @@
             feedback: self.feedback(),
             update: self.control.update_for(request.versions),
             ages: self.ages(),
+            again,
         }
     }
 
@@ -154,7 +180,10 @@
     /// Does the periodic work.
     pub(crate) fn tick(self: &Arc<Self>) {
         let mut state = self.lock();
-        state.core.tick(self.clock.now_ms());
+        let now_ms = self.clock.now_ms();
+        let listed = state.listed.tick(now_ms);
+        state.set_listed(listed, now_ms);
+        state.core.tick(now_ms);
         self.wake(&mut state);
         self.metrics.observe_load(state.core.load());
         drop(state);
@@ -272,12 +301,26 @@
         if result == CallResult::Lost {
             self.lock().core.on_lost();
             // The strikes of a stop have to be known before an entry learns of the loss.
-            self.probe().await;
+            let settled = tokio::time::timeout(LOSS_SETTLE_LIMIT, self.settle_loss());
+            if settled.await.is_err() {
+                info!(attempt:% = dispatch.attempt; "no probe settled the loss of an answer");
+            }
         }
         self.finish(dispatch, &result);
         self.start_ready();
     }
 
+    /// Probes the upstream until it is known whether it stopped.
+    async fn settle_loss(self: &Arc<Self>) {
+        loop {
+            self.probe().await;
+            if !self.lock().core.is_stop_suspected() {
+                return;
+            }
+            tokio::time::sleep(LOSS_PROBE_INTERVAL).await;
+        }
+    }
+
     fn finish(&self, dispatch: Dispatch, result: &CallResult) {
         let mut state = self.lock();
         state.cuts.remove(&dispatch.key);
@@ -289,25 +332,30 @@
         self.wake(&mut state);
     }
 
+    /// Waits for output from `from` on; further output is gathered for a moment, except the first.
     async fn wait_output(&self, attempt: AttemptId, from: u64, wait: Duration) -> AttemptState {
-        let deadline = Instant::now() + wait;
+        let mut until = Instant::now() + wait;
+        let mut gathers = false;
         loop {
             let changed = {
                 let mut state = self.lock();
                 let lookup = state.core.read(attempt, from, MAX_PAGE_BYTES);
                 let notify = state.changed.get(&attempt).cloned();
-                let (true, Some(notify)) = (is_idle(&lookup), notify) else {
+                let output = output_of(&lookup);
+                let is_over = output == Output::Ended || Instant::now() >= until;
+                let is_first = output == Output::New && from == 0;
+                let (false, false, Some(notify)) = (is_over, is_first, notify) else {
                     note_read(&mut state, attempt, &lookup);
                     return attempt_state(lookup);
                 };
+                if output == Output::New && !gathers {
+                    gathers = true;
+                    until = until.min(Instant::now() + GATHER_TIME);
+                }
                 notify.notified_owned()
             };
-            if tokio::time::timeout_at(deadline, changed).await.is_err() {
-                let mut state = self.lock();
-                let lookup = state.core.read(attempt, from, MAX_PAGE_BYTES);
-                note_read(&mut state, attempt, &lookup);
-                return attempt_state(lookup);
-            }
+            // The next look tells whether there is news or the time is over.
+            let _ = tokio::time::timeout_at(until, changed).await;
         }
     }
 
@@ -350,11 +398,24 @@
     }
 }
 
-/// Tells whether there is nothing new to report.
-fn is_idle(lookup: &AttemptLookup) -> bool {
-    let AttemptLookup::Accepted(page) = lookup else { return false };
-    let in_progress = matches!(page.progress, Progress::Queued | Progress::Running);
-    in_progress && page.chunks.is_empty()
+/// What a look at an attempt found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Output {
+    /// Nothing new.
+    None,
+    /// New chunks of an attempt that goes on.
+    New,
+    /// The attempt has ended or is not known.
+    Ended,
+}
+
+fn output_of(lookup: &AttemptLookup) -> Output {
+    let AttemptLookup::Accepted(page) = lookup else { return Output::Ended };
+    match page.progress {
+        Progress::Completed(_) | Progress::Failed(_) => Output::Ended,
+        Progress::Queued | Progress::Running if page.chunks.is_empty() => Output::None,
+        Progress::Queued | Progress::Running => Output::New,
+    }
 }
 
 /// Notes that an entry reads the end of an attempt.
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -3,8 +3,10 @@
 use std::{
     hash::{Hash, Hasher},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
 
+use futures::future::join_all;
 use log::info;
 use rustc_hash::FxHasher;
 use slotmap::SecondaryMap;
@@ -27,7 +29,13 @@
 use crate::{link::Link, strikes::Strikes};
 
 /// Bounds of the upstreams of one pool that an entry connects to.
-const SUBSET_SIZES: SubsetSizes = SubsetSizes { size: 32, coverage: 3 };
+const SUBSET_SIZES: SubsetSizes = SubsetSizes { size: 8, coverage: 3 };
+/// Shortest time between two heartbeats on a connection, in milliseconds.
+const MIN_HEARTBEAT_MS: u64 = 500;
+/// Longest time between two heartbeats on a connection, in milliseconds.
+const MAX_HEARTBEAT_MS: u64 = 5_000;
+/// Time between two heartbeats of the entry, over all connections, in milliseconds.
+const HEARTBEAT_SPACING_MS: u64 = 40;
 /// Calls that an upstream is assumed to bear before its agent has reported.
 const ASSUMED_COLD_LIMIT: u32 = 1;
 
@@ -169,6 +177,13 @@
         state.begin(pool, choice, now_ms).ok_or(Reason::NoUpstream)
     }
 
+    /// Sends every agent the strikes that it may not know.
+    pub(crate) async fn pass_on_strikes(&self) {
+        let links: Vec<Arc<Link>> =
+            self.lock().members.values().map(|it| it.link.clone()).collect();
+        join_all(links.iter().map(|it| it.pass_on_strikes())).await;
+    }
+
     /// Counts the end of an attempt.
     pub(crate) fn end(&self, key: UpstreamKey, end: AttemptEnd) {
         let now_ms = self.clock.now_ms();
@@ -206,6 +221,21 @@
         self.lock().directory.contact_failed(key, now_ms);
     }
 
+    /// Returns the time between two heartbeats on one connection.
+    ///
+    /// It grows with the number of connections, so that the entry's heartbeats take a bounded rate.
+    pub(crate) fn heartbeat_interval(&self) -> Duration {
+        let links = self.lock().members.len() as u64;
+        let interval_ms = links * HEARTBEAT_SPACING_MS;
+        Duration::from_millis(interval_ms.clamp(MIN_HEARTBEAT_MS, MAX_HEARTBEAT_MS))
+    }
+
+    /// Tells whether the instance list shows an upstream as leaving.
+    pub(crate) fn is_listed_leaving(&self, key: UpstreamKey) -> bool {
+        let state = self.lock();
+        state.directory.upstream(key).is_some_and(|it| it.is_listed_leaving())
+    }
+
     /// Returns the load of a pool, without the upstreams that get no new work.
     pub(crate) fn pool_load(&self, pool: &str) -> PoolLoad {
         let now_ms = self.clock.now_ms();
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -8,6 +8,7 @@
 
 use log::info;
 use tarpc::{client::Config, context};
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use yuccatrail_core::{
     control::Versions,
@@ -21,10 +22,10 @@
 
 use crate::fleet::Fleet;
 
-/// Time between two heartbeats on a connection.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after which an unanswered heartbeat closes the connection.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Longest wait for an agent to take over strikes.
+const STRIKES_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time between two attempts to connect.
 const RECONNECT_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -52,6 +53,15 @@
     }
 }
 
+/// What an agent asks for in a reply to a heartbeat.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Wish {
+    /// Whether another exchange is to follow at once.
+    pub(crate) again: bool,
+    /// Versions that the agent holds.
+    pub(crate) holds: Versions,
+}
+
 #[derive(Default)]
 struct State {
     client: Option<AgentClient>,
@@ -71,6 +81,7 @@
     key: UpstreamKey,
     fleet: Arc<Fleet>,
     state: Mutex<State>,
+    suspected: Notify,
     stop: CancellationToken,
 }
 
@@ -85,6 +96,7 @@
             key,
             fleet,
             state: Mutex::new(State::default()),
+            suspected: Notify::new(),
             stop: CancellationToken::new(),
         });
         tokio::spawn(link.clone().maintain());
@@ -109,6 +121,11 @@
         state.report.clone()
     }
 
+    /// Sends a heartbeat at once, because a call failed and the connection may be broken.
+    pub(crate) fn check(&self) {
+        self.suspected.notify_one();
+    }
+
     /// Takes in the feedback of a reply to a question that was sent at `sent_ms`.
     pub(crate) fn observe(&self, feedback: Feedback, sent_ms: u64) {
         self.fleet.on_reply(self.key, &feedback, sent_ms);
@@ -118,15 +135,27 @@
 
     /// Sends the agent what it lacks of the control state, and takes what the entry lacks.
     ///
-    /// Returns false when the agent cannot be reached.
-    pub(crate) async fn exchange(&self, client: &AgentClient, known: Versions) -> bool {
+    /// Returns the agent's reply unless it cannot be reached.
+    pub(crate) async fn exchange(&self, client: &AgentClient, known: Versions) -> Option<Wish> {
         let sent_ms = self.fleet.clock.now_ms();
         let request = self.sync_request(known, sent_ms);
-        let Ok(reply) = client.sync(context_for(HEARTBEAT_TIMEOUT), request).await else {
-            return false;
-        };
+        let reply = client.sync(context_for(HEARTBEAT_TIMEOUT), request).await.ok()?;
+        let wish = Wish { again: reply.again, holds: reply.feedback.versions };
         self.take_sync(client, reply, sent_ms);
-        true
+        Some(wish)
+    }
+
+    /// Notes that a call to the agent was not answered; the next heartbeat shows whether it is back.
+    pub(crate) fn suspect(&self) {
+        self.fleet.on_contact_failed(self.key);
+    }
+
+    /// Sends the agent the strikes that it may not know, if it can be reached.
+    pub(crate) async fn pass_on_strikes(&self) {
+        let Some((client, report)) = self.connection() else { return };
+        let sending = self.exchange(&client, report.feedback.versions);
+        // An agent that does not answer in time learns the strikes with the next heartbeat.
+        let _ = tokio::time::timeout(STRIKES_TIMEOUT, sending).await;
     }
 
     async fn maintain(self: Arc<Self>) {
@@ -152,24 +181,30 @@
         Ok(AgentClient::new(Config::default(), Box::pin(transport)).spawn())
     }
 
-    /// Sends heartbeats until one stays unanswered; a change of the control state is sent at once.
+    /// Sends heartbeats until one stays unanswered.
+    ///
+    /// A heartbeat announces the versions that the entry holds, at once after a change. The state
+    /// itself follows when the agent asks for it, so that an agent receives it from one entry.
     async fn beat(&self, client: &AgentClient) {
         let mut changed = self.fleet.control.subscribe();
-        let mut known = self.fleet.control.versions();
-        let mut repeated = false;
+        let mut wish = Wish { again: false, holds: Versions::default() };
+        let mut asked = false;
         while !self.stop.is_cancelled() {
-            if !self.exchange(client, known).await {
-                return;
-            }
-            known = self.lock().report.as_ref().map(|it| it.feedback.versions).unwrap_or_default();
-            // An agent that refuses the update must not be asked again without a pause.
-            repeated = !repeated && self.fleet.control.versions().has_newer_than(known);
-            if repeated {
+            let known = match wish.again {
+                true => wish.holds,
+                false => self.fleet.control.versions(),
+            };
+            let Some(reply) = self.exchange(client, known).await else { return };
+            wish = reply;
+            // An agent that refuses the state must not be sent it again without a pause.
+            asked = wish.again && !asked;
+            if asked {
                 continue;
             }
             tokio::select! {
-                () = tokio::time::sleep(HEARTBEAT_INTERVAL) => {}
+                () = tokio::time::sleep(self.fleet.heartbeat_interval()) => {}
                 _ = changed.changed() => {}
+                () = self.suspected.notified() => {}
                 () = self.stop.cancelled() => {}
             }
         }
@@ -177,6 +212,8 @@
 
     fn sync_request(&self, known: Versions, now_ms: u64) -> SyncRequest {
         let control = &self.fleet.control;
+        // The fleet is asked before this link is locked, because it locks links itself.
+        let is_listed_leaving = self.fleet.is_listed_leaving(self.key);
         SyncRequest {
             from: self.fleet.incarnation,
             versions: control.versions(),
@@ -184,6 +221,7 @@
             ages: control.ages(now_ms),
             echo: self.lock().report.as_ref().map(Report::echo),
             strikes: self.fleet.strikes.recent(now_ms),
+            is_listed_leaving,
         }
     }
 
