Entries without an instance list learn it from their peers

An entry that started while the platform was down learned the control state from its peers, reported itself ready, and refused every request with no_upstream, because only the platform told it which upstreams exist.

A reply to a peer's call now says whether the entry lacks a list from the platform; the peer then sends its own with each call until the platform has delivered one. Before: a_promotion_reaches_all_although_the_platform_goes_down, with the restarted entry required to reach both upstreams and to serve, failed with an empty list.

--- a/crates/agent/src/executor.rs
+++ b/crates/agent/src/executor.rs
@@ -117,6 +117,7 @@
         }
         self.start_ready();
         SyncReply {
+            lacks_instances: false,
             feedback: self.feedback(),
             update: self.control.update_for(request.versions),
             ages: self.ages(),
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -52,6 +52,10 @@
     members: SecondaryMap<UpstreamKey, Member>,
     pools: FastMap<String, PoolView>,
     list_version: u64,
+    /// The instance list in use.
+    listed: Vec<InstanceRecord>,
+    /// Whether the platform has delivered a list to this process.
+    has_platform_list: bool,
     turn: u64,
 }
 
@@ -99,10 +103,27 @@
     /// Takes over the instance list and opens and closes connections accordingly.
     pub(crate) fn apply_list(self: &Arc<Self>, instances: Vec<InstanceRecord>) {
         let mut state = self.lock();
-        state.list_version += 1;
-        let version = state.list_version;
-        state.directory.apply_list(InstanceList { version, instances });
-        self.reconcile(&mut state);
+        state.has_platform_list = true;
+        self.replace_list(&mut state, instances);
+    }
+
+    /// Takes over the list of a peer as long as the platform has not delivered one.
+    pub(crate) fn take_peer_list(self: &Arc<Self>, instances: Vec<InstanceRecord>) {
+        let mut state = self.lock();
+        if state.has_platform_list || instances.is_empty() || instances == state.listed {
+            return;
+        }
+        self.replace_list(&mut state, instances);
+    }
+
+    /// Tells whether the platform has not delivered a list yet.
+    pub(crate) fn lacks_list(&self) -> bool {
+        !self.lock().has_platform_list
+    }
+
+    /// Returns the instance list in use.
+    pub(crate) fn listed(&self) -> Vec<InstanceRecord> {
+        self.lock().listed.clone()
     }
 
     /// Takes over the operational state in force.
@@ -232,6 +253,14 @@
         found
     }
 
+    fn replace_list(self: &Arc<Self>, state: &mut State, instances: Vec<InstanceRecord>) {
+        state.list_version += 1;
+        let version = state.list_version;
+        state.listed.clone_from(&instances);
+        state.directory.apply_list(InstanceList { version, instances });
+        self.reconcile(state);
+    }
+
     /// Opens connections to the upstreams of the entry's subset and closes the others.
     fn reconcile(self: &Arc<Self>, state: &mut State) {
         let wanted = self.wanted(state);
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -35,6 +35,8 @@
 struct PeerLink {
     client: PeerClient,
     known: Versions,
+    /// Whether the peer has said that it has no instance list from the platform.
+    lacks_instances: bool,
 }
 
 /// Exchanges with a few peers in each round until `stop` is cancelled.
@@ -80,7 +82,10 @@
 async fn exchange(entry: &Entry, address: SocketAddr, link: Option<PeerLink>) -> Option<PeerLink> {
     let mut link = match link {
         Some(link) => link,
-        None => PeerLink { client: connect(address).await?, known: entry.control.versions() },
+        None => {
+            let (client, known) = (connect(address).await?, entry.control.versions());
+            PeerLink { client, known, lacks_instances: false }
+        }
     };
     let sent_ms = entry.clock.now_ms();
     let request = SyncRequest {
@@ -90,10 +95,15 @@
         ages: entry.control.ages(sent_ms),
         echo: None,
         is_listed_leaving: false,
+        instances: match link.lacks_instances {
+            true => entry.fleet.listed(),
+            false => Vec::new(),
+        },
         strikes: entry.strikes.recent(sent_ms),
     };
     let reply = link.client.sync(context_for(PEER_TIMEOUT), request).await.ok()?;
     link.known = reply.feedback.versions;
+    link.lacks_instances = reply.lacks_instances;
     entry.control.adopt(reply.update, "peer");
     entry.strikes.merge(&reply.feedback.strikes, entry.clock.now_ms());
     // Only a process that holds all that the peer holds shares the peer's knowledge of its age.
@@ -122,7 +132,9 @@
         let now_ms = entry.clock.now_ms();
         entry.control.adopt(request.update, "peer");
         entry.strikes.merge(&request.strikes, now_ms);
+        entry.fleet.take_peer_list(request.instances);
         SyncReply {
+            lacks_instances: entry.fleet.lacks_list(),
             feedback: Feedback {
                 incarnation: entry.incarnation,
                 now_ms,
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -187,6 +187,7 @@
             echo: self.lock().report.as_ref().map(Report::echo),
             strikes: self.fleet.strikes.recent(now_ms),
             is_listed_leaving,
+            instances: Vec::new(),
         }
     }
 
--- a/crates/entry/src/operator/peer_status.rs
+++ b/crates/entry/src/operator/peer_status.rs
@@ -37,6 +37,7 @@
         ages: Ages::default(),
         echo: None,
         is_listed_leaving: false,
+        instances: Vec::new(),
         strikes: Vec::new(),
     };
     match client.sync(context_for(STATUS_TIMEOUT), request).await {
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -194,7 +194,8 @@
             load: LoadReport::default(),
             strikes: Vec::new(),
         };
-        SyncReply { feedback, update: ControlUpdate::default(), ages: Ages::default() }
+        let update = ControlUpdate::default();
+        SyncReply { feedback, update, ages: Ages::default(), lacks_instances: false }
     }
 }
 
--- a/crates/fakes/tests/configuration.rs
+++ b/crates/fakes/tests/configuration.rs
@@ -166,11 +166,12 @@
     wait_in_force(&entries[..2], 2, 2, Instant::now() + IN_FORCE_WITHIN).await;
     sampler.close().await;
     let restarted = restart_last_entry(&mut stack).await;
-    wait_in_force(&[restarted], 0, 2, Instant::now() + IN_FORCE_WITHIN).await;
+    wait_in_force(&[restarted], 2, 2, Instant::now() + IN_FORCE_WITHIN).await;
 
     let before = stack.calls_in("south").await.unwrap();
     for number in 0..20 {
-        let verdict = read_order(&stack.caller, entries[number % 2], number).await;
+        let entry = [entries[0], entries[1], restarted][number % 3];
+        let verdict = read_order(&stack.caller, entry, number).await;
         assert_eq!(verdict, Verdict::Whole);
     }
     assert_eq!(stack.calls_in("south").await.unwrap(), before);
--- a/crates/rpc/src/messages.rs
+++ b/crates/rpc/src/messages.rs
@@ -9,6 +9,7 @@
 use yuccatrail_core::{
     control::{ControlUpdate, Versions},
     ids::{AttemptId, Digest, Incarnation},
+    membership::InstanceRecord,
     outcome::Refusal,
     routing::LoadReport,
 };
@@ -30,6 +31,8 @@
     pub strikes: Vec<Strike>,
     /// Whether the sender's instance list shows the receiver's upstream as leaving.
     pub is_listed_leaving: bool,
+    /// Instance list, for an entry that has said that it lacks one.
+    pub instances: Vec<InstanceRecord>,
 }
 
 /// Upper bounds on the age of a process's control state; none where it was never confirmed.
@@ -59,6 +62,8 @@
     pub update: ControlUpdate,
     /// Age of the answering process's control state.
     pub ages: Ages,
+    /// Whether the sender is an entry without an instance list from the platform.
+    pub lacks_instances: bool,
 }
 
 /// State of an answering process, which every reply carries.
