Leaving test: a queue that outlasts the time watched

With the operators' command ignored by the gate and the directory the test of queued work still passed, because the queue was empty before the 3 s had passed. It now holds 6 s of work at each upstream.

--- a/crates/fakes/tests/leaving.rs
+++ b/crates/fakes/tests/leaving.rs
@@ -19,7 +19,7 @@
 /// Time between two requests.
 const INTERVAL: Duration = Duration::from_millis(20);
 /// Requests that wait for two upstreams with one call at a time.
-const QUEUED: usize = 12;
+const QUEUED: usize = 16;
 
 /// Keeps one stack at a time on the machine.
 static ONE_STACK: Mutex<()> = Mutex::const_new(());
@@ -77,7 +77,9 @@
     let mut plan = StackPlan::small(&["north"], &["north", "south"]).only_pool("work-orders");
     let limits = "concurrency = 1\ncold_concurrency = 1";
     plan.document = plan.document.replace("concurrency = 32\ncold_concurrency = 2", limits);
-    plan.switch_pool("work-orders", |it| it.delay_ms = 700);
+    // Without the change the queue lasts beyond the time for which the calls are watched.
+    plan.document = plan.document.replace("deadline_ms = 10000", "deadline_ms = 30000");
+    plan.switch_pool("work-orders", |it| it.delay_ms = 800);
     let stack = Stack::start(plan).await.expect("the stack starts");
     let (caller, entry) = (Caller::new("lone-star"), stack.entry(0));
     let requests = join_all((0..QUEUED).map(|it| read_order(&caller, entry, it)));
