--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -194,8 +194,13 @@
             load: LoadReport::default(),
             strikes: Vec::new(),
         };
-        let update = ControlUpdate::default();
-        SyncReply { feedback, update, ages: Ages::default(), lacks_instances: false }
+        SyncReply {
+            feedback,
+            update: ControlUpdate::default(),
+            ages: Ages::default(),
+            lacks_instances: false,
+            again: false,
+        }
     }
 }
 
--- a/crates/rpc/src/messages.rs
+++ b/crates/rpc/src/messages.rs
@@ -64,6 +64,9 @@
     pub ages: Ages,
     /// Whether the sender is an entry without an instance list from the platform.
     pub lacks_instances: bool,
+    /// Whether the answering process asks for another exchange at once, with the state that it
+    /// lacks, because it has seen newer versions or needs a confirmation.
+    pub again: bool,
 }
 
 /// State of an answering process, which every reply carries.
