--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -198,6 +198,7 @@
             feedback,
             update: ControlUpdate::default(),
             ages: Ages::default(),
+            lacks_instances: false,
             again: false,
         }
     }
