--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -3,6 +3,7 @@
 use std::{
     hash::{Hash, Hasher},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
 
 use futures::future::join_all;
@@ -28,7 +29,13 @@
 use crate::{link::Link, strikes::Strikes};
 
 /// Bounds of the upstreams of one pool that an entry connects to.
-const SUBSET_SIZES: SubsetSizes = SubsetSizes { size: 32, coverage: 3 };
+const SUBSET_SIZES: SubsetSizes = SubsetSizes { size: 8, coverage: 3 };
+/// Shortest time between two heartbeats on a connection, in milliseconds.
+const MIN_HEARTBEAT_MS: u64 = 500;
+/// Longest time between two heartbeats on a connection, in milliseconds.
+const MAX_HEARTBEAT_MS: u64 = 5_000;
+/// Time between two heartbeats of the entry, over all connections, in milliseconds.
+const HEARTBEAT_SPACING_MS: u64 = 40;
 /// Calls that an upstream is assumed to bear before its agent has reported.
 const ASSUMED_COLD_LIMIT: u32 = 1;
 
@@ -214,18 +221,27 @@
         self.lock().directory.contact_failed(key, now_ms);
     }
 
+    /// Returns the time between two heartbeats on one connection.
+    ///
+    /// It grows with the number of connections, so that the entry's heartbeats take a bounded rate.
+    pub(crate) fn heartbeat_interval(&self) -> Duration {
+        let links = self.lock().members.len() as u64;
+        let interval_ms = links * HEARTBEAT_SPACING_MS;
+        Duration::from_millis(interval_ms.clamp(MIN_HEARTBEAT_MS, MAX_HEARTBEAT_MS))
+    }
+
+    /// Tells whether the instance list shows an upstream as leaving.
+    pub(crate) fn is_listed_leaving(&self, key: UpstreamKey) -> bool {
+        let state = self.lock();
+        state.directory.upstream(key).is_some_and(|it| it.is_listed_leaving())
+    }
+
     /// Returns the load of a pool, without the upstreams that get no new work.
     pub(crate) fn pool_load(&self, pool: &str) -> PoolLoad {
         let now_ms = self.clock.now_ms();
         let mut state = self.lock();
-        let State { directory, members, pools, .. } = &mut *state;
-        let Some(view) = pools.get_mut(pool) else { return PoolLoad::default() };
-        for (key, member) in members.iter() {
-            if member.pool == pool {
-                view.set_withdrawn(member.view, directory.check(key).is_err());
-            }
-        }
-        view.load(now_ms)
+        state.withdraw(pool);
+        state.pools.get(pool).map(|it| it.load(now_ms)).unwrap_or_default()
     }
 
     /// Returns the state of all upstreams, ordered by name.
@@ -304,14 +320,25 @@
 }
 
 impl State {
+    /// Withdraws the upstreams of a pool that the directory refuses, and returns the others.
+    fn withdraw(&mut self, pool: &str) {
+        let Some(view) = self.pools.get_mut(pool) else { return };
+        for (key, member) in &self.members {
+            if member.pool == pool {
+                view.set_withdrawn(member.view, self.directory.check(key).is_err());
+            }
+        }
+    }
+
     /// Lists the candidates of a pool that the directory allows.
     fn candidates(
-        &self,
+        &mut self,
         pool: &str,
         tried: &[UpstreamKey],
         prefix: Option<u64>,
         now_ms: u64,
     ) -> Result<Vec<Candidate>, Reason> {
+        self.withdraw(pool);
         let Some(view) = self.pools.get(pool) else { return Err(Reason::NoUpstream) };
         let tried: Vec<_> =
             tried.iter().filter_map(|it| self.members.get(*it).map(|it| it.view)).collect();
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -52,7 +52,6 @@
                 links.insert(address, link);
             }
         }
-        entry.strikes.expire(entry.clock.now_ms());
         tokio::select! {
             () = tokio::time::sleep(ROUND_INTERVAL) => {}
             _ = changed.changed() => {}
@@ -90,6 +89,7 @@
         update: entry.control.update_for(link.known),
         ages: entry.control.ages(sent_ms),
         echo: None,
+        is_listed_leaving: false,
         strikes: entry.strikes.recent(sent_ms),
     };
     let reply = link.client.sync(context_for(PEER_TIMEOUT), request).await.ok()?;
@@ -132,6 +132,7 @@
             },
             update: entry.control.update_for(request.versions),
             ages: entry.control.ages(now_ms),
+            again: false,
         }
     }
 }
--- a/crates/entry/src/run/stage.rs
+++ b/crates/entry/src/run/stage.rs
@@ -60,6 +60,8 @@
     next_number: u16,
     begun_ms: u64,
     estimate_ms: u64,
+    /// Whether the call is too precious to try out an ejected or cold upstream with.
+    no_probe: bool,
 }
 
 /// An attempt that counts as in progress at its upstream until it ends or is dropped.
@@ -105,8 +107,16 @@
 ) -> Result<Output, Refusal> {
     let estimate_ms = entry.policy.expected_ms(work.demand);
     let begun_ms = entry.clock.now_ms();
-    let mut run =
-        StageRun { entry, request, work, tried: Vec::new(), next_number: 0, begun_ms, estimate_ms };
+    let mut run = StageRun {
+        entry,
+        request,
+        work,
+        tried: Vec::new(),
+        next_number: 0,
+        begun_ms,
+        estimate_ms,
+        no_probe: false,
+    };
     let mut execution = Execution::NotRun;
     let mut last = Refusal::not_run(Reason::NoUpstream, NO_UPSTREAM_RETRY_AFTER_MS);
     while run.next_number < MAX_ATTEMPTS {
@@ -168,6 +178,7 @@
         next_number: number,
         begun_ms: entry.clock.now_ms(),
         estimate_ms,
+        no_probe: true,
     };
     let chosen = run.choose(alone);
     *tried = run.tried.clone();
@@ -186,7 +197,11 @@
         let chosen = match alone {
             true => self.entry.fleet.choose_alone(pool, self.request.fingerprint),
             false => {
-                let context = RouteContext { prefix: self.work.prefix, ..RouteContext::default() };
+                let context = RouteContext {
+                    prefix: self.work.prefix,
+                    no_probe: self.no_probe,
+                    ..RouteContext::default()
+                };
                 let [first, second, probe] = rand::random();
                 let random = RandomNumbers { first, second, probe };
                 self.entry.fleet.choose(pool, &self.tried, context, random)
@@ -295,7 +310,7 @@
             idempotent,
             dispatch_by_ms,
             await_until_ms,
-            estimate_ms,
+            estimate_ms: entry.policy.safe_ms(work.demand),
             call: work.call.clone(),
             sink: work.sink.clone(),
         };
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -13,6 +13,8 @@
     caller::routes, entry::Entry, gossip, metrics::Metrics, platform_feed, settings::Settings,
 };
 
+/// Time between two rounds of housekeeping; estimates count on one second.
+const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between two looks at the work in progress of a stopping entry.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -56,6 +58,7 @@
     tasks.spawn(gossip::run(entry.clone(), finished.clone()));
     tasks.spawn(gossip::serve(peer_listener, entry.clone(), finished.clone()));
     tasks.spawn(apply_control(entry.clone(), finished.clone()));
+    tasks.spawn(keep_house(entry.clone(), finished.clone()));
     let handler_entry = entry.clone();
     let handler = move |request| routes::handle(handler_entry.clone(), request);
     let callers = tokio::spawn(http::serve(listener, finished.clone(), handler));
@@ -85,6 +88,18 @@
     }
 }
 
+/// Lets go of old strikes and old estimates.
+async fn keep_house(entry: Arc<Entry>, finished: CancellationToken) {
+    while !finished.is_cancelled() {
+        entry.strikes.expire(entry.clock.now_ms());
+        entry.policy.relax();
+        tokio::select! {
+            () = tokio::time::sleep(HOUSEKEEPING_INTERVAL) => {}
+            () = finished.cancelled() => {}
+        }
+    }
+}
+
 /// Refuses new requests and waits for those in progress.
 async fn stop(entry: &Entry, settings: &Settings) {
     info!("planned stop begins");
--- a/crates/fakes/src/stack/relay.rs
+++ b/crates/fakes/src/stack/relay.rs
@@ -1,4 +1,4 @@
-//! A relay between entries and one agent, whose connections a test can cut.
+//! A relay between processes, whose connections a test can cut.
 
 use std::{
     io,
@@ -16,7 +16,7 @@
     task::JoinHandle,
 };
 
-/// Passes bytes between entries and an agent.
+/// Passes bytes between the processes that connect to it and a target.
 #[derive(Debug)]
 pub struct Relay {
     address: SocketAddr,
@@ -40,7 +40,7 @@
         Ok(Self { address, cuts, open, accept })
     }
 
-    /// Returns the address that stands for the agent's.
+    /// Returns the address that stands for the target's.
     pub fn address(&self) -> SocketAddr {
         self.address
     }
--- a/crates/rpc/src/messages.rs
+++ b/crates/rpc/src/messages.rs
@@ -28,6 +28,8 @@
     pub echo: Option<Echo>,
     /// Strikes against requests that the receiver may not know yet.
     pub strikes: Vec<Strike>,
+    /// Whether the sender's instance list shows the receiver's upstream as leaving.
+    pub is_listed_leaving: bool,
 }
 
 /// Upper bounds on the age of a process's control state; none where it was never confirmed.
@@ -57,6 +59,9 @@
     pub update: ControlUpdate,
     /// Age of the answering process's control state.
     pub ages: Ages,
+    /// Whether the answering process asks for another exchange at once, with the state that it
+    /// lacks, because it has seen newer versions or needs a confirmation.
+    pub again: bool,
 }
 
 /// State of an answering process, which every reply carries.
