Hedge no sooner than 100 ms, and let a cold upstream finish cancelled calls

Cause of three upstreams lost to one poisonous call: a hedge at 10 ms sent it to a second upstream before its first strike was known. Cause of a third call at a cold upstream that bears two: a cancelled call freed its slot while the upstream still ran it. Not excluded: a request that stops an upstream only after the hedge.

--- a/crates/agent/src/executor.rs
+++ b/crates/agent/src/executor.rs
@@ -170,8 +170,10 @@
         let mut state = self.lock();
         let (lookup, running) =
             state.core.cancel(request.attempt, request.agent, request.dispatch_by_ms, now_ms);
+        // A call that is cut burdens its upstream until that notices, so a cold one finishes it.
+        let may_cut = !state.core.load().cold;
         let cut = running.and_then(|it| state.cuts.get(&it));
-        if let Some(cut) = cut {
+        if let Some(cut) = cut.filter(|_| may_cut) {
             cut.cancel();
         }
         state.unread.remove(&request.attempt);
--- a/crates/core/src/hedge/mod.rs
+++ b/crates/core/src/hedge/mod.rs
@@ -13,7 +13,10 @@
 pub use crate::hedge::latency::RecentLatency;
 
 /// Shortest time after which a stage is hedged, in milliseconds.
-const MIN_HEDGE_DELAY_MS: u64 = 10;
+///
+/// It leaves time to learn that the upstream has stopped, so that a request that stops upstreams is
+/// not sent to a second one before its first strike is known.
+const MIN_HEDGE_DELAY_MS: u64 = 100;
 
 /// Attempt that may be hedged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
