--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -40,7 +40,8 @@
     pub(crate) metrics: Metrics,
     retry_budget: Mutex<RetryBudget>,
     stopping: AtomicBool,
-    in_progress: AtomicU32,
+    in_progress: Arc<AtomicU32>,
+    settling: Arc<AtomicU32>,
 }
 
 impl Entry {
@@ -71,7 +72,8 @@
             metrics,
             retry_budget: Mutex::new(RetryBudget::new(0, RETRY_RESERVE)),
             stopping: AtomicBool::new(false),
-            in_progress: AtomicU32::new(0),
+            in_progress: Arc::default(),
+            settling: Arc::default(),
         })
     }
 
@@ -102,23 +104,39 @@
         self.stopping.store(true, Ordering::Release);
     }
 
-    /// Counts a request or a claim in progress until the guard is dropped.
-    pub(crate) fn begin_work(self: &Arc<Self>) -> WorkGuard {
-        self.in_progress.fetch_add(1, Ordering::AcqRel);
-        WorkGuard(self.clone())
+    /// Counts a request in progress until the guard is dropped.
+    pub(crate) fn begin_work(&self) -> WorkGuard {
+        WorkGuard::new(&self.in_progress)
     }
 
-    /// Returns the number of requests and claims in progress.
+    /// Counts a claim that is to be settled, whether or not its caller has been answered.
+    pub(crate) fn begin_settling(&self) -> WorkGuard {
+        WorkGuard::new(&self.settling)
+    }
+
+    /// Returns the number of requests in progress.
     pub(crate) fn in_progress(&self) -> u32 {
         self.in_progress.load(Ordering::Acquire)
     }
+
+    /// Returns the number of claims that are to be settled.
+    pub(crate) fn settling(&self) -> u32 {
+        self.settling.load(Ordering::Acquire)
+    }
 }
 
 /// Counts one piece of work in progress.
-pub(crate) struct WorkGuard(Arc<Entry>);
+pub(crate) struct WorkGuard(Arc<AtomicU32>);
+
+impl WorkGuard {
+    fn new(count: &Arc<AtomicU32>) -> Self {
+        count.fetch_add(1, Ordering::AcqRel);
+        Self(count.clone())
+    }
+}
 
 impl Drop for WorkGuard {
     fn drop(&mut self) {
-        self.0.in_progress.fetch_sub(1, Ordering::AcqRel);
+        self.0.fetch_sub(1, Ordering::AcqRel);
     }
 }
--- a/crates/entry/src/run/claim.rs
+++ b/crates/entry/src/run/claim.rs
@@ -91,7 +91,7 @@
         retry_after_ms: RETRY_AFTER_MS,
     };
     info!(request:% = call.request.id, claim:% = request.name; "claiming call");
-    let work = entry.begin_work();
+    let settling = entry.begin_settling();
     let driver = Driver {
         shared: Arc::new(Shared { entry: entry.clone(), call }),
         flow: ClaimFlow::new(request),
@@ -102,7 +102,7 @@
     };
     tokio::spawn(async move {
         driver.run().await;
-        drop((work, in_progress));
+        drop((settling, in_progress));
     });
     receiver.await.map_err(|_| Refusal {
         reason: Reason::Cancelled,
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -13,6 +13,8 @@
     caller::routes, entry::Entry, gossip, metrics::Metrics, platform_feed, settings::Settings,
 };
 
+/// Longest wait of a stopping entry for claims whose callers have been answered.
+const SETTLE_LIMIT: Duration = Duration::from_secs(5);
 /// Time between two rounds of housekeeping; estimates count on one second.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between two looks at the work in progress of a stopping entry.
@@ -115,8 +117,16 @@
             if cut > 0 {
                 warn!(cut = cut; "the time limit of the planned stop cuts work in progress");
             }
-            return;
+            break;
         }
         tokio::time::sleep(STOP_CHECK_INTERVAL).await;
     }
+    let settled = async {
+        while entry.settling() > 0 {
+            tokio::time::sleep(STOP_CHECK_INTERVAL).await;
+        }
+    };
+    if tokio::time::timeout(SETTLE_LIMIT, settled).await.is_err() {
+        warn!(claims = entry.settling(); "stopping with claims whose outcome is not recorded");
+    }
 }
