--- a/crates/core/src/agent/core.rs
+++ b/crates/core/src/agent/core.rs
@@ -420,6 +420,7 @@
         for Customer { name, share } in &document.customers {
             self.queue.customer(name, *share);
         }
+        self.quarantine.set_strike_limit(document.limits.quarantine_strikes);
         let Some(pool) = document.pool(&self.settings.pool) else { return };
         self.queue.set_max_queued(pool.queue);
         self.capacity.set_config(CapacityConfig {
--- a/crates/core/src/quarantine/registry.rs
+++ b/crates/core/src/quarantine/registry.rs
@@ -78,6 +78,11 @@
         Self { mechanisms: Mechanisms::without(sabotage), ..Self::new(limits) }
     }
 
+    /// Takes over a changed number of strikes after which a request is refused.
+    pub fn set_strike_limit(&mut self, strikes: u32) {
+        self.limits.strikes = strikes;
+    }
+
     /// Decides how a request may run.
     ///
     /// Entries ask when they choose an upstream, and agents ask again straight before dispatch.
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -81,6 +81,7 @@
         entry.fleet.apply_operations();
         if let Ok(document) = entry.document() {
             entry.policy.apply_document(&document);
+            entry.strikes.set_limit(document.limits.quarantine_strikes);
             entry.retry_budget().set_retries_per_hundred(document.limits.retries_per_hundred);
         }
         tokio::select! {
--- a/crates/entry/src/strikes.rs
+++ b/crates/entry/src/strikes.rs
@@ -12,7 +12,7 @@
 const RETENTION_MS: u64 = 3_600_000;
 /// Largest number of strikes held.
 const MAX_STRIKES: usize = 10_000;
-/// Strikes after which a request is refused.
+/// Strikes after which a request is refused, until a document states another number.
 const STRIKE_LIMIT: u32 = 2;
 /// Time after which a copy of a suspect may be sent again, in milliseconds.
 const SUSPECT_RETRY_AFTER_MS: u64 = 1_000;
@@ -41,6 +41,11 @@
         Arc::new(Self { state: Mutex::new(state) })
     }
 
+    /// Takes over the number of strikes after which a request is refused.
+    pub(crate) fn set_limit(&self, strikes: u32) {
+        self.lock().quarantine.set_strike_limit(strikes);
+    }
+
     /// Starts a request; it counts as in progress until the guard is dropped.
     ///
     /// # Errors
