Two worker threads a process by default

Cause: with twelve workers each, the processes of a request mostly woke each other: 117 to 212 us of processor time a call in the entry, 169 to 345 in the agent.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -12,16 +12,17 @@
 use std::process::ExitCode;
 
 use log::error;
-use yuccatrail_runtime::logging;
+use yuccatrail_runtime::{logging, threads};
 
-#[tokio::main]
-async fn main() -> ExitCode {
+fn main() -> ExitCode {
     let settings = settings::options().run();
     if let Err(error) = logging::install(settings.log_level) {
         eprintln!("{error}");
         return ExitCode::FAILURE;
     }
-    match run::run(settings).await {
+    let result =
+        threads::runtime(settings.worker_threads).and_then(|it| it.block_on(run::run(settings)));
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             error!(error:% = error; "agent failed");
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -17,6 +17,7 @@
 use std::process::ExitCode;
 
 use bpaf::{OptionParser, Parser, construct};
+use yuccatrail_runtime::threads::{self, DEFAULT_WORKER_THREADS};
 
 use crate::settings::Settings;
 
@@ -41,10 +42,21 @@
         .descr("Serving system for multi-stage model pipelines")
 }
 
-#[tokio::main]
-async fn main() -> ExitCode {
-    match options().run() {
-        Command::Serve(settings) => serve::run(settings).await,
-        Command::Operator(command) => operator::run(command).await,
+fn main() -> ExitCode {
+    let command = options().run();
+    let worker_threads = match &command {
+        Command::Serve(settings) => settings.worker_threads,
+        Command::Operator(_) => DEFAULT_WORKER_THREADS,
+    };
+    let runtime = match threads::runtime(worker_threads) {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("cannot start threads: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match command {
+        Command::Serve(settings) => runtime.block_on(serve::run(settings)),
+        Command::Operator(command) => runtime.block_on(operator::run(command)),
     }
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -1,9 +1,10 @@
 //! Settings of the entry from flags and environment variables.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, num::NonZeroUsize};
 
 use bpaf::{Parser, construct, long};
 use log::LevelFilter;
+use yuccatrail_runtime::threads::DEFAULT_WORKER_THREADS;
 
 /// Settings of one entry process.
 #[derive(Clone, Debug)]
@@ -26,6 +27,8 @@
     pub(crate) stop_limit_ms: u64,
     /// Least severe level that is logged.
     pub(crate) log_level: LevelFilter,
+    /// Threads that run the process's tasks.
+    pub(crate) worker_threads: NonZeroUsize,
 }
 
 /// Parses the flags and the environment.
@@ -73,6 +76,12 @@
         .help("Least severe level that is logged: off, error, warn, info, debug or trace")
         .argument("LEVEL")
         .fallback(LevelFilter::Info);
+    let worker_threads = long("worker-threads")
+        .env("YUCCATRAIL_WORKER_THREADS")
+        .help("Threads that run the process's tasks")
+        .argument("NUMBER")
+        .fallback(DEFAULT_WORKER_THREADS)
+        .display_fallback();
     construct!(Settings {
         name,
         data_centre,
@@ -83,6 +92,7 @@
         stop_notice_ms,
         stop_limit_ms,
         log_level,
+        worker_threads,
     })
 }
 
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod http;
 pub mod logging;
 pub mod shutdown;
+pub mod threads;
