--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -1,6 +1,6 @@
 //! RPC server of the agent.
 
-use std::{future::Future, sync::Arc, time::Duration};
+use std::{future::Future, sync::Arc};
 
 use futures::StreamExt;
 use tarpc::{
@@ -14,6 +14,7 @@
     service::Agent,
     transport,
 };
+use yuccatrail_runtime::accept::accept;
 
 use crate::executor::Executor;
 
@@ -43,18 +44,10 @@
 
 /// Accepts connections until `stop` is cancelled.
 pub(crate) async fn serve(listener: TcpListener, executor: Arc<Executor>, stop: CancellationToken) {
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = stop.cancelled() => return,
-        };
-        let Ok((stream, _)) = accepted else {
-            // Accepting fails when file descriptors run out; waiting lets connections close.
-            tokio::time::sleep(Duration::from_millis(10)).await;
-            continue;
-        };
+    accept(&listener, &stop, |stream| {
         tokio::spawn(serve_connection(stream, executor.clone()));
-    }
+    })
+    .await;
 }
 
 async fn serve_connection(stream: TcpStream, executor: Arc<Executor>) {
--- a/crates/core/src/agent/core.rs
+++ b/crates/core/src/agent/core.rs
@@ -4,32 +4,25 @@
 
 use super::{
     settings::AgentSettings,
-    stops::{CallResult, ProbeResult, ProbeTicket, StopDetector, usage},
+    stops::{CallResult, ProbeTicket, StopDetector, usage},
 };
 use crate::{
     FastMap,
     attempt::{
-        AttemptFailure, AttemptKey, AttemptLedger, AttemptLookup, CancelResult, DispatchCheck,
-        SubmitResult,
+        AttemptFailure, AttemptKey, AttemptLedger, AttemptLookup, CancelResult, SubmitResult,
     },
-    capacity::{CallEnd, CallKey, Capacity, CapacityConfig, Probe},
+    capacity::{CallEnd, CallKey, Capacity, CapacityConfig},
     control::ControlState,
     document::{Customer, Document},
-    drain::{DispatchHold, Gate, GateChange},
+    drain::Gate,
     ids::{AttemptId, Digest, Incarnation},
     membership::InstanceState,
-    outcome::{Reason, Refusal},
+    outcome::Reason,
     quarantine::{Admission, Quarantine, Strike},
-    queue::{Dropped, EntryKey, Next, Queue, QueueEntry},
+    queue::{EntryKey, Queue, QueueEntry},
     routing::LoadReport,
 };
 
-/// Time after which a caller may come back to a busy upstream, in milliseconds.
-const BUSY_RETRY_AFTER_MS: u64 = 250;
-/// Time after which a caller may come back when an upstream refuses new work, in milliseconds.
-const CLOSED_RETRY_AFTER_MS: u64 = 1_000;
-/// Longest age of a probe on which starts beyond the cold limit rest, in milliseconds.
-const EVIDENCE_AGE_MS: u64 = 5;
 /// Time after which another entry is asked for control state that one did not send, in milliseconds.
 const FETCH_PATIENCE_MS: u64 = 300;
 /// Calls that wait in front of an upstream whose pool is not known yet.
@@ -71,43 +64,43 @@
 
 /// An accepted attempt that has not ended.
 #[derive(Clone, Copy, Debug)]
-struct Waiting {
-    attempt: AttemptId,
-    fingerprint: Digest,
-    entry: EntryKey,
+pub(super) struct Waiting {
+    pub(super) attempt: AttemptId,
+    pub(super) fingerprint: Digest,
+    pub(super) entry: EntryKey,
 }
 
 /// A call in progress at the upstream.
 #[derive(Clone, Copy, Debug)]
-struct Call {
-    waiting: Waiting,
-    call: CallKey,
-    started_ms: u64,
-    queued_ms: u64,
-    tokens: u64,
+pub(super) struct Call {
+    pub(super) waiting: Waiting,
+    pub(super) call: CallKey,
+    pub(super) started_ms: u64,
+    pub(super) queued_ms: u64,
+    pub(super) tokens: u64,
 }
 
 /// Decisions of one agent.
 #[derive(Debug)]
 pub struct AgentCore {
-    settings: AgentSettings,
-    ledger: AttemptLedger,
-    queue: Queue,
-    capacity: Capacity,
-    gate: Gate,
-    quarantine: Quarantine,
-    stops: StopDetector,
-    waiting: FastMap<AttemptKey, Waiting>,
-    keys_by_entry: FastMap<EntryKey, AttemptKey>,
-    calls: FastMap<AttemptKey, Call>,
-    changed: Vec<AttemptId>,
+    pub(super) settings: AgentSettings,
+    pub(super) ledger: AttemptLedger,
+    pub(super) queue: Queue,
+    pub(super) capacity: Capacity,
+    pub(super) gate: Gate,
+    pub(super) quarantine: Quarantine,
+    pub(super) stops: StopDetector,
+    pub(super) waiting: FastMap<AttemptKey, Waiting>,
+    pub(super) keys_by_entry: FastMap<EntryKey, AttemptKey>,
+    pub(super) calls: FastMap<AttemptKey, Call>,
+    pub(super) changed: Vec<AttemptId>,
     /// Last probe that found the upstream as it was known.
-    evidence: Option<ProbeTicket>,
-    wants_probe: bool,
+    pub(super) evidence: Option<ProbeTicket>,
+    pub(super) wants_probe: bool,
     #[cfg(feature = "sabotage")]
-    ignores_evidence: bool,
+    pub(super) ignores_evidence: bool,
     /// Time until which an entry that was asked for newer state is given to send it.
-    fetch_until_ms: u64,
+    pub(super) fetch_until_ms: u64,
 }
 
 impl AgentCore {
@@ -209,38 +202,6 @@
         self.read(order.attempt, 0, 0)
     }
 
-    /// Takes the next attempt to pass to the upstream, if one may start now.
-    ///
-    /// `now_ms` has to be read immediately before the call, because the process may have been paused.
-    pub fn next(&mut self, now_ms: u64) -> Option<Dispatch> {
-        self.expire(now_ms);
-        loop {
-            match self.gate.may_dispatch(now_ms) {
-                Ok(()) => {}
-                Err(DispatchHold::Unconfirmed) => return None,
-                Err(DispatchHold::Refused(reason)) => {
-                    self.hand_back(reason, now_ms);
-                    return None;
-                }
-            }
-            if self.stops.is_suspected() {
-                return None;
-            }
-            self.capacity.on_tick(now_ms);
-            if !self.capacity.has_room() {
-                return None;
-            }
-            if self.lacks_evidence(now_ms) {
-                self.wants_probe |= self.queue.queued() > 0;
-                return None;
-            }
-            let next = self.queue.pop(now_ms)?;
-            if let Some(dispatch) = self.start(next, now_ms) {
-                return Some(dispatch);
-            }
-        }
-    }
-
     /// Appends a chunk to the output of a running attempt.
     pub fn push_chunk(&mut self, key: AttemptKey, chunk: Bytes) {
         let Some(call) = self.calls.get_mut(&key) else { return };
@@ -250,15 +211,6 @@
         }
     }
 
-    /// Notes that the answer to a call broke off, before its result is reported.
-    ///
-    /// A probe has to be sent at once; no attempt starts until it is answered.
-    pub fn on_lost(&mut self) {
-        let in_progress = self.in_progress();
-        self.capacity.on_reset();
-        self.stops.on_lost(self.capacity.epoch(), in_progress);
-    }
-
     /// Ends a call with its result.
     pub fn on_end(&mut self, key: AttemptKey, result: &CallResult, now_ms: u64) {
         let Some(call) = self.calls.remove(&key) else { return };
@@ -307,48 +259,11 @@
         self.ledger.read(attempt, from_sequence, max_bytes)
     }
 
-    /// Returns the ticket of a probe that is sent at `now_ms`.
-    pub fn begin_probe(&mut self, now_ms: u64) -> ProbeTicket {
-        self.wants_probe = false;
-        ProbeTicket { epoch: self.capacity.epoch(), sent_ms: now_ms }
-    }
-
-    /// Tells whether a probe has to be sent at once, because attempts wait for its answer.
-    pub fn wants_probe(&self) -> bool {
-        self.wants_probe
-    }
-
     /// Tells whether an answer broke off and no probe has settled yet whether the upstream stopped.
     pub fn is_stop_suspected(&self) -> bool {
         self.stops.is_suspected()
     }
 
-    /// Takes the result of a probe; returns new strikes.
-    pub fn on_probe(
-        &mut self,
-        ticket: ProbeTicket,
-        result: ProbeResult,
-        now_ms: u64,
-    ) -> Vec<Strike> {
-        let epoch = ticket.epoch;
-        let calls = &self.calls;
-        let in_progress = || fingerprints(calls);
-        let stop = self.stops.on_probe(epoch, result, in_progress);
-        match result {
-            ProbeResult::Answered { boot_id, warm } => {
-                self.capacity.on_probe(Probe { epoch, boot_id, warm });
-                if epoch == self.capacity.epoch() {
-                    self.evidence = Some(ticket);
-                }
-            }
-            ProbeResult::Refused => self.capacity.on_stop(),
-            ProbeResult::Silent => self.capacity.on_connect_failure(now_ms),
-        }
-        let Some(stop) = stop else { return Vec::new() };
-        let agent = self.settings.incarnation;
-        self.quarantine.on_stop(agent, stop.number, &stop.in_progress, now_ms)
-    }
-
     /// Merges strikes that a peer passed on.
     pub fn merge_strikes(&mut self, strikes: &[Strike], now_ms: u64) {
         self.quarantine.merge(strikes, now_ms);
@@ -401,21 +316,6 @@
         std::mem::take(&mut self.changed)
     }
 
-    /// Tells whether a start beyond the cold limit lacks recent evidence of a warm upstream.
-    ///
-    /// An upstream may turn cold without warning, so such a start follows a probe closely.
-    fn lacks_evidence(&self, now_ms: u64) -> bool {
-        #[cfg(feature = "sabotage")]
-        if self.ignores_evidence {
-            return false;
-        }
-        if self.capacity.running() < self.capacity.cold_limit() {
-            return false;
-        }
-        let epoch = self.capacity.epoch();
-        self.evidence.is_none_or(|it| it.epoch != epoch || now_ms > it.sent_ms + EVIDENCE_AGE_MS)
-    }
-
     fn set_document(&mut self, document: &Document) {
         for Customer { name, share } in &document.customers {
             self.queue.customer(name, *share);
@@ -452,7 +352,7 @@
         self.push(key, entry, order.fingerprint, now_ms)
     }
 
-    fn push(
+    pub(super) fn push(
         &mut self,
         key: AttemptKey,
         entry: QueueEntry,
@@ -469,114 +369,12 @@
         Ok(())
     }
 
-    /// Starts an entry that was taken from the queue, unless it may not run any more.
-    fn start(&mut self, next: Next, now_ms: u64) -> Option<Dispatch> {
-        let Some(&key) = self.keys_by_entry.get(&next.key) else {
-            self.queue.finish(next.key);
-            return None;
-        };
-        let waiting = self.waiting[&key];
-        match self.quarantine.admit(waiting.fingerprint, now_ms) {
-            Admission::Refused => {
-                self.queue.finish(next.key);
-                self.refuse(key, Reason::Quarantined, now_ms);
-                return None;
-            }
-            Admission::Alone if !next.entry.alone => {
-                self.requeue_alone(key, next, waiting.fingerprint, now_ms);
-                return None;
-            }
-            Admission::Alone | Admission::Normal => {}
-        }
-        let Some(call) = self.capacity.try_start(now_ms, next.entry.estimate_ms) else {
-            self.queue.finish(next.key);
-            self.refuse(key, Reason::Busy, now_ms);
-            return None;
-        };
-        if self.ledger.may_dispatch(key, now_ms) != DispatchCheck::Dispatch {
-            self.capacity.finish(now_ms, call, CallEnd::Abandoned);
-            self.queue.finish(next.key);
-            self.forget(key, next.key);
-            self.changed.push(waiting.attempt);
-            return None;
-        }
-        self.waiting.remove(&key);
-        let queued_ms = next.queued_ms;
-        let started = Call { waiting, call, started_ms: now_ms, queued_ms, tokens: 0 };
-        self.calls.insert(key, started);
-        Some(Dispatch { key, attempt: waiting.attempt, queued_ms })
-    }
-
-    /// Puts back an entry that became a suspect while it waited.
-    fn requeue_alone(&mut self, key: AttemptKey, next: Next, fingerprint: Digest, now_ms: u64) {
-        self.queue.finish(next.key);
-        self.forget(key, next.key);
-        let entry = QueueEntry { alone: true, ..next.entry };
-        if let Err(reason) = self.push(key, entry, fingerprint, now_ms) {
-            self.refuse(key, reason, now_ms);
-        }
-    }
-
-    fn expire(&mut self, now_ms: u64) {
-        for dropped in self.queue.expire(now_ms) {
-            self.refuse_dropped(dropped, now_ms);
-        }
-    }
-
-    fn on_gate(&mut self, change: GateChange, now_ms: u64) {
-        if let GateChange::Closed(reason) = change {
-            self.hand_back(reason, now_ms);
-        }
-    }
-
-    fn hand_back(&mut self, reason: Reason, now_ms: u64) {
-        for dropped in self.queue.drain(reason) {
-            self.refuse_dropped(dropped, now_ms);
-        }
-    }
-
-    fn refuse_dropped(&mut self, dropped: Dropped, now_ms: u64) {
-        let Some(&key) = self.keys_by_entry.get(&dropped.key) else { return };
-        self.refuse(key, dropped.reason, now_ms);
-    }
-
-    fn refuse(&mut self, key: AttemptKey, reason: Reason, now_ms: u64) {
-        let refusal = Refusal::not_run(reason, self.retry_after_ms(reason));
-        self.ledger.refuse(key, refusal, now_ms);
-        let Some(waiting) = self.waiting.get(&key).copied() else { return };
-        self.forget(key, waiting.entry);
-        self.changed.push(waiting.attempt);
-    }
-
-    fn drop_waiting(&mut self, attempt: AttemptId) {
-        let Some(key) = self.ledger.key(attempt) else { return };
-        let Some(waiting) = self.waiting.get(&key).copied() else { return };
-        self.queue.remove(waiting.entry);
-        self.forget(key, waiting.entry);
-        self.changed.push(attempt);
-    }
-
-    fn forget(&mut self, key: AttemptKey, entry: EntryKey) {
-        self.waiting.remove(&key);
-        self.keys_by_entry.remove(&entry);
-    }
-
-    fn in_progress(&self) -> Vec<Digest> {
+    pub(super) fn in_progress(&self) -> Vec<Digest> {
         fingerprints(&self.calls)
     }
-
-    fn retry_after_ms(&self, reason: Reason) -> u64 {
-        match reason {
-            Reason::Busy | Reason::CustomerShare | Reason::Cold | Reason::DeadlineUnreachable => {
-                let slots = u64::from(self.capacity.limit().max(1));
-                BUSY_RETRY_AFTER_MS.max(self.queue.queued_work_ms() / slots)
-            }
-            _ => CLOSED_RETRY_AFTER_MS,
-        }
-    }
 }
 
-fn fingerprints(calls: &FastMap<AttemptKey, Call>) -> Vec<Digest> {
+pub(super) fn fingerprints(calls: &FastMap<AttemptKey, Call>) -> Vec<Digest> {
     calls.values().map(|it| it.waiting.fingerprint).collect()
 }
 
--- /dev/null
+++ b/crates/core/src/agent/dispatch.rs
@@ -0,0 +1,176 @@
+//! Way of an attempt from the queue to the upstream, or back to its entry as not run.
+
+use super::core::{AgentCore, Call, Dispatch};
+use crate::{
+    attempt::{AttemptKey, DispatchCheck},
+    capacity::CallEnd,
+    drain::{DispatchHold, GateChange},
+    ids::{AttemptId, Digest},
+    outcome::{Reason, Refusal},
+    quarantine::Admission,
+    queue::{Dropped, EntryKey, Next, QueueEntry},
+};
+
+/// Time after which a caller may come back to a busy upstream, in milliseconds.
+const BUSY_RETRY_AFTER_MS: u64 = 250;
+/// Time after which a caller may come back when an upstream refuses new work, in milliseconds.
+const CLOSED_RETRY_AFTER_MS: u64 = 1_000;
+/// Longest age of a probe on which starts beyond the cold limit rest, in milliseconds.
+const EVIDENCE_AGE_MS: u64 = 5;
+
+impl AgentCore {
+    /// Takes the next attempt to pass to the upstream, if one may start now.
+    ///
+    /// `now_ms` has to be read immediately before the call, because the process may have been paused.
+    pub fn next(&mut self, now_ms: u64) -> Option<Dispatch> {
+        self.expire(now_ms);
+        loop {
+            match self.gate.may_dispatch(now_ms) {
+                Ok(()) => {}
+                Err(DispatchHold::Unconfirmed) => return None,
+                Err(DispatchHold::Refused(reason)) => {
+                    self.hand_back(reason, now_ms);
+                    return None;
+                }
+            }
+            if self.stops.is_suspected() {
+                return None;
+            }
+            self.capacity.on_tick(now_ms);
+            if !self.capacity.has_room() {
+                return None;
+            }
+            if self.lacks_evidence(now_ms) {
+                self.wants_probe |= self.queue.queued() > 0;
+                return None;
+            }
+            let next = self.queue.pop(now_ms)?;
+            if let Some(dispatch) = self.start(next, now_ms) {
+                return Some(dispatch);
+            }
+        }
+    }
+
+    /// Tells whether a start beyond the cold limit lacks recent evidence of a warm upstream.
+    ///
+    /// An upstream may turn cold without warning, so such a start follows a probe closely.
+    pub(super) fn lacks_evidence(&self, now_ms: u64) -> bool {
+        #[cfg(feature = "sabotage")]
+        if self.ignores_evidence {
+            return false;
+        }
+        if self.capacity.running() < self.capacity.cold_limit() {
+            return false;
+        }
+        let epoch = self.capacity.epoch();
+        self.evidence.is_none_or(|it| it.epoch != epoch || now_ms > it.sent_ms + EVIDENCE_AGE_MS)
+    }
+
+    /// Starts an entry that was taken from the queue, unless it may not run any more.
+    pub(super) fn start(&mut self, next: Next, now_ms: u64) -> Option<Dispatch> {
+        let Some(&key) = self.keys_by_entry.get(&next.key) else {
+            self.queue.finish(next.key);
+            return None;
+        };
+        let waiting = self.waiting[&key];
+        match self.quarantine.admit(waiting.fingerprint, now_ms) {
+            Admission::Refused => {
+                self.queue.finish(next.key);
+                self.refuse(key, Reason::Quarantined, now_ms);
+                return None;
+            }
+            Admission::Alone if !next.entry.alone => {
+                self.requeue_alone(key, next, waiting.fingerprint, now_ms);
+                return None;
+            }
+            Admission::Alone | Admission::Normal => {}
+        }
+        let Some(call) = self.capacity.try_start(now_ms, next.entry.estimate_ms) else {
+            self.queue.finish(next.key);
+            self.refuse(key, Reason::Busy, now_ms);
+            return None;
+        };
+        if self.ledger.may_dispatch(key, now_ms) != DispatchCheck::Dispatch {
+            self.capacity.finish(now_ms, call, CallEnd::Abandoned);
+            self.queue.finish(next.key);
+            self.forget(key, next.key);
+            self.changed.push(waiting.attempt);
+            return None;
+        }
+        self.waiting.remove(&key);
+        let queued_ms = next.queued_ms;
+        let started = Call { waiting, call, started_ms: now_ms, queued_ms, tokens: 0 };
+        self.calls.insert(key, started);
+        Some(Dispatch { key, attempt: waiting.attempt, queued_ms })
+    }
+
+    /// Puts back an entry that became a suspect while it waited.
+    pub(super) fn requeue_alone(
+        &mut self,
+        key: AttemptKey,
+        next: Next,
+        fingerprint: Digest,
+        now_ms: u64,
+    ) {
+        self.queue.finish(next.key);
+        self.forget(key, next.key);
+        let entry = QueueEntry { alone: true, ..next.entry };
+        if let Err(reason) = self.push(key, entry, fingerprint, now_ms) {
+            self.refuse(key, reason, now_ms);
+        }
+    }
+
+    pub(super) fn expire(&mut self, now_ms: u64) {
+        for dropped in self.queue.expire(now_ms) {
+            self.refuse_dropped(dropped, now_ms);
+        }
+    }
+
+    pub(super) fn on_gate(&mut self, change: GateChange, now_ms: u64) {
+        if let GateChange::Closed(reason) = change {
+            self.hand_back(reason, now_ms);
+        }
+    }
+
+    pub(super) fn hand_back(&mut self, reason: Reason, now_ms: u64) {
+        for dropped in self.queue.drain(reason) {
+            self.refuse_dropped(dropped, now_ms);
+        }
+    }
+
+    pub(super) fn refuse_dropped(&mut self, dropped: Dropped, now_ms: u64) {
+        let Some(&key) = self.keys_by_entry.get(&dropped.key) else { return };
+        self.refuse(key, dropped.reason, now_ms);
+    }
+
+    pub(super) fn refuse(&mut self, key: AttemptKey, reason: Reason, now_ms: u64) {
+        let refusal = Refusal::not_run(reason, self.retry_after_ms(reason));
+        self.ledger.refuse(key, refusal, now_ms);
+        let Some(waiting) = self.waiting.get(&key).copied() else { return };
+        self.forget(key, waiting.entry);
+        self.changed.push(waiting.attempt);
+    }
+
+    pub(super) fn drop_waiting(&mut self, attempt: AttemptId) {
+        let Some(key) = self.ledger.key(attempt) else { return };
+        let Some(waiting) = self.waiting.get(&key).copied() else { return };
+        self.queue.remove(waiting.entry);
+        self.forget(key, waiting.entry);
+        self.changed.push(attempt);
+    }
+
+    pub(super) fn forget(&mut self, key: AttemptKey, entry: EntryKey) {
+        self.waiting.remove(&key);
+        self.keys_by_entry.remove(&entry);
+    }
+
+    pub(super) fn retry_after_ms(&self, reason: Reason) -> u64 {
+        match reason {
+            Reason::Busy | Reason::CustomerShare | Reason::Cold | Reason::DeadlineUnreachable => {
+                let slots = u64::from(self.capacity.limit().max(1));
+                BUSY_RETRY_AFTER_MS.max(self.queue.queued_work_ms() / slots)
+            }
+            _ => CLOSED_RETRY_AFTER_MS,
+        }
+    }
+}
--- a/crates/core/src/agent/mod.rs
+++ b/crates/core/src/agent/mod.rs
@@ -6,6 +6,8 @@
 //! this one state machine, its limits hold exactly, however many entries send work at once.
 
 mod core;
+mod dispatch;
+mod probing;
 mod settings;
 mod stops;
 
--- /dev/null
+++ b/crates/core/src/agent/probing.rs
@@ -0,0 +1,55 @@
+//! Probes of the upstream and what they show.
+
+use super::{
+    core::{AgentCore, fingerprints},
+    stops::{ProbeResult, ProbeTicket},
+};
+use crate::{capacity::Probe, quarantine::Strike};
+
+impl AgentCore {
+    /// Notes that the answer to a call broke off, before its result is reported.
+    ///
+    /// A probe has to be sent at once; no attempt starts until it is answered.
+    pub fn on_lost(&mut self) {
+        let in_progress = self.in_progress();
+        self.capacity.on_reset();
+        self.stops.on_lost(self.capacity.epoch(), in_progress);
+    }
+
+    /// Returns the ticket of a probe that is sent at `now_ms`.
+    pub fn begin_probe(&mut self, now_ms: u64) -> ProbeTicket {
+        self.wants_probe = false;
+        ProbeTicket { epoch: self.capacity.epoch(), sent_ms: now_ms }
+    }
+
+    /// Tells whether a probe has to be sent at once, because attempts wait for its answer.
+    pub fn wants_probe(&self) -> bool {
+        self.wants_probe
+    }
+
+    /// Takes the result of a probe; returns new strikes.
+    pub fn on_probe(
+        &mut self,
+        ticket: ProbeTicket,
+        result: ProbeResult,
+        now_ms: u64,
+    ) -> Vec<Strike> {
+        let epoch = ticket.epoch;
+        let calls = &self.calls;
+        let in_progress = || fingerprints(calls);
+        let stop = self.stops.on_probe(epoch, result, in_progress);
+        match result {
+            ProbeResult::Answered { boot_id, warm } => {
+                self.capacity.on_probe(Probe { epoch, boot_id, warm });
+                if epoch == self.capacity.epoch() {
+                    self.evidence = Some(ticket);
+                }
+            }
+            ProbeResult::Refused => self.capacity.on_stop(),
+            ProbeResult::Silent => self.capacity.on_connect_failure(now_ms),
+        }
+        let Some(stop) = stop else { return Vec::new() };
+        let agent = self.settings.incarnation;
+        self.quarantine.on_stop(agent, stop.number, &stop.in_progress, now_ms)
+    }
+}
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -21,6 +21,7 @@
     service::{Peer, PeerClient},
     transport,
 };
+use yuccatrail_runtime::accept::accept;
 
 use crate::{entry::Entry, link::context_for};
 
@@ -151,18 +152,10 @@
 
 /// Accepts connections of peers until `stop` is cancelled.
 pub(crate) async fn serve(listener: TcpListener, entry: Arc<Entry>, stop: CancellationToken) {
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = stop.cancelled() => return,
-        };
-        let Ok((stream, _)) = accepted else {
-            // Accepting fails when file descriptors run out; waiting lets connections close.
-            tokio::time::sleep(Duration::from_millis(10)).await;
-            continue;
-        };
+    accept(&listener, &stop, |stream| {
         tokio::spawn(serve_connection(stream, entry.clone()));
-    }
+    })
+    .await;
 }
 
 async fn serve_connection(stream: TcpStream, entry: Arc<Entry>) {
--- a/crates/runtime/src/http.rs
+++ b/crates/runtime/src/http.rs
@@ -12,6 +12,8 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
+use crate::accept::accept;
+
 /// Time in which a caller has to send the head of a request.
 const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(10);
 /// Largest number of concurrent HTTP/2 streams on one connection.
@@ -49,16 +51,7 @@
     Fut: Future<Output = Response<Body>> + Send + 'static,
 {
     let graceful = GracefulShutdown::new();
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = stop.cancelled() => break,
-        };
-        let Ok((stream, _)) = accepted else {
-            // Accepting fails when file descriptors run out; waiting lets connections close.
-            tokio::time::sleep(Duration::from_millis(10)).await;
-            continue;
-        };
+    accept(&listener, &stop, |stream| {
         // Without this option small answers wait for the peer's delayed acknowledgement.
         let _ = stream.set_nodelay(true);
         let handler = handler.clone();
@@ -75,6 +68,7 @@
             // A connection that breaks concerns its caller alone.
             let _ = connection.await;
         });
-    }
+    })
+    .await;
     graceful.shutdown().await;
 }
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -1,5 +1,6 @@
 //! Process plumbing shared by the binaries: JSON logs, signals, clock and metrics endpoint.
 
+pub mod accept;
 pub mod clock;
 pub mod control;
 pub mod http;
