--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -4,7 +4,7 @@
 
 use bpaf::{Parser, construct, long};
 use log::LevelFilter;
-use yuccatrail_runtime::threads::DEFAULT_WORKER_THREADS;
+use yuccatrail_runtime::settings;
 
 /// Settings of one entry process.
 #[derive(Clone, Debug)]
@@ -33,55 +33,37 @@
 
 /// Parses the flags and the environment.
 pub(crate) fn options() -> impl Parser<Settings> {
-    let name = long("name")
-        .env("YUCCATRAIL_NAME")
-        .help("Name of the entry instance")
-        .argument::<String>("NAME")
-        .guard(not_empty, "name must not be empty");
-    let data_centre = long("data-centre")
-        .env("YUCCATRAIL_DATA_CENTRE")
-        .help("Data centre that the entry stands in")
-        .argument::<String>("NAME")
-        .guard(not_empty, "data-centre must not be empty");
-    let listen = long("listen")
-        .env("YUCCATRAIL_LISTEN")
-        .help("Address on which callers reach the entry")
-        .argument("ADDRESS");
-    let peer_listen = long("peer-listen")
-        .env("YUCCATRAIL_PEER_LISTEN")
-        .help("Address on which other entries reach the entry")
-        .argument("ADDRESS");
-    let platform = long("platform")
-        .env("YUCCATRAIL_PLATFORM")
-        .help("Address of the platform's object API")
-        .argument("ADDRESS");
+    let name = settings::name();
+    let data_centre = settings::data_centre();
+    let listen = settings::address(
+        "listen",
+        "YUCCATRAIL_LISTEN",
+        "Address on which callers reach the entry",
+    );
+    let peer_listen = settings::address(
+        "peer-listen",
+        "YUCCATRAIL_PEER_LISTEN",
+        "Address on which other entries reach the entry",
+    );
+    let platform = settings::address(
+        "platform",
+        "YUCCATRAIL_PLATFORM",
+        "Address of the platform's object API",
+    );
     let environment = long("environment")
         .env("YUCCATRAIL_ENVIRONMENT")
         .help("Environment whose configuration is served")
         .argument::<String>("NAME")
-        .guard(not_empty, "environment must not be empty")
+        .guard(settings::is_given, "environment must not be empty")
         .fallback("production".to_owned());
     let stop_notice_ms = long("stop-notice-ms")
         .env("YUCCATRAIL_STOP_NOTICE_MS")
         .help("Shortest time for which a stopping entry refuses requests, in milliseconds")
         .argument("MS")
         .fallback(500);
-    let stop_limit_ms = long("stop-limit-ms")
-        .env("YUCCATRAIL_STOP_LIMIT_MS")
-        .help("Longest wait of a planned stop for work in progress in milliseconds")
-        .argument("MS")
-        .fallback(60_000);
-    let log_level = long("log-level")
-        .env("YUCCATRAIL_LOG_LEVEL")
-        .help("Least severe level that is logged: off, error, warn, info, debug or trace")
-        .argument("LEVEL")
-        .fallback(LevelFilter::Info);
-    let worker_threads = long("worker-threads")
-        .env("YUCCATRAIL_WORKER_THREADS")
-        .help("Threads that run the process's tasks")
-        .argument("NUMBER")
-        .fallback(DEFAULT_WORKER_THREADS)
-        .display_fallback();
+    let stop_limit_ms = settings::stop_limit_ms();
+    let log_level = settings::log_level();
+    let worker_threads = settings::worker_threads();
     construct!(Settings {
         name,
         data_centre,
@@ -95,8 +77,3 @@
         worker_threads,
     })
 }
-
-#[allow(clippy::ptr_arg)] // the parser's guard passes the parsed type
-fn not_empty(text: &String) -> bool {
-    !text.is_empty()
-}
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod control;
 pub mod http;
 pub mod logging;
+pub mod settings;
 pub mod shutdown;
 pub mod threads;
