--- a/crates/agent/src/listed.rs
+++ b/crates/agent/src/listed.rs
@@ -6,7 +6,7 @@
 ///
 /// It covers several heartbeats. Entries read the list at different times, so the word that the
 /// upstream leaves outweighs the word of others that it is live.
-const LEAVING_LIFETIME_MS: u64 = 12_000;
+const LEAVING_LIFETIME_MS: u64 = 25_000;
 
 /// State of the upstream in the instance list.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -33,9 +33,9 @@
 /// Shortest time between two heartbeats on a connection, in milliseconds.
 const MIN_HEARTBEAT_MS: u64 = 500;
 /// Longest time between two heartbeats on a connection, in milliseconds.
-const MAX_HEARTBEAT_MS: u64 = 5_000;
+const MAX_HEARTBEAT_MS: u64 = 10_000;
 /// Time between two heartbeats of the entry, over all connections, in milliseconds.
-const HEARTBEAT_SPACING_MS: u64 = 40;
+const HEARTBEAT_SPACING_MS: u64 = 50;
 /// Calls that an upstream is assumed to bear before its agent has reported.
 const ASSUMED_COLD_LIMIT: u32 = 1;
 
