--- a/crates/entry/src/caller/status.rs
+++ b/crates/entry/src/caller/status.rs
@@ -9,6 +9,9 @@
 /// Answers the readiness check of the platform's balancer.
 pub(crate) fn ready(entry: &Entry) -> Response<Body> {
     match entry.document() {
+        Ok(_) if !entry.fleet.has_list() => {
+            respond(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "no instance list\n")
+        }
         Ok(_) => respond(StatusCode::OK, "text/plain", "ready\n"),
         Err(reason) => {
             respond(StatusCode::SERVICE_UNAVAILABLE, "text/plain", format!("{reason}\n"))
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -141,6 +141,11 @@
         }
     }
 
+    /// Tells whether an instance list has been applied.
+    pub(crate) fn has_list(&self) -> bool {
+        self.lock().directory.list_version() > 0
+    }
+
     /// Returns the entries in the instance list.
     pub(crate) fn entries(&self) -> Vec<InstanceRecord> {
         self.lock().directory.entries().to_vec()
