Give the account of an attempt its own file; forget unread ends of entries that are gone

Cause of the second: an agent kept the name of each attempt whose entry never read its end, without bound, which also prolonged each planned stop by 5 s.

--- a/crates/agent/src/executor.rs
+++ b/crates/agent/src/executor.rs
@@ -190,6 +190,9 @@
         let listed = state.listed.tick(now_ms);
         state.set_listed(listed, now_ms);
         state.core.tick(now_ms);
+        let State { core, unread, .. } = &mut *state;
+        // An entry that is gone reads nothing any more.
+        unread.retain(|it| core.remembers(*it));
         self.wake(&mut state);
         self.metrics.observe_load(state.core.load());
         drop(state);
--- a/crates/core/src/agent/core.rs
+++ b/crates/core/src/agent/core.rs
@@ -311,6 +311,11 @@
         self.waiting.contains_key(&key) || self.calls.contains_key(&key)
     }
 
+    /// Tells whether an attempt is still remembered.
+    pub fn remembers(&self, attempt: AttemptId) -> bool {
+        self.ledger.key(attempt).is_some()
+    }
+
     /// Takes the attempts whose state or output has changed since the last call.
     pub fn take_changed(&mut self) -> Vec<AttemptId> {
         std::mem::take(&mut self.changed)
--- a/crates/entry/src/run/mod.rs
+++ b/crates/entry/src/run/mod.rs
@@ -1,6 +1,7 @@
 //! Execution of requests: stages, attempts, plain service calls and claims.
 
 pub(crate) mod attempt;
+pub(crate) mod begun;
 pub(crate) mod claim;
 pub(crate) mod pipeline;
 pub(crate) mod service;
--- a/crates/entry/src/run/stage.rs
+++ b/crates/entry/src/run/stage.rs
@@ -10,19 +10,16 @@
     ids::{AttemptId, StageIndex},
     membership::UpstreamKey,
     outcome::{Execution, Reason, Refusal},
-    routing::{AttemptEnd, RandomNumbers, RouteContext},
+    routing::{RandomNumbers, RouteContext},
 };
 use yuccatrail_rpc::messages::UpstreamCall;
 
 use super::{
     ChunkSink, Failure, RequestContext,
     attempt::{self, AttemptPlan, Output},
+    begun::Begun,
 };
-use crate::{
-    entry::Entry,
-    fleet::{Chosen, Fleet},
-    policy::StageDemand,
-};
+use crate::{entry::Entry, fleet::Chosen, policy::StageDemand};
 
 /// Attempts of one stage, over all upstreams.
 const MAX_ATTEMPTS: u16 = 6;
@@ -64,35 +61,6 @@
     no_probe: bool,
 }
 
-/// An attempt that counts as in progress at its upstream until it ends or is dropped.
-struct Begun {
-    fleet: Arc<Fleet>,
-    key: UpstreamKey,
-    sent_ms: u64,
-    estimate_ms: u64,
-    end: Option<AttemptEnd>,
-}
-
-impl Begun {
-    /// Notes how the attempt ended.
-    fn ends(&mut self, end: AttemptEnd) {
-        self.end = Some(end);
-    }
-
-    /// Returns the end of an attempt that is dropped before it has one.
-    fn abandoned(&self) -> AttemptEnd {
-        let elapsed_ms = self.fleet.clock.now_ms().saturating_sub(self.sent_ms);
-        AttemptEnd::Abandoned { ratio: elapsed_ms as f64 / self.estimate_ms.max(1) as f64 }
-    }
-}
-
-impl Drop for Begun {
-    fn drop(&mut self) {
-        let end = self.end.unwrap_or_else(|| self.abandoned());
-        self.fleet.end(self.key, end);
-    }
-}
-
 type AttemptFuture<'a> = Pin<Box<dyn Future<Output = Result<Output, Failure>> + Send + 'a>>;
 
 /// Runs an idempotent stage to its complete output.
@@ -296,9 +264,7 @@
     ) -> AttemptFuture<'a> {
         let (entry, request, work) = (self.entry, self.request, self.work);
         let estimate_ms = self.estimate_ms;
-        let sent_ms = entry.clock.now_ms();
-        let fleet = entry.fleet.clone();
-        let mut begun = Begun { fleet, key: chosen.key, sent_ms, estimate_ms, end: None };
+        let mut begun = Begun::new(entry.fleet.clone(), chosen.key, estimate_ms);
         // The outcome of a call that may not be repeated matters to later copies as well.
         let await_until_ms = match idempotent {
             true => request.deadline_ms,
@@ -316,8 +282,8 @@
         };
         Box::pin(async move {
             let result = attempt::run(entry, &chosen.link, request, plan).await;
-            let latency_ms = entry.clock.now_ms().saturating_sub(sent_ms);
-            begun.ends(attempt_end(&result, estimate_ms));
+            let latency_ms = begun.elapsed_ms();
+            begun.ends(&result);
             match &result {
                 Ok(output) => {
                     let usage = output.completion.usage;
@@ -415,14 +381,3 @@
     let execution = first.refusal.execution.and(second.refusal.execution);
     Err(Failure { refusal: Refusal { execution, ..second.refusal }, ..second })
 }
-
-fn attempt_end(result: &Result<Output, Failure>, estimate_ms: u64) -> AttemptEnd {
-    match result {
-        Ok(output) => {
-            let engine_ms = output.completion.usage.engine_ms as f64;
-            AttemptEnd::Completed { ratio: engine_ms / estimate_ms.max(1) as f64 }
-        }
-        Err(failure) if failure.refusal.execution == Execution::NotRun => AttemptEnd::NotRun,
-        Err(_) => AttemptEnd::Failed,
-    }
-}
