--- a/crates/entry/src/platform_feed.rs
+++ b/crates/entry/src/platform_feed.rs
@@ -13,7 +13,9 @@
     control::{ControlUpdate, OperationsRecord, StoredConfig, StoredOperations},
     membership::InstanceRecord,
 };
-use yuccatrail_platform::{Client, Kind, PlatformError, WatchUpdate, Watcher, WatcherSettings};
+use yuccatrail_platform::{
+    CURRENT, Client, Kind, PlatformError, WatchUpdate, Watcher, WatcherSettings,
+};
 use yuccatrail_rpc::messages::Ages;
 
 use crate::entry::Entry;
@@ -30,8 +32,6 @@
 const READERS_A_DATA_CENTRE: usize = 2;
 /// Largest random addition to a stale age, in milliseconds, so that one entry reads for all.
 const STALE_JITTER_MS: u64 = 400;
-/// Name of the one environment object and of the one operations object.
-const CURRENT: &str = "current";
 /// Source named in the log.
 const SOURCE: &str = "platform";
 
