--- a/crates/core/src/batching/batcher.rs
+++ b/crates/core/src/batching/batcher.rs
@@ -1,6 +1,7 @@
 //! Queue of pieces and the calls in progress.
 
 use derive_more::Display;
+use serde::{Deserialize, Serialize};
 use slotmap::{SlotMap, new_key_type};
 
 use crate::{
@@ -69,7 +70,7 @@
 }
 
 /// How the work of a stage ended.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
 #[display(rename_all = "snake_case")]
 pub enum GroupEnd {
     /// All results exist.
--- a/crates/core/src/batching/order.rs
+++ b/crates/core/src/batching/order.rs
@@ -2,13 +2,15 @@
 
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 use crate::stage_graph::ResultHandle;
 
 /// Advance in the queue for each rank of priority, in milliseconds: about one call.
 const PRIORITY_STEP_MS: u64 = 200;
 
 /// What a piece is made from.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PieceSource {
     /// The request's own data, which this key names.
     Key(String),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod ids;
 pub mod membership;
 pub mod outcome;
+pub mod ownership;
 pub mod placement;
 pub mod quarantine;
 pub mod queue;
--- a/crates/entry/src/relay/mod.rs
+++ b/crates/entry/src/relay/mod.rs
@@ -4,6 +4,7 @@
 mod feed;
 mod metrics;
 mod model;
+mod peers;
 mod plain;
 mod pool;
 mod release;
@@ -64,6 +65,7 @@
     let signal = shutdown::stop_signal()?;
     let callers = TcpListener::bind(settings.listen).await?;
     let ready = TcpListener::bind(settings.ready_listen).await?;
+    let peers = TcpListener::bind(settings.peer_listen).await?;
     let client = Client::new(ClientSettings {
         address: settings.platform,
         request_timeout_ms: STORE_TIMEOUT_MS,
@@ -81,7 +83,10 @@
     let finished = CancellationToken::new();
     tokio::spawn(feed::follow_configuration(relay.clone(), client.clone(), finished.clone()));
     tokio::spawn(feed::follow_upstreams(relay.clone(), client.clone(), finished.clone()));
-    tokio::spawn(feed::follow_evacuations(relay.clone(), client, finished.clone()));
+    tokio::spawn(feed::follow_evacuations(relay.clone(), client.clone(), finished.clone()));
+    tokio::spawn(peers::follow_entries(relay.clone(), client.clone(), finished.clone()));
+    tokio::spawn(peers::serve(peers, relay.clone(), finished.clone()));
+    let registering = tokio::spawn(peers::register(relay.clone(), client.clone()));
     tokio::spawn(keep_house(relay.clone(), finished.clone()));
     tokio::spawn(reload(relay.clone(), finished.clone())?);
     let asked = relay.clone();
@@ -96,7 +101,8 @@
     let closing = CancellationToken::new();
     let serving = tokio::spawn(serve_callers(callers, relay.clone(), closing.clone()));
     signal.cancelled().await;
-    stop(&relay, &closing).await;
+    registering.abort();
+    tokio::join!(stop(&relay, &closing), peers::unregister(&relay, &client));
     finished.cancel();
     serving.abort();
     info!("planned stop ends");
--- /dev/null
+++ b/crates/entry/src/relay/peers.rs
@@ -0,0 +1,344 @@
+//! The other entries: how they are found, whether they live, and the calls to them.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use futures::StreamExt;
+use hyper::Method;
+use log::{info, warn};
+use tarpc::{
+    client::Config,
+    context::{self, Context},
+    server::{BaseChannel, Channel},
+};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+use yuccatrail_adapter::{
+    EntryRecord, StoreChange, encode_entry, entries_form, entry_collection_path, entry_path,
+};
+use yuccatrail_core::{
+    FastMap, FastSet,
+    ownership::{Candidate, owner},
+};
+use yuccatrail_platform::{Client, PlatformError, PollUpdate, Poller, PollerSettings};
+use yuccatrail_rpc::{
+    entries::{
+        EntryPeer, EntryPeerClient, Hello, HelloReply, QueueState, StageReply, StageRequest,
+    },
+    transport,
+};
+use yuccatrail_runtime::accept::accept;
+
+use crate::relay::state::{Relay, lock};
+
+/// Time between two questions to another entry, in milliseconds.
+const HELLO_INTERVAL_MS: u64 = 300;
+/// Time after which an unanswered question means that the entry is gone, in milliseconds; an entry
+/// short of processor time answers in a hundred.
+const HELLO_TIMEOUT_MS: u64 = 700;
+/// Time between two attempts to connect, in milliseconds.
+const RECONNECT_MS: u64 = 300;
+/// Time between two attempts to write the own record, in milliseconds.
+const REGISTER_INTERVAL_MS: u64 = 500;
+/// Longest wait of a planned stop for the removal of the own record, in milliseconds.
+const UNREGISTER_LIMIT_MS: u64 = 500;
+
+/// An entry that takes work.
+#[derive(Clone)]
+pub(crate) struct Peer {
+    /// Name of the entry.
+    pub(crate) name: String,
+    /// Calls to the entry.
+    pub(crate) client: EntryPeerClient,
+    /// Cancelled when the entry no longer answers.
+    pub(crate) lost: CancellationToken,
+}
+
+/// What is known of another entry.
+struct Known {
+    record: EntryRecord,
+    stop: CancellationToken,
+    peer: Option<Peer>,
+    queues: FastMap<String, u64>,
+}
+
+/// Who owns a piece of shared work.
+pub(crate) enum Owner {
+    /// This entry.
+    Own,
+    /// Another entry.
+    Other(Peer),
+}
+
+/// All other entries.
+#[derive(Default)]
+pub(crate) struct Peers {
+    known: Mutex<FastMap<String, Known>>,
+}
+
+impl Peers {
+    /// Returns the owner of a stage service.
+    pub(crate) fn owner(&self, relay: &Relay, service: &str) -> Owner {
+        let known = lock(&self.known);
+        let mut candidates: Vec<Candidate> = known
+            .iter()
+            .filter(|(_, it)| it.peer.is_some())
+            .map(|(name, it)| Candidate { name: name.clone(), cpu_share: it.record.cpu_share })
+            .collect();
+        if relay.is_ready() || candidates.is_empty() {
+            let cpu_share = relay.settings.cpu_share;
+            candidates.push(Candidate { name: relay.settings.name.clone(), cpu_share });
+        }
+        let owner = owner(service, &candidates).and_then(|it| known.get(&it.name));
+        match owner.and_then(|it| it.peer.clone()) {
+            Some(peer) => Owner::Other(peer),
+            None => Owner::Own,
+        }
+    }
+
+    /// Returns the expected wait in the queue of a service at its owner, in milliseconds; none where
+    /// this entry is the owner.
+    pub(crate) fn wait_ms(&self, relay: &Relay, service: &str) -> Option<u64> {
+        let Owner::Other(peer) = self.owner(relay, service) else { return None };
+        lock(&self.known).get(&peer.name)?.queues.get(service).copied()
+    }
+
+    fn set_record(&self, relay: &Arc<Relay>, name: &str, record: EntryRecord) {
+        if name == relay.settings.name {
+            return;
+        }
+        let mut known = lock(&self.known);
+        if known.get(name).is_some_and(|it| it.record == record) {
+            return;
+        }
+        info!(entry = name, address:% = record.peer_address; "entry listed");
+        let stop = CancellationToken::new();
+        let address = record.peer_address;
+        let entry = Known { record, stop: stop.clone(), peer: None, queues: FastMap::default() };
+        if let Some(replaced) = known.insert(name.to_owned(), entry) {
+            replaced.close();
+        }
+        tokio::spawn(maintain(relay.clone(), name.to_owned(), address, stop));
+    }
+
+    fn remove(&self, name: &str) {
+        if let Some(removed) = lock(&self.known).remove(name) {
+            info!(entry = name; "entry no longer listed");
+            removed.close();
+        }
+    }
+
+    fn note_reply(&self, name: &str, reply: HelloReply, peer: &Peer) {
+        let mut known = lock(&self.known);
+        let Some(entry) = known.get_mut(name) else { return };
+        if entry.stop.is_cancelled() {
+            return;
+        }
+        if entry.peer.is_some() != reply.takes_work {
+            info!(entry = name, takes_work = reply.takes_work; "entry heard");
+        }
+        entry.peer = reply.takes_work.then(|| peer.clone());
+        entry.queues = reply.queues.into_iter().map(|it| (it.service, it.wait_ms)).collect();
+    }
+
+    fn note_lost(&self, name: &str, detail: &str) {
+        let mut known = lock(&self.known);
+        let Some(entry) = known.get_mut(name) else { return };
+        if let Some(peer) = entry.peer.take() {
+            warn!(entry = name, detail = detail; "entry lost");
+            peer.lost.cancel();
+        }
+        entry.queues.clear();
+    }
+}
+
+impl Known {
+    fn close(self) {
+        self.stop.cancel();
+        if let Some(peer) = self.peer {
+            peer.lost.cancel();
+        }
+    }
+}
+
+/// Keeps a connection to an entry and asks it again and again.
+async fn maintain(relay: Arc<Relay>, name: String, address: SocketAddr, stop: CancellationToken) {
+    while !stop.is_cancelled() {
+        let detail = tokio::select! {
+            detail = converse(&relay, &name, address) => detail,
+            () = stop.cancelled() => return,
+        };
+        relay.peers.note_lost(&name, &detail);
+        tokio::time::sleep(Duration::from_millis(RECONNECT_MS)).await;
+    }
+}
+
+/// Returns why the conversation ended.
+async fn converse(relay: &Arc<Relay>, name: &str, address: SocketAddr) -> String {
+    let limit = Duration::from_millis(HELLO_TIMEOUT_MS);
+    let transport = match tokio::time::timeout(limit, transport::connect(address)).await {
+        Ok(Ok(transport)) => transport,
+        Ok(Err(error)) => return error.to_string(),
+        Err(_) => return "connecting timed out".to_owned(),
+    };
+    let client = EntryPeerClient::new(Config::default(), Box::pin(transport)).spawn();
+    let peer = Peer { name: name.to_owned(), client, lost: CancellationToken::new() };
+    loop {
+        let hello = Hello { from: relay.settings.name.clone() };
+        let asked = peer.client.hello(context_for(HELLO_TIMEOUT_MS), hello);
+        match tokio::time::timeout(limit, asked).await {
+            Ok(Ok(reply)) => relay.peers.note_reply(name, reply, &peer),
+            Ok(Err(error)) => return error.to_string(),
+            Err(_) => return "no answer in time".to_owned(),
+        }
+        tokio::time::sleep(Duration::from_millis(HELLO_INTERVAL_MS)).await;
+    }
+}
+
+/// Returns the context of a call that is given up after a time in milliseconds.
+pub(crate) fn context_for(limit_ms: u64) -> Context {
+    let mut context = context::current();
+    context.deadline = Instant::now() + Duration::from_millis(limit_ms);
+    context
+}
+
+/// Follows the list of entries.
+pub(crate) async fn follow_entries(relay: Arc<Relay>, client: Client, stop: CancellationToken) {
+    let settings = PollerSettings::default();
+    let (poller, mut updates) = Poller::start(client, entries_form(), settings, &stop);
+    while let Some(update) = updates.recv().await {
+        match update {
+            PollUpdate::Snapshot { items, .. } => {
+                let listed: FastSet<String> = items.iter().filter_map(present_name).collect();
+                let known: Vec<String> = lock(&relay.peers.known).keys().cloned().collect();
+                for name in known.iter().filter(|it| !listed.contains(*it)) {
+                    relay.peers.remove(name);
+                }
+                take_in(&relay, items);
+            }
+            PollUpdate::Changes(changes) => take_in(&relay, changes.items),
+            PollUpdate::Unavailable(_) | PollUpdate::Available => {}
+        }
+        let mut names: Vec<String> = lock(&relay.peers.known).keys().cloned().collect();
+        names.push(relay.settings.name.clone());
+        relay.upstreams().set_entries(names);
+    }
+    poller.close().await;
+}
+
+fn take_in(relay: &Arc<Relay>, changes: Vec<StoreChange<EntryRecord>>) {
+    for change in changes {
+        match change {
+            StoreChange::Present { name, content } => {
+                relay.peers.set_record(relay, &name, content);
+            }
+            StoreChange::Absent { name } => relay.peers.remove(&name),
+            StoreChange::Unreadable { name, detail } => {
+                warn!(entry:% = name, detail:% = detail; "record of an entry can't be read");
+            }
+        }
+    }
+}
+
+fn present_name(change: &StoreChange<EntryRecord>) -> Option<String> {
+    match change {
+        StoreChange::Present { name, .. } => Some(name.clone()),
+        StoreChange::Absent { .. } | StoreChange::Unreadable { .. } => None,
+    }
+}
+
+/// Writes the own record, so that the other entries find this one.
+pub(crate) async fn register(relay: Arc<Relay>, client: Client) {
+    let name = &relay.settings.name;
+    let record = EntryRecord {
+        peer_address: relay.settings.peer_listen,
+        cpu_share: relay.settings.cpu_share,
+    };
+    let body = encode_entry(name, &record);
+    let mut path = entry_collection_path();
+    let mut method = Method::POST;
+    loop {
+        match client.write(name, method.clone(), &path, body.clone()).await {
+            Ok(()) => {
+                info!("own record written");
+                return;
+            }
+            Err(PlatformError::Conflict { .. } | PlatformError::AlreadyExists { .. }) => {
+                // A record of an earlier run; this run has another incarnation under the same name.
+                method = Method::PUT;
+                path = entry_path(name);
+                continue;
+            }
+            Err(error) => warn!(error:% = error; "own record can't be written yet"),
+        }
+        tokio::time::sleep(Duration::from_millis(REGISTER_INTERVAL_MS)).await;
+    }
+}
+
+/// Removes the own record, so that the other entries no longer count this one.
+pub(crate) async fn unregister(relay: &Relay, client: &Client) {
+    let name = &relay.settings.name;
+    let path = entry_path(name);
+    let removal = client.write(name, Method::DELETE, &path, bytes::Bytes::new());
+    let limit = Duration::from_millis(UNREGISTER_LIMIT_MS);
+    match tokio::time::timeout(limit, removal).await {
+        Ok(Ok(())) => info!("own record removed"),
+        Ok(Err(error)) => warn!(error:% = error; "own record stays"),
+        Err(_) => warn!("own record stays, the platform is slow"),
+    }
+}
+
+/// Answers the calls of one connection.
+#[derive(Clone)]
+struct Connection {
+    relay: Arc<Relay>,
+}
+
+impl EntryPeer for Connection {
+    async fn hello(self, _: Context, _: Hello) -> HelloReply {
+        let queues = self.relay.stages.states(&self.relay);
+        HelloReply { takes_work: self.relay.is_ready(), queues }
+    }
+
+    async fn run_stage(self, _: Context, request: StageRequest) -> StageReply {
+        let (end, handles) = self.relay.stages.run_for_peer(&self.relay, request).await;
+        StageReply { end, handles }
+    }
+
+    async fn release(self, _: Context, handles: Vec<String>) {
+        self.relay.releases.add_own(handles);
+    }
+}
+
+/// Serves the other entries until `stop` is cancelled.
+pub(crate) async fn serve(listener: TcpListener, relay: Arc<Relay>, stop: CancellationToken) {
+    accept(&listener, &stop, |stream| {
+        tokio::spawn(serve_connection(stream, relay.clone()));
+    })
+    .await;
+}
+
+async fn serve_connection(stream: TcpStream, relay: Arc<Relay>) {
+    let transport = match transport::accept(stream).await {
+        Ok(transport) => transport,
+        Err(error) => {
+            warn!(error:% = error; "connection of another entry failed");
+            return;
+        }
+    };
+    let channel = BaseChannel::with_defaults(Box::pin(transport));
+    let responses = channel.execute(Connection { relay }.serve());
+    responses
+        .for_each(|response| async move {
+            tokio::spawn(response);
+        })
+        .await;
+}
+
+/// State of one queue, for other entries.
+pub(crate) fn queue_state(service: &str, wait_ms: f64) -> QueueState {
+    QueueState { service: service.to_owned(), wait_ms: wait_ms as u64 }
+}
--- a/crates/entry/src/relay/release.rs
+++ b/crates/entry/src/relay/release.rs
@@ -14,13 +14,19 @@
 
 use crate::relay::{
     attempt::{Attempt, Outgoing},
+    peers::{Owner, Peer, context_for},
     state::{Relay, lock},
 };
 
+/// Time for which an owner is given results to release, in milliseconds: their lifetime.
+const RELEASE_LIMIT_MS: u64 = 4_000;
+
 /// Results to release, by the upstream that holds them.
 #[derive(Debug, Default)]
 pub(crate) struct Releases {
     waiting: Mutex<FastMap<SocketAddr, Vec<ResultHandle>>>,
+    /// Results that another entry has left to this one, as the owner of their service.
+    own: Mutex<FastMap<SocketAddr, Vec<ResultHandle>>>,
 }
 
 /// Results of one request that are released when it ends, however that happens.
@@ -61,29 +67,65 @@
 impl Releases {
     /// Notes results that nobody needs any more.
     pub(crate) fn add(&self, handles: Vec<ResultHandle>) {
-        let mut waiting = lock(&self.waiting);
-        for handle in handles {
-            let Some(maker) = maker_of(&handle) else {
-                warn!(handle:% = handle; "result names no maker; it expires by itself");
-                continue;
-            };
-            waiting.entry(maker).or_default().push(handle);
-        }
+        sort_in(&self.waiting, handles);
+    }
+
+    /// Notes results whose release another entry has left to this one.
+    pub(crate) fn add_own(&self, handles: Vec<ResultHandle>) {
+        sort_in(&self.own, handles);
     }
 
-    /// Sends one call for each upstream that holds such results.
+    /// Leaves results to the owners of their services, and releases the own ones with one call for
+    /// each upstream.
     pub(crate) fn send_all(&self, relay: &Arc<Relay>) {
         let waiting = mem::take(&mut *lock(&self.waiting));
         for (maker, handles) in waiting {
-            let key = relay.upstreams().at_address(maker);
+            match owner_of(relay, maker) {
+                Owner::Other(peer) => {
+                    tokio::spawn(leave_to(peer, handles));
+                }
+                Owner::Own => self.add_own(handles),
+            }
+        }
+        let own = mem::take(&mut *lock(&self.own));
+        for (maker, handles) in own {
             relay.stages.note_released(relay, &handles);
             // Results do not outlive their maker.
-            let Some(key) = key else { continue };
+            let Some(key) = relay.upstreams().at_address(maker) else { continue };
             tokio::spawn(release(relay.clone(), key, handles));
         }
     }
 }
 
+fn sort_in(waiting: &Mutex<FastMap<SocketAddr, Vec<ResultHandle>>>, handles: Vec<ResultHandle>) {
+    let mut waiting = lock(waiting);
+    for handle in handles {
+        let Some(maker) = maker_of(&handle) else {
+            warn!(handle:% = handle; "result names no maker; it expires by itself");
+            continue;
+        };
+        waiting.entry(maker).or_default().push(handle);
+    }
+}
+
+fn owner_of(relay: &Relay, maker: SocketAddr) -> Owner {
+    let service = {
+        let upstreams = relay.upstreams();
+        let key = upstreams.at_address(maker);
+        key.and_then(|it| upstreams.get(it)).map(|it| it.record.service.clone())
+    };
+    match service {
+        Some(service) => relay.peers.owner(relay, &service),
+        None => Owner::Own,
+    }
+}
+
+async fn leave_to(peer: Peer, handles: Vec<ResultHandle>) {
+    if let Err(error) = peer.client.release(context_for(RELEASE_LIMIT_MS), handles).await {
+        warn!(error:% = error; "release was not left to the owner; the results expire by themselves");
+    }
+}
+
 async fn release(relay: Arc<Relay>, key: UpstreamKey, handles: Vec<ResultHandle>) {
     let body = match encode_free(&handles) {
         Ok(body) => body,
--- a/crates/entry/src/relay/stages.rs
+++ b/crates/entry/src/relay/stages.rs
@@ -20,9 +20,12 @@
     stage_graph::ResultHandle,
 };
 
+use yuccatrail_rpc::entries::{QueueState, StageRequest};
+
 use crate::relay::{
     attempt::{Attempt, AttemptError, Outgoing},
     metrics::ServiceLabels,
+    peers::{Owner, context_for, queue_state},
     state::{Relay, lock},
 };
 
@@ -31,6 +34,11 @@
 /// Shortest limit of a call, in milliseconds; a call that waits behind two others takes a second.
 const MIN_CALL_LIMIT_MS: u64 = 2_000;
 
+/// Owners that are asked for the work of one stage before this entry does it itself.
+const MAX_OWNERS: usize = 3;
+/// Time beyond the deadline for which an owner's answer is awaited, in milliseconds.
+const PEER_SLACK_MS: u64 = 100;
+
 /// How the work of a stage ended, with its results.
 type Ending = (GroupEnd, Vec<ResultHandle>);
 
@@ -73,15 +81,83 @@
         }
     }
 
-    /// Makes all pieces of a stage and returns their results.
+    /// Makes all pieces of a stage at the service's owner and returns their results.
     ///
-    /// Dropping the future gives the work up.
+    /// Where the owner is lost on the way, the next one makes them again. Dropping the future gives
+    /// the work up.
     pub(crate) async fn run(
         &self,
         relay: &Arc<Relay>,
         service: &Arc<str>,
         work: StageWork,
     ) -> Ending {
+        for _ in 0..MAX_OWNERS {
+            let Owner::Other(peer) = relay.peers.owner(relay, service) else { break };
+            let now_ms = relay.now_ms();
+            let request = StageRequest {
+                service: service.to_string(),
+                request_id: work.request_id.clone(),
+                stage: work.stage,
+                pieces: work.pieces,
+                source: work.source.clone(),
+                result_bytes: work.result_bytes,
+                priority: work.priority,
+                aim_in_ms: work.aim_ms.saturating_sub(now_ms),
+                deadline_in_ms: work.deadline_ms.saturating_sub(now_ms),
+                data_centre: work.data_centre.as_deref().map(str::to_owned),
+            };
+            let context = context_for(request.deadline_in_ms + PEER_SLACK_MS);
+            let reply = tokio::select! {
+                reply = peer.client.run_stage(context, request) => reply,
+                () = peer.lost.cancelled() => {
+                    warn!(id:% = work.request_id, service:% = service; "owner lost, stage runs again");
+                    continue;
+                }
+            };
+            match reply {
+                Ok(reply) => return (reply.end, reply.handles),
+                Err(error) => {
+                    warn!(id:% = work.request_id, service:% = service, error:% = error; "owner failed");
+                }
+            }
+        }
+        self.run_here(relay, service, work).await
+    }
+
+    /// Makes the pieces that another entry asks for.
+    pub(crate) async fn run_for_peer(&self, relay: &Arc<Relay>, request: StageRequest) -> Ending {
+        let now_ms = relay.now_ms();
+        let service: Arc<str> = request.service.into();
+        let work = StageWork {
+            request_id: request.request_id,
+            stage: request.stage,
+            pieces: request.pieces,
+            source: request.source,
+            result_bytes: request.result_bytes,
+            priority: request.priority,
+            aim_ms: now_ms + request.aim_in_ms,
+            deadline_ms: now_ms + request.deadline_in_ms,
+            data_centre: request.data_centre.map(Into::into),
+        };
+        self.run_here(relay, &service, work).await
+    }
+
+    /// Returns the state of all queues, for other entries.
+    pub(crate) fn states(&self, relay: &Relay) -> Vec<QueueState> {
+        let services: Vec<Arc<str>> = lock(&self.queues).keys().cloned().collect();
+        let now_ms = relay.now_ms();
+        let mut states = Vec::with_capacity(services.len());
+        for service in services {
+            let Some(wait_ms) = self.own_estimate_ms(relay, &service, 1, now_ms) else { continue };
+            states.push(queue_state(&service, wait_ms));
+        }
+        states
+    }
+
+    async fn run_here(&self, relay: &Arc<Relay>, service: &Arc<str>, work: StageWork) -> Ending {
+        if !self.can_be_in_time(relay, service, &work) {
+            return (GroupEnd::Late, Vec::new());
+        }
         let (sender, receiver) = oneshot::channel();
         let group = {
             let mut queues = lock(&self.queues);
@@ -100,6 +176,12 @@
         ending
     }
 
+    /// Tells whether the queue lets the work meet its deadline.
+    fn can_be_in_time(&self, relay: &Relay, service: &str, work: &StageWork) -> bool {
+        let needed_ms = self.own_estimate_ms(relay, service, work.pieces, work.aim_ms);
+        needed_ms.is_none_or(|it| relay.now_ms() as f64 + it <= work.deadline_ms as f64)
+    }
+
     /// Returns the expected time to make pieces, in milliseconds; none for an unknown service.
     pub(crate) fn estimate_ms(
         &self,
@@ -107,6 +189,20 @@
         service: &str,
         pieces: usize,
         aim_ms: u64,
+    ) -> Option<f64> {
+        if let Some(wait_ms) = relay.peers.wait_ms(relay, service) {
+            let own_ms = self.duration_ms(service, pieces) - self.duration_ms(service, 1);
+            return Some(wait_ms as f64 + own_ms.max(0.0));
+        }
+        self.own_estimate_ms(relay, service, pieces, aim_ms)
+    }
+
+    fn own_estimate_ms(
+        &self,
+        relay: &Relay,
+        service: &str,
+        pieces: usize,
+        aim_ms: u64,
     ) -> Option<f64> {
         let now_ms = relay.now_ms();
         let engines = usable_engines(relay, service, now_ms).len();
--- a/crates/entry/src/relay/state.rs
+++ b/crates/entry/src/relay/state.rs
@@ -15,7 +15,7 @@
 use yuccatrail_runtime::clock::Clock;
 
 use crate::relay::{
-    metrics::RelayMetrics, pool::Pool, release::Releases, settings::RelaySettings,
+    metrics::RelayMetrics, peers::Peers, pool::Pool, release::Releases, settings::RelaySettings,
     stages::StageQueues,
 };
 
@@ -29,6 +29,8 @@
     pub(crate) pool: Pool,
     /// Queues of the stage services.
     pub(crate) stages: StageQueues,
+    /// The other entries.
+    pub(crate) peers: Peers,
     /// Results that nobody needs any more.
     pub(crate) releases: Releases,
     /// Counters and histograms.
@@ -58,6 +60,7 @@
             clock: Clock::new(),
             pool: Pool::default(),
             stages: StageQueues::default(),
+            peers: Peers::default(),
             releases: Releases::default(),
             metrics: RelayMetrics::new(),
             table: Mutex::new(None),
--- a/crates/entry/src/relay/stream.rs
+++ b/crates/entry/src/relay/stream.rs
@@ -80,9 +80,17 @@
     body: Incoming,
 }
 
+/// A stream that has begun.
+struct OpenSource {
+    source: Source,
+    status: StatusCode,
+    headers: HeaderMap,
+    first: Option<Bytes>,
+}
+
 /// What one attempt to open a stream brought.
 enum Tried {
-    Open { source: Source, status: StatusCode, headers: HeaderMap, first: Option<Bytes> },
+    Open(Box<OpenSource>),
     NotRun,
     InputGone,
     Lost,
@@ -143,11 +151,11 @@
             }
             self.tried.push(attempt.key);
             match self.try_open(attempt).await {
-                Ok(Tried::Open { source, status, headers, first }) => {
+                Ok(Tried::Open(open)) => {
                     self.runs += 1;
-                    self.source = Some(source);
-                    self.first = first;
-                    return Ok((status, headers));
+                    self.source = Some(open.source);
+                    self.first = open.first;
+                    return Ok((open.status, open.headers));
                 }
                 Ok(Tried::NotRun) => arrivals += 1,
                 Ok(Tried::InputGone) => return Err(OpenError::InputGone),
@@ -226,7 +234,8 @@
         };
         let headers = passed_on(&parts.headers);
         let source = Source { attempt, answer, body };
-        Ok(Tried::Open { source, status: parts.status, headers, first })
+        let open = OpenSource { source, status: parts.status, headers, first };
+        Ok(Tried::Open(Box::new(open)))
     }
 
     /// Returns the next bytes for the caller; none at the end of the stream.
--- /dev/null
+++ b/crates/rpc/src/entries.rs
@@ -0,0 +1,74 @@
+//! Calls among entries that share the work of stage services.
+
+use serde::{Deserialize, Serialize};
+use yuccatrail_core::batching::{GroupEnd, PieceSource};
+
+/// Asks another entry whether it takes work.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Hello {
+    /// Name of the entry that asks.
+    pub from: String,
+}
+
+/// State of an entry.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct HelloReply {
+    /// Whether the entry takes work: it knows what it has to know and does not stop.
+    pub takes_work: bool,
+    /// Queues of the stage services.
+    pub queues: Vec<QueueState>,
+}
+
+/// State of the queue of one stage service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QueueState {
+    /// Name of the service.
+    pub service: String,
+    /// Expected time until one more piece would be made, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// Asks the owner of a stage service for all pieces of one stage.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct StageRequest {
+    /// Name of the service.
+    pub service: String,
+    /// Identifier of the caller's request.
+    pub request_id: String,
+    /// Position of the stage in the request's route.
+    pub stage: usize,
+    /// Number of pieces.
+    pub pieces: usize,
+    /// What each piece is made from.
+    pub source: PieceSource,
+    /// Approximate size of one result, in bytes.
+    pub result_bytes: u64,
+    /// Rank of the request; 0 is the most urgent.
+    pub priority: u8,
+    /// Time that is left for the request to be on time, in milliseconds.
+    pub aim_in_ms: u64,
+    /// Time after which the results are of no use, in milliseconds.
+    pub deadline_in_ms: u64,
+    /// Data centre in which the results will be read.
+    pub data_centre: Option<String>,
+}
+
+/// How the work of a stage ended.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct StageReply {
+    /// The end.
+    pub end: GroupEnd,
+    /// Results in the order of the pieces.
+    pub handles: Vec<String>,
+}
+
+/// Calls that an entry answers to another.
+#[tarpc::service]
+pub trait EntryPeer {
+    /// Tells whether the entry takes work.
+    async fn hello(request: Hello) -> HelloReply;
+    /// Makes all pieces of one stage.
+    async fn run_stage(request: StageRequest) -> StageReply;
+    /// Releases results that nobody needs any more.
+    async fn release(handles: Vec<String>);
+}
