--- a/crates/runtime/src/logging.rs
+++ b/crates/runtime/src/logging.rs
@@ -28,6 +28,9 @@
 /// Largest size of the buffer, in bytes; holds the lines of some seconds.
 const MAX_BUFFER_BYTES: usize = 512 * 1024;
 
+/// Libraries that log each of their calls at the level of decisions.
+const LIBRARIES: [&str; 1] = ["tarpc"];
+
 /// Logging was set up before in this process.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
 #[display("the logger is already installed")]
@@ -131,7 +134,8 @@
 
 impl Log for JsonLogger {
     fn enabled(&self, metadata: &Metadata<'_>) -> bool {
-        metadata.level() <= self.level
+        let is_library = LIBRARIES.iter().any(|it| metadata.target().starts_with(it));
+        metadata.level() <= if is_library { self.level.min(LevelFilter::Warn) } else { self.level }
     }
 
     fn log(&self, record: &Record<'_>) {
