--- a/crates/core/src/batching/batcher.rs
+++ b/crates/core/src/batching/batcher.rs
@@ -1,11 +1,13 @@
 //! Queue of pieces and the calls in progress.
 
+use std::sync::Arc;
+
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use slotmap::{SlotMap, new_key_type};
 
 use crate::{
-    FastMap,
+    FastMap, FastSet,
     batching::{EngineView, StageWork, engine::Engine, order::Place},
     route_table::StageService,
     stage_graph::ResultHandle,
@@ -23,6 +25,12 @@
 /// Pause of an upstream that says it has no room or no slot, in milliseconds.
 const FULL_PAUSE_MS: u64 = 50;
 
+/// Size from which a result is made in its reader's data centre if that costs little, in bytes.
+const LARGE_RESULT_BYTES: u64 = 100_000;
+/// Time for which a piece with a large result waits for an upstream near its reader, in milliseconds:
+/// about one call.
+const HOME_WAIT_MS: f64 = 250.0;
+
 new_key_type! {
     /// Names the work of one stage of one request.
     pub struct GroupKey;
@@ -102,6 +110,14 @@
     reserved_bytes: u64,
 }
 
+/// Where the upstreams stand.
+#[derive(Debug, Default)]
+struct Homes {
+    places: FastMap<UpstreamKey, Arc<str>>,
+    /// Data centres with an upstream that is free now or soon.
+    free_soon: FastSet<Arc<str>>,
+}
+
 /// Results of a finished call.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct Settled {
@@ -258,6 +274,7 @@
             order.push((start_ms + stated_ms * engine.pace(now_ms) + distance_ms, view.key));
         }
         order.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let homes = self.homes(usable, now_ms);
         // Pieces that an upstream in use finishes earlier are left to it.
         let mut skipped = 0;
         for (_, key) in order {
@@ -269,7 +286,7 @@
                 skipped += batch;
                 continue;
             }
-            let pieces = self.fill(key, &queue[skipped..], now_ms);
+            let pieces = self.fill(key, &queue[skipped..], &homes, now_ms);
             if pieces.is_empty() {
                 continue;
             }
@@ -338,11 +355,45 @@
         queue
     }
 
+    /// Returns where each upstream stands and which data centres have one that is free soon.
+    fn homes(&self, usable: &[EngineView], now_ms: u64) -> Homes {
+        let mut homes = Homes::default();
+        let soon_ms = now_ms as f64 + HOME_WAIT_MS;
+        for view in usable {
+            homes.places.insert(view.key, view.data_centre.clone());
+            let is_free_soon = self.engines.get(&view.key).is_none_or(|it| {
+                let is_busy = it.calls >= self.service.slots.max(1);
+                !it.is_paused(now_ms) && (!is_busy || it.busy_until_ms <= soon_ms)
+            });
+            if is_free_soon {
+                homes.free_soon.insert(view.data_centre.clone());
+            }
+        }
+        homes
+    }
+
+    /// Tells whether a large result is better made by an upstream of its reader's data centre.
+    fn belongs_elsewhere(
+        &self,
+        work: &StageWork,
+        engine: UpstreamKey,
+        homes: &Homes,
+        now_ms: u64,
+    ) -> bool {
+        let Some(reader) = &work.data_centre else { return false };
+        if work.result_bytes < LARGE_RESULT_BYTES || homes.places.get(&engine) == Some(reader) {
+            return false;
+        }
+        let spare_ms = work.aim_ms as f64 - now_ms as f64 - self.duration_ms(self.service.batch);
+        homes.free_soon.contains(reader) && spare_ms > HOME_WAIT_MS
+    }
+
     /// Chooses the pieces of one call within the batch and the room of the upstream.
     fn fill(
         &mut self,
         engine: UpstreamKey,
         queue: &[(GroupKey, usize)],
+        homes: &Homes,
         now_ms: u64,
     ) -> Vec<(GroupKey, usize)> {
         let Some(state) = self.engines.get_mut(&engine) else { return Vec::new() };
@@ -358,6 +409,9 @@
             if end_ms > work.deadline_ms as f64 || work.result_bytes > room_bytes {
                 continue;
             }
+            if self.belongs_elsewhere(work, engine, homes, now_ms) {
+                continue;
+            }
             room_bytes -= work.result_bytes;
             pieces.push((*group, *piece));
         }
--- a/crates/core/src/batching/tests.rs
+++ b/crates/core/src/batching/tests.rs
@@ -143,6 +143,24 @@
     assert_eq!(batcher.next_call(&engines, 1_317).unwrap().engine, fast.engine);
 }
 
+#[test]
+fn a_large_result_is_made_near_its_reader_while_there_is_time() {
+    let mut engines = engines(2);
+    engines[1].data_centre = "y".into();
+    let near = engines[1].key;
+    let mut batcher = Batcher::new(SERVICE);
+    let read_in_y = |aim_ms| StageWork { data_centre: Some("y".into()), ..work(1, aim_ms, 9_000) };
+    batcher.submit(read_in_y(3_000));
+    let first = batcher.next_call(&engines, 0).unwrap();
+    assert_eq!(first.engine, near);
+    // The upstream near the reader is free again in time, so the other one stays idle.
+    batcher.submit(read_in_y(3_000));
+    assert_eq!(batcher.next_call(&engines, 10), None);
+    // Without time to wait, distance does not count.
+    batcher.submit(read_in_y(500));
+    assert!(batcher.next_call(&engines, 10).is_some_and(|it| it.engine != near));
+}
+
 proptest! {
     /// Whatever fails, each group ends once, with one result for each piece or a reason.
     #[test]
--- a/crates/core/src/stage_graph/mod.rs
+++ b/crates/core/src/stage_graph/mod.rs
@@ -142,6 +142,12 @@
         (0..self.states.len()).any(|it| it != stage && reads_same(it) && is_open(it))
     }
 
+    /// Returns how much later a stage may start without delaying the request, in milliseconds.
+    pub fn slack_ms(&self, stage: usize, time_ms: &impl Fn(usize) -> f64) -> f64 {
+        let own_ms = time_ms(stage) + self.following_ms(stage, time_ms);
+        (self.remaining_ms(time_ms) - own_ms).max(0.0)
+    }
+
     /// Returns the number of pieces of a stage.
     pub fn pieces(&self, stage: usize) -> usize {
         self.pieces.get(stage).copied().unwrap_or(0)
--- a/crates/core/src/stage_graph/tests.rs
+++ b/crates/core/src/stage_graph/tests.rs
@@ -76,3 +76,12 @@
     assert_eq!(graph.following_ms(2, &time_ms), 0.0);
     assert_eq!(graph.following_ms(3, &time_ms), 0.0);
 }
+
+#[test]
+fn a_stage_beside_a_longer_chain_has_slack() {
+    let stages = [stage(&[]), stage(&[]), stage(&[1])];
+    let graph = StageGraph::new(&stages, &[1, 1, 1]);
+    let time_ms = |it: usize| [50.0, 60.0, 70.0][it];
+    assert_eq!(graph.slack_ms(0, &time_ms), 80.0);
+    assert_eq!(graph.slack_ms(1, &time_ms), 0.0);
+}
--- a/crates/entry/src/relay/model.rs
+++ b/crates/entry/src/relay/model.rs
@@ -1,6 +1,6 @@
 //! Requests that a model answers with a stream of events, after their stages.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use futures::{StreamExt, stream::FuturesUnordered};
 use hyper::Response;
@@ -24,6 +24,10 @@
 const MODEL_START_MS: f64 = 60.0;
 /// Times that lost results are made again for one request.
 const MAX_RESTARTS: u32 = 1;
+/// Size from which a result is made late rather than early, in bytes.
+const LARGE_RESULT_BYTES: u64 = 100_000;
+/// Part of its slack for which a stage waits; the rest covers what the estimates miss.
+const SLACK_PART: f64 = 0.7;
 /// Shortest wait that is proposed when stages are full, in milliseconds.
 const MIN_STAGE_RETRY_MS: u64 = 200;
 
@@ -142,9 +146,11 @@
     loop {
         for ready in graph.start_ready() {
             let work = stage_work(relay, request, graph, &ready, data_centre);
+            let delay = start_delay(relay, request, graph, &ready);
             let service = request.admission.route.stages[ready.stage].service.clone();
             let inputs = ready.inputs.unwrap_or_default();
             running.push(async move {
+                tokio::time::sleep(delay).await;
                 let ending = relay.stages.run(relay, &service, work).await;
                 (ready.stage, inputs, ending)
             });
@@ -163,6 +169,28 @@
     }
 }
 
+/// Returns how long a stage waits for a longer chain beside it.
+///
+/// A large result takes up its maker's room until the whole chain is done, so it is made late.
+fn start_delay(
+    relay: &Relay,
+    request: &CallerRequest,
+    graph: &StageGraph,
+    ready: &ReadyStage,
+) -> Duration {
+    let stages = &request.admission.route.stages;
+    if stages[ready.stage].result_bytes < LARGE_RESULT_BYTES {
+        return Duration::ZERO;
+    }
+    let aim_ms = request.aim_ms();
+    let time_ms = |it: usize| {
+        let (service, pieces) = (&stages[it].service, graph.pieces(it));
+        relay.stages.estimate_ms(relay, service, pieces, aim_ms).unwrap_or(0.0)
+    };
+    let slack_ms = graph.slack_ms(ready.stage, &time_ms) * SLACK_PART;
+    Duration::from_millis(slack_ms as u64)
+}
+
 /// Releases the results that only a finished stage has read.
 fn release_read(graph: &StageGraph, held: &mut HeldResults, stage: usize, inputs: &[ResultHandle]) {
     if !inputs.is_empty() && !graph.has_other_reader(stage) {
