Begin a stage only where all its results fit, and keep it in one call

Cause: with many stages begun, the room of a stage service was full of results whose siblings waited for the same room; billing ran 2.7 of 5 upstreams while 380 pieces waited. Ruled out: releases that get lost, a slow next stage.

--- a/crates/core/src/batching/batcher.rs
+++ b/crates/core/src/batching/batcher.rs
@@ -110,6 +110,13 @@
     reserved_bytes: u64,
 }
 
+impl Group {
+    /// Tells whether none of its pieces has been part of a call.
+    fn is_untouched(&self) -> bool {
+        self.waiting.len() == self.work.pieces
+    }
+}
+
 /// Where the upstreams stand.
 #[derive(Debug, Default)]
 struct Homes {
@@ -344,7 +351,7 @@
             .groups
             .iter()
             .filter(|(_, it)| !it.waiting.is_empty())
-            .map(|(key, it)| (it.work.place(now_ms, call_ms), key))
+            .map(|(key, it)| (it.work.place(it.is_untouched(), now_ms, call_ms), key))
             .collect();
         places.sort_unstable();
         let mut queue = Vec::new();
@@ -388,6 +395,31 @@
         homes.free_soon.contains(reader) && spare_ms > HOME_WAIT_MS
     }
 
+    /// Returns the room of all upstreams that no begun work will need, in bytes.
+    ///
+    /// Work begins only where all of its results fit; otherwise parts of many stages would take up
+    /// the room that each of them needs to be done.
+    fn unpromised_bytes(&mut self, homes: &Homes, now_ms: u64) -> u64 {
+        let room_bytes = self.service.room_bytes;
+        let mut free_bytes = 0;
+        for key in homes.places.keys() {
+            let Some(engine) = self.engines.get_mut(key) else { continue };
+            free_bytes += engine.free_bytes(room_bytes, now_ms);
+        }
+        let begun = self.groups.values().filter(|it| !it.is_untouched());
+        let promised: u64 = begun.map(|it| it.work.result_bytes * it.waiting.len() as u64).sum();
+        free_bytes.saturating_sub(promised)
+    }
+
+    /// Tells whether no result exists and none is being made.
+    fn is_all_room_free(&mut self, homes: &Homes, now_ms: u64) -> bool {
+        let room_bytes = self.service.room_bytes;
+        self.engines
+            .iter_mut()
+            .filter(|(key, _)| homes.places.contains_key(*key))
+            .all(|(_, it)| it.free_bytes(room_bytes, now_ms) == room_bytes)
+    }
+
     /// Chooses the pieces of one call within the batch and the room of the upstream.
     fn fill(
         &mut self,
@@ -396,6 +428,9 @@
         homes: &Homes,
         now_ms: u64,
     ) -> Vec<(GroupKey, usize)> {
+        let mut unpromised_bytes = self.unpromised_bytes(homes, now_ms);
+        let mut is_alone = self.is_all_room_free(homes, now_ms);
+        let mut begun: FastSet<GroupKey> = FastSet::default();
         let Some(state) = self.engines.get_mut(&engine) else { return Vec::new() };
         let mut room_bytes = state.free_bytes(self.service.room_bytes, now_ms);
         let pace = state.pace(now_ms);
@@ -412,6 +447,22 @@
             if self.belongs_elsewhere(work, engine, homes, now_ms) {
                 continue;
             }
+            let is_new = self.groups.get(*group).is_some_and(Group::is_untouched);
+            if is_new && !begun.contains(group) {
+                // A stage that is split over two calls holds its first results for longer.
+                let slots_left = self.service.batch.max(1) - pieces.len();
+                if work.pieces > slots_left && !pieces.is_empty() {
+                    continue;
+                }
+                let all_bytes = work.result_bytes * work.pieces as u64;
+                // Work that would never fit may try alone.
+                if all_bytes > unpromised_bytes && !is_alone {
+                    continue;
+                }
+                is_alone = false;
+                unpromised_bytes = unpromised_bytes.saturating_sub(all_bytes);
+                begun.insert(*group);
+            }
             room_bytes -= work.result_bytes;
             pieces.push((*group, *piece));
         }
--- a/crates/core/src/batching/order.rs
+++ b/crates/core/src/batching/order.rs
@@ -44,15 +44,21 @@
 /// Place in the queue; the smallest goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Place {
+    /// Work that has begun goes first, since its results take up room until it is done.
+    is_untouched: bool,
     is_late: bool,
     due_ms: u64,
 }
 
 impl StageWork {
     /// Returns the place of the work when a call that starts now takes `call_ms`.
-    pub(crate) fn place(&self, now_ms: u64, call_ms: f64) -> Place {
+    pub(crate) fn place(&self, is_untouched: bool, now_ms: u64, call_ms: f64) -> Place {
         let is_late = now_ms as f64 + call_ms > self.aim_ms as f64;
         let due_ms = if is_late { self.deadline_ms } else { self.aim_ms };
-        Place { is_late, due_ms: due_ms + u64::from(self.priority) * PRIORITY_STEP_MS }
+        Place {
+            is_untouched,
+            is_late,
+            due_ms: due_ms + u64::from(self.priority) * PRIORITY_STEP_MS,
+        }
     }
 }
--- a/crates/core/src/batching/tests.rs
+++ b/crates/core/src/batching/tests.rs
@@ -87,6 +87,31 @@
     assert_eq!(batcher.next_call(&engines, 250).unwrap().pieces.len(), 1);
 }
 
+#[test]
+fn work_begins_only_where_all_its_results_fit() {
+    let engines = engines(2);
+    let mut batcher = Batcher::new(StageService { room_bytes: 6_000_000, batch: 3, ..SERVICE });
+    // Each upstream has room for four results; two stages of five would leave both unfinished.
+    let first = batcher.submit(work(5, 1_000, 9_000));
+    let second = batcher.submit(work(5, 2_000, 9_000));
+    let mut calls = Vec::new();
+    while let Some(order) = batcher.next_call(&engines, 0) {
+        calls.push(order);
+    }
+    let pieces: Vec<_> = calls.iter().flat_map(|it| it.pieces.clone()).collect();
+    assert_eq!(pieces, (0..5).map(|it| (first, it)).collect::<Vec<_>>());
+    let mut handles = Vec::new();
+    for order in calls {
+        let settled = batcher.finish(order.call, answer(&order), 300);
+        handles.extend(settled.ended.into_iter().flat_map(|it| it.2));
+    }
+    assert_eq!(batcher.next_call(&engines, 300), None);
+    for handle in handles {
+        batcher.release(&handle);
+    }
+    assert!(batcher.next_call(&engines, 300).is_some_and(|it| it.pieces[0].0 == second));
+}
+
 #[test]
 fn work_that_cannot_meet_its_deadline_is_given_back_at_once() {
     let mut batcher = Batcher::new(SERVICE);
--- a/crates/entry/src/relay/stages.rs
+++ b/crates/entry/src/relay/stages.rs
@@ -302,6 +302,8 @@
     order: CallOrder,
     body: Option<Bytes>,
     limit_ms: u64,
+    /// Pieces that still wait in the queue.
+    waiting: usize,
 }
 
 impl StageCall {
@@ -323,7 +325,13 @@
         }
         let expected_ms = order.expected_end_ms.saturating_sub(now_ms);
         let limit_ms = (expected_ms * CALL_LIMIT_FACTOR).max(MIN_CALL_LIMIT_MS);
-        Self { service: service.clone(), order, body: body.ok(), limit_ms }
+        Self {
+            service: service.clone(),
+            order,
+            body: body.ok(),
+            limit_ms,
+            waiting: batcher.waiting(),
+        }
     }
 }
 
@@ -349,6 +357,7 @@
         service:% = call.service,
         upstream:? = call.order.engine,
         pieces = call.order.pieces.len(),
+        waiting = call.waiting,
         took_ms = relay.now_ms().saturating_sub(started_ms),
         expected_ms = call.order.expected_end_ms.saturating_sub(started_ms),
         outcome = outcome;
