--- a/crates/entry/src/relay/request.rs
+++ b/crates/entry/src/relay/request.rs
@@ -253,12 +253,6 @@
     uri: &Uri,
     head: &CallerHead,
 ) -> Result<Admission, Problem> {
-    // A message with both has more than one reading, which another hop may choose.
-    if headers.contains_key(header::CONTENT_LENGTH)
-        && headers.contains_key(header::TRANSFER_ENCODING)
-    {
-        return Err(bad_request("ambiguous_length", "The request states its length twice."));
-    }
     let stated = headers.get(header::HOST).and_then(|it| it.to_str().ok());
     let Some(host) = stated.or_else(|| uri.host()) else {
         return Err(bad_request("no_host", "The request names no host."));
