--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -27,6 +27,14 @@
 /// Time after which an idle connection is closed, in milliseconds.
 const POOL_IDLE_TIMEOUT_MS: u64 = 30_000;
 
+/// Silence after which a connection is probed, and time between two probes, in seconds.
+///
+/// A poll may wait for long, so a connection that went silent has to be noticed below it.
+const KEEPALIVE_S: u64 = 1;
+
+/// Probes without an answer after which a connection is closed.
+const KEEPALIVE_PROBES: u32 = 1;
+
 /// Client of the platform's object API; clones share connections and the call budget.
 #[derive(Clone, Debug)]
 pub struct Client {
@@ -45,6 +53,9 @@
     pub fn new(settings: ClientSettings) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
+        connector.set_keepalive(Some(Duration::from_secs(KEEPALIVE_S)));
+        connector.set_keepalive_interval(Some(Duration::from_secs(KEEPALIVE_S)));
+        connector.set_keepalive_retries(Some(KEEPALIVE_PROBES));
         connector.set_connect_timeout(Some(Duration::from_millis(settings.connect_timeout_ms)));
         let http = legacy::Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
--- a/crates/platform/src/poll.rs
+++ b/crates/platform/src/poll.rs
@@ -3,6 +3,8 @@
 //! The API's paths and bodies come from outside as plain functions, so that this client serves every
 //! wire form with the same connections, call budget and delays.
 
+use std::time::Duration;
+
 use log::{info, warn};
 use tokio::{sync::mpsc, task::JoinHandle};
 use tokio_util::sync::CancellationToken;
@@ -58,6 +60,9 @@
     pub backoff: BackoffSettings,
     /// Time for which the platform holds back a poll without changes, in milliseconds.
     pub wait_ms: u64,
+    /// Time between an answer with changes and the next poll, in milliseconds; changes that come
+    /// shortly after each other then cost one call.
+    pub gather_ms: u64,
     /// Number of updates that wait for the consumer before the poller pauses.
     pub queue: usize,
 }
@@ -66,8 +71,10 @@
     fn default() -> Self {
         Self {
             backoff: BackoffSettings { first_ms: 50, max_ms: 400 },
-            // A connection that went silent is noticed after this time and the request time-out.
-            wait_ms: 1_000,
+            // Each poll is paid for; the client's keep-alive notices a connection that went silent.
+            wait_ms: 20_000,
+            // An eighth of the two seconds in which a change has to be in force.
+            gather_ms: 250,
             queue: 64,
         }
     }
@@ -204,23 +211,28 @@
             PollUpdate::Changes(changes) => self.revision = Some(changes.revision),
             PollUpdate::Unavailable(_) | PollUpdate::Available => {}
         }
-        self.send(update).await
+        let has_changes = matches!(&update, PollUpdate::Changes(it) if !it.items.is_empty());
+        self.send(update).await?;
+        if has_changes {
+            tokio::time::sleep(Duration::from_millis(self.settings.gather_ms)).await;
+        }
+        Ok(())
     }
 
-    /// Waits after a failed call; the next round resumes, or lists when the history is gone.
+    /// Waits after a failed call; the next round lists.
+    ///
+    /// A poll that was cut may have heard nothing of changes before, and a platform that forgets its
+    /// history may let the next poll from the old revision wait instead of refusing it.
     async fn pause(&mut self, error: PlatformError) -> Result<(), ConsumerGone> {
+        self.revision = None;
         if matches!(error, PlatformError::Gone { .. }) {
             info!(kind = self.form.kind; "history is gone, listing again");
-            self.revision = None;
             return Ok(());
         }
         let retry_after_ms = match &error {
             PlatformError::Unavailable { retry_after_ms, .. } => *retry_after_ms,
             _ => None,
         };
-        if matches!(error, PlatformError::Invalid { .. }) {
-            self.revision = None;
-        }
         if self.is_available {
             self.is_available = false;
             warn!(kind = self.form.kind, error:% = error; "platform not available");
