Planned stop of an agent: send a burst so that the awaited queue stands

The known red test waited for a queue at an agent while two upstreams with two slots of 150 ms took 26.7 calls a second and 25 came, so whether a queue stood at one of the looks was chance. Slower calls were tried and dropped: at 400 ms deadlines passed and the tally counted broken calls. A burst of 30 calls makes the queue; all checks and limits stay.

--- a/crates/fakes/tests/planned_stop.rs
+++ b/crates/fakes/tests/planned_stop.rs
@@ -17,6 +17,11 @@
 /// Time between two requests while an agent stops.
 const INTERVAL: Duration = Duration::from_millis(40);
 
+/// Requests that are sent at once to make a queue.
+const BURST: usize = 30;
+/// Number of the first request of the burst; the steady traffic has lower ones.
+const FIRST_OF_BURST: usize = 100_000;
+
 /// Keeps one stack at a time on the machine.
 static ONE_STACK: Mutex<()> = Mutex::const_new(());
 
@@ -75,6 +80,8 @@
     let entries: Vec<SocketAddr> = stack.entries.iter().map(|it| it.address).collect();
     let traffic = Traffic::start(caller.clone(), entries.clone(), INTERVAL);
     let streamed = caller.pipeline_stream(entries[0], "draft", "long dispute");
+    // The steady traffic alone leaves it to chance whether a queue stands when the test looks.
+    let burst = join_all((0..BURST).map(|it| read_order(&caller, entries[0], FIRST_OF_BURST + it)));
     let stopped = async {
         let engine = stack.position("engines-north").expect("an engine");
         stack.wait_calls_running(engine, 1).await.expect("the stream runs");
@@ -92,7 +99,10 @@
         let before = stack.record(&stack.upstreams[orders]).await.expect("a record").calls;
         (before, orders)
     };
-    let (streamed, (before, orders)) = tokio::join!(streamed, stopped);
+    let (streamed, burst, (before, orders)) = tokio::join!(streamed, burst, stopped);
+    for verdict in burst {
+        assert!(matches!(verdict, Verdict::Whole | Verdict::NotRun(_)), "{verdict:?}");
+    }
     assert!(is_whole_draft(&streamed.expect("a stream"), "long dispute"));
     let tally = traffic.close().await;
     let after = stack.record(&stack.upstreams[orders]).await.expect("a record").calls;
