--- a/crates/core/src/batching/mod.rs
+++ b/crates/core/src/batching/mod.rs
@@ -8,6 +8,7 @@
 
 mod batcher;
 mod engine;
+mod fill;
 mod order;
 
 pub use batcher::{
--- a/crates/core/src/batching/tests.rs
+++ b/crates/core/src/batching/tests.rs
@@ -75,7 +75,7 @@
 #[test]
 fn a_call_holds_no_more_results_than_the_upstream_has_room_for() {
     let engines = engines(1);
-    let mut batcher = Batcher::new(StageService { room_bytes: 4_500_000, ..SERVICE });
+    let mut batcher = Batcher::new(StageService { room_bytes: 5_000_000, ..SERVICE });
     batcher.submit(work(5, 5_000, 9_000));
     let order = batcher.next_call(&engines, 0).unwrap();
     assert_eq!(order.pieces.len(), 3);
--- a/crates/entry/src/relay/release.rs
+++ b/crates/entry/src/relay/release.rs
@@ -89,7 +89,6 @@
         }
         let own = mem::take(&mut *lock(&self.own));
         for (maker, handles) in own {
-            relay.stages.note_released(relay, &handles);
             // Results do not outlive their maker.
             let Some(key) = relay.upstreams().at_address(maker) else { continue };
             tokio::spawn(release(relay.clone(), key, handles));
@@ -140,7 +139,10 @@
     let outgoing = Outgoing { method: Method::POST, uri, headers, body, request_id: None };
     match attempt.send(&outgoing).await {
         Ok((response, answer)) => match response.into_body().collect().await {
-            Ok(_) => attempt.finish(&answer),
+            Ok(_) => {
+                attempt.finish(&answer);
+                relay.stages.note_released(&relay, &handles);
+            }
             Err(error) => warn!(upstream:% = attempt.record.id, error:% = error; "release failed"),
         },
         Err(error) => {
