--- a/crates/entry/src/relay/plain.rs
+++ b/crates/entry/src/relay/plain.rs
@@ -71,6 +71,9 @@
             Ok(outcome) => outcome,
             Err(_) => {
                 warn!(id:% = request.id, upstream:% = attempt.record.id, limit_ms = try_ms; "no answer in time");
+                if request.remaining_ms(relay.now_ms()) == 0 {
+                    return Err(Refusal::timed_out("time_over"));
+                }
                 Ok((Tried::Lost, None))
             }
         };
