--- a/crates/core/src/stage_graph/mod.rs
+++ b/crates/core/src/stage_graph/mod.rs
@@ -83,6 +83,14 @@
         }
     }
 
+    /// Makes the stages whose results `stage` reads run again, and everything that read them.
+    pub fn restart_inputs(&mut self, stage: usize) {
+        for before in self.after[stage].clone() {
+            self.restart(before);
+        }
+        self.restart(stage);
+    }
+
     /// Tells whether every stage has its results.
     pub fn is_done(&self) -> bool {
         self.states.iter().all(|it| matches!(it, StageState::Done(_)))
--- a/crates/core/src/stage_graph/tests.rs
+++ b/crates/core/src/stage_graph/tests.rs
@@ -57,6 +57,20 @@
     assert_eq!(open, [(0, 1), (1, 1)]);
 }
 
+#[test]
+fn a_stage_without_its_inputs_makes_only_the_stages_before_it_run_again() {
+    let stages = [stage(&[]), stage(&[0]), stage(&[1])];
+    let mut graph = StageGraph::new(&stages, &[1, 1, 1]);
+    graph.start_ready();
+    graph.finish(0, handles(&["a"]));
+    graph.start_ready();
+    graph.finish(1, handles(&["b"]));
+    graph.start_ready();
+    graph.restart_inputs(2);
+    let inputs = Some(handles(&["a"]));
+    assert_eq!(graph.start_ready(), [ReadyStage { stage: 1, pieces: 1, inputs }]);
+}
+
 #[test]
 fn the_time_left_is_that_of_the_longest_chain() {
     let stages = [stage(&[]), stage(&[]), stage(&[1])];
--- a/crates/entry/src/relay/model.rs
+++ b/crates/entry/src/relay/model.rs
@@ -22,7 +22,7 @@
 const PROMPT_TOKENS_PER_MS: f64 = 40.0;
 /// Time of a model upstream beside reading the prompt, in milliseconds.
 const MODEL_START_MS: f64 = 60.0;
-/// Times that lost results are made again for one request.
+/// Times that lost results are made again for one request; its deadline bounds them further.
 const MAX_RESTARTS: u32 = 1;
 /// Size from which a result is made late rather than early, in bytes.
 const LARGE_RESULT_BYTES: u64 = 100_000;
@@ -143,6 +143,7 @@
     data_centre: Option<&Arc<str>>,
 ) -> Result<(), Refusal> {
     let mut running = FuturesUnordered::new();
+    let mut restarts = 0;
     loop {
         for ready in graph.start_ready() {
             let work = stage_work(relay, request, graph, &ready, data_centre);
@@ -163,6 +164,11 @@
                 graph.finish(stage, handles);
             }
             GroupEnd::Late => return Err(Refusal::busy("stage_late", MIN_STAGE_RETRY_MS)),
+            GroupEnd::InputGone if restarts < MAX_RESTARTS => {
+                info!(id:% = request.id, stage = stage; "an input is gone, the stages before run again");
+                restarts += 1;
+                graph.restart_inputs(stage);
+            }
             GroupEnd::InputGone => return Err(Refusal::busy("results_gone", MIN_STAGE_RETRY_MS)),
             GroupEnd::Failed => return Err(Refusal::busy("stage_failed", MIN_STAGE_RETRY_MS)),
         }
