Entries pass newer configurations on to each other

A revoked key stayed good at an entry that the store turned away; the test failed before and passes.

--- a/crates/core/src/route_table/configuration.rs
+++ b/crates/core/src/route_table/configuration.rs
@@ -2,8 +2,10 @@
 
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 /// One version of the configuration in full.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Configuration {
     /// Version, which only rises.
     pub version: u64,
@@ -18,7 +20,7 @@
 }
 
 /// What may be repeated on a route, and the form of its answers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RouteKind {
     /// A call that may run more than once.
     Idempotent,
@@ -29,7 +31,7 @@
 }
 
 /// Rule for the requests of one host below one path.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     /// Name in logs and metrics.
     pub name: String,
@@ -71,7 +73,7 @@
 }
 
 /// One of the services that share a route's requests.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Target {
     /// Name of the service.
     pub service: Arc<str>,
@@ -80,7 +82,7 @@
 }
 
 /// One stage of a route.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct StageSpec {
     /// Service whose upstreams make the results.
     pub service: Arc<str>,
@@ -91,7 +93,7 @@
 }
 
 /// A service and the limits of each of its upstreams.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// Name that routes, stages and upstreams use.
     pub name: Arc<str>,
@@ -108,7 +110,7 @@
 }
 
 /// How one upstream of a stage service takes calls.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct StageService {
     /// Calls that run at the same time.
     pub slots: u32,
@@ -127,7 +129,7 @@
 }
 
 /// What a caller may send, and how long it may take.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Longest head of a request, in bytes.
     pub header_bytes: usize,
@@ -151,7 +153,7 @@
 }
 
 /// A customer with the keys that prove it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CustomerKeys {
     /// Name of the customer.
     pub name: Arc<str>,
--- a/crates/core/src/route_table/table.rs
+++ b/crates/core/src/route_table/table.rs
@@ -39,51 +39,51 @@
 /// Index of one configuration.
 #[derive(Clone, Debug, Default)]
 pub struct RouteTable {
-    version: u64,
+    configuration: Arc<Configuration>,
     /// Routes of each host, longest prefix first.
     hosts: FastMap<String, Vec<Arc<Route>>>,
     holders: FastMap<String, KeyHolder>,
     services: FastMap<Arc<str>, Arc<Service>>,
-    limits: CallerLimits,
-    needs_keys: bool,
 }
 
 impl RouteTable {
     /// Indexes a configuration.
     pub fn new(configuration: Configuration) -> Self {
-        let mut table = Self {
-            version: configuration.version,
-            limits: configuration.limits,
-            needs_keys: !configuration.customers.is_empty(),
-            ..Self::default()
-        };
-        for service in configuration.services {
-            table.services.insert(service.name.clone(), Arc::new(service));
+        let mut table = Self::default();
+        for service in &configuration.services {
+            table.services.insert(service.name.clone(), Arc::new(service.clone()));
         }
-        for customer in configuration.customers {
-            for key in customer.keys {
+        for customer in &configuration.customers {
+            for key in &customer.keys {
                 let holder =
                     KeyHolder { customer: customer.name.clone(), priority: customer.priority };
-                table.holders.insert(key, holder);
+                table.holders.insert(key.clone(), holder);
             }
         }
-        for route in configuration.routes {
-            table.hosts.entry(route.host.to_ascii_lowercase()).or_default().push(Arc::new(route));
+        for route in &configuration.routes {
+            let routes = table.hosts.entry(route.host.to_ascii_lowercase()).or_default();
+            routes.push(Arc::new(route.clone()));
         }
         for routes in table.hosts.values_mut() {
             routes.sort_by_key(|it| std::cmp::Reverse(it.path_prefix.len()));
         }
+        table.configuration = Arc::new(configuration);
         table
     }
 
     /// Returns the version of the configuration.
     pub fn version(&self) -> u64 {
-        self.version
+        self.configuration.version
+    }
+
+    /// Returns the configuration in full.
+    pub fn configuration(&self) -> &Arc<Configuration> {
+        &self.configuration
     }
 
     /// Returns what a caller may send.
     pub fn limits(&self) -> CallerLimits {
-        self.limits
+        self.configuration.limits
     }
 
     /// Returns a service by its name.
@@ -104,7 +104,8 @@
     pub fn admit(&self, host: &str, path: &str, key: Option<&str>) -> Result<Admission, Denial> {
         let route = self.find(host, path).ok_or(Denial::NoRoute)?;
         let holder = key.and_then(|it| self.holders.get(it));
-        if holder.is_none() && self.needs_keys && !route.is_anonymous {
+        let needs_key = !self.configuration.customers.is_empty() && !route.is_anonymous;
+        if holder.is_none() && needs_key {
             return Err(Denial::UnknownKey);
         }
         let priority = holder.and_then(|it| it.priority).unwrap_or(route.priority);
--- a/crates/entry/src/relay/peers.rs
+++ b/crates/entry/src/relay/peers.rs
@@ -22,6 +22,7 @@
 use yuccatrail_core::{
     FastMap, FastSet,
     ownership::{Candidate, owner},
+    route_table::{Configuration, RouteTable},
 };
 use yuccatrail_platform::{Client, PlatformError, PollUpdate, Poller, PollerSettings};
 use yuccatrail_rpc::{
@@ -190,7 +191,10 @@
         let hello = Hello { from: relay.settings.name.clone() };
         let asked = peer.client.hello(context_for(HELLO_TIMEOUT_MS), hello);
         match tokio::time::timeout(limit, asked).await {
-            Ok(Ok(reply)) => relay.peers.note_reply(name, reply, &peer),
+            Ok(Ok(reply)) => {
+                take_newer_configuration(relay, &peer, reply.config_version).await;
+                relay.peers.note_reply(name, reply, &peer);
+            }
             Ok(Err(error)) => return error.to_string(),
             Err(_) => return "no answer in time".to_owned(),
         }
@@ -198,6 +202,20 @@
     }
 }
 
+/// Takes over a newer configuration from an entry that the store has told of it.
+async fn take_newer_configuration(relay: &Relay, peer: &Peer, version: Option<u64>) {
+    if version <= relay.table().map(|it| it.version()) {
+        return;
+    }
+    match peer.client.configuration(context_for(HELLO_TIMEOUT_MS)).await {
+        Ok(Some(configuration)) => {
+            relay.adopt(RouteTable::new(Arc::unwrap_or_clone(configuration)), &peer.name);
+        }
+        Ok(None) => {}
+        Err(error) => warn!(entry:% = peer.name, error:% = error; "newer configuration not heard"),
+    }
+}
+
 /// Returns the context of a call that is given up after a time in milliseconds.
 pub(crate) fn context_for(limit_ms: u64) -> Context {
     let mut context = context::current();
@@ -300,7 +318,12 @@
 impl EntryPeer for Connection {
     async fn hello(self, _: Context, _: Hello) -> HelloReply {
         let queues = self.relay.stages.states(&self.relay);
-        HelloReply { takes_work: self.relay.is_ready(), queues }
+        let config_version = self.relay.table().map(|it| it.version());
+        HelloReply { takes_work: self.relay.is_ready(), config_version, queues }
+    }
+
+    async fn configuration(self, _: Context) -> Option<Arc<Configuration>> {
+        self.relay.table().map(|it| it.configuration().clone())
     }
 
     async fn run_stage(self, _: Context, request: StageRequest) -> StageReply {
--- a/crates/rpc/src/entries.rs
+++ b/crates/rpc/src/entries.rs
@@ -1,7 +1,12 @@
 //! Calls among entries that share the work of stage services.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
-use yuccatrail_core::batching::{GroupEnd, PieceSource};
+use yuccatrail_core::{
+    batching::{GroupEnd, PieceSource},
+    route_table::Configuration,
+};
 
 /// Asks another entry whether it takes work.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -15,6 +20,8 @@
 pub struct HelloReply {
     /// Whether the entry takes work: it knows what it has to know and does not stop.
     pub takes_work: bool,
+    /// Version of the configuration in force; none before the first.
+    pub config_version: Option<u64>,
     /// Queues of the stage services.
     pub queues: Vec<QueueState>,
 }
@@ -67,6 +74,8 @@
 pub trait EntryPeer {
     /// Tells whether the entry takes work.
     async fn hello(request: Hello) -> HelloReply;
+    /// Returns the configuration in force; none before the first.
+    async fn configuration() -> Option<Arc<Configuration>>;
     /// Makes all pieces of one stage.
     async fn run_stage(request: StageRequest) -> StageReply;
     /// Releases results that nobody needs any more.
