--- a/crates/entry/src/relay/mod.rs
+++ b/crates/entry/src/relay/mod.rs
@@ -17,7 +17,7 @@
 
 use std::{io, process::ExitCode, sync::Arc, time::Duration};
 
-use log::{error, info, warn};
+use log::{info, warn};
 use tokio::{
     net::TcpListener,
     signal::unix::{SignalKind, signal},
@@ -25,11 +25,14 @@
 };
 use tokio_util::sync::CancellationToken;
 use yuccatrail_platform::{BudgetSettings, Client, ClientSettings};
-use yuccatrail_runtime::{http, logging, shutdown};
+use yuccatrail_runtime::{http, shutdown};
 
-use crate::relay::{
-    server::{answer_metrics, answer_ready, serve_callers},
-    state::Relay,
+use crate::{
+    relay::{
+        server::{answer_metrics, answer_ready, serve_callers},
+        state::Relay,
+    },
+    serve::with_logs,
 };
 
 pub(crate) use settings::{RelaySettings, options, with_rendered_settings};
@@ -48,17 +51,7 @@
 
 /// Serves callers until a planned stop has finished.
 pub(crate) async fn run(settings: RelaySettings) -> ExitCode {
-    if let Err(error) = logging::install(settings.log_level) {
-        eprintln!("{error}");
-        return ExitCode::FAILURE;
-    }
-    match serve(settings).await {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            error!(error:% = error; "relay failed");
-            ExitCode::FAILURE
-        }
-    }
+    with_logs(settings.log_level, serve(settings)).await
 }
 
 async fn serve(settings: RelaySettings) -> io::Result<()> {
--- a/crates/entry/src/relay/plain.rs
+++ b/crates/entry/src/relay/plain.rs
@@ -27,16 +27,14 @@
 /// Wait that is proposed when no upstream takes the call, in milliseconds: a few calls' time.
 const BUSY_RETRY_MS: u64 = 200;
 
-/// What one attempt brought.
+/// What an answered attempt brought.
 enum Tried {
     /// An answer to pass on.
     Answer(Response<AnswerBody>),
-    /// A failure that the upstream reported, which may be passed on if nothing better comes.
+    /// A failure that the upstream reported, which is passed on if nothing better comes.
     Failure(Response<AnswerBody>),
     /// The upstream did not run the call.
     NotRun,
-    /// The call may have run and has no answer.
-    Lost,
 }
 
 /// Serves a call of a plain service.
@@ -45,72 +43,51 @@
     request: &CallerRequest,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let route = &request.admission.route;
+    let max_runs = if route.is_repeatable() { route.max_attempts } else { 1 };
     let mut tried: Vec<UpstreamKey> = Vec::new();
     let (mut runs, mut arrivals) = (0, 0);
     let mut failure = None;
-    while tried.len() < MAX_TRIES {
+    while tried.len() < MAX_TRIES && (runs == 0 || runs < max_runs) {
         let Some(mut attempt) = next_upstream(relay, request, &tried) else { break };
         if arrivals > 0 && !take_retry(relay, request) {
             break;
         }
         tried.push(attempt.key);
-        let may_repeat = route.is_repeatable() && runs + 1 < route.max_attempts;
-        let now_ms = relay.now_ms();
-        let try_ms = try_limit_ms(request, may_repeat, now_ms);
-        let limit = Duration::from_millis(try_ms);
-        info!(
-            id:% = request.id,
-            upstream:% = attempt.record.id,
-            in_progress = relay.upstreams().get(attempt.key).map_or(0, |it| it.in_flight),
-            list_sequence = attempt.record.sequence,
-            attempt = tried.len();
-            "upstream chosen"
-        );
+        log_choice(relay, request, &attempt, tried.len());
+        let limit_ms = try_limit_ms(request, runs + 1 < max_runs, relay.now_ms());
+        let limit = Duration::from_millis(limit_ms);
         let outcome = tokio::time::timeout(limit, try_once(relay, request, &mut attempt)).await;
-        let outcome = match outcome {
-            Ok(outcome) => outcome,
-            Err(_) => {
-                warn!(id:% = request.id, upstream:% = attempt.record.id, limit_ms = try_ms; "no answer in time");
-                if request.remaining_ms(relay.now_ms()) == 0 {
-                    return Err(Refusal::timed_out("time_over"));
-                }
-                Ok((Tried::Lost, None))
-            }
-        };
+        let outcome =
+            outcome.unwrap_or_else(|_| Err(AttemptError::Lost(format!("none in {limit_ms} ms"))));
         match outcome {
-            Ok((Tried::Answer(response), answer)) => {
-                if let Some(answer) = answer {
-                    attempt.finish(&answer);
-                }
-                return Ok(response);
-            }
-            Ok((Tried::Failure(response), answer)) => {
-                if let Some(answer) = answer {
-                    attempt.finish(&answer);
-                }
-                (runs, arrivals) = (runs + 1, arrivals + 1);
-                failure = Some(response);
-            }
-            Ok((Tried::NotRun, answer)) => {
-                if let Some(answer) = answer {
-                    attempt.finish(&answer);
-                }
+            Ok((result, answer)) => {
+                attempt.finish(&answer);
                 arrivals += 1;
-            }
-            Ok((Tried::Lost, _)) => {
-                attempt.fail();
-                (runs, arrivals) = (runs + 1, arrivals + 1);
+                match result {
+                    Tried::Answer(response) => return Ok(response),
+                    Tried::Failure(response) => {
+                        runs += 1;
+                        failure = Some(response);
+                    }
+                    Tried::NotRun => {}
+                }
             }
             Err(error) => {
-                warn!(id:% = request.id, upstream:% = attempt.record.id, error:% = error; "attempt failed");
+                warn!(
+                    id:% = request.id,
+                    upstream:% = attempt.record.id,
+                    error:% = error;
+                    "attempt failed"
+                );
+                attempt.fail();
+                if request.remaining_ms(relay.now_ms()) == 0 {
+                    return Err(Refusal::timed_out("time_over"));
+                }
                 if !matches!(error, AttemptError::Unreachable(_)) {
                     (runs, arrivals) = (runs + 1, arrivals + 1);
                 }
             }
         }
-        if runs > 0 && (!route.is_repeatable() || runs >= route.max_attempts) {
-            break;
-        }
     }
     if let Some(response) = failure {
         return Ok(response);
@@ -119,6 +96,17 @@
     Err(Refusal::busy(reason, BUSY_RETRY_MS))
 }
 
+fn log_choice(relay: &Relay, request: &CallerRequest, attempt: &Attempt, number: usize) {
+    info!(
+        id:% = request.id,
+        upstream:% = attempt.record.id,
+        in_progress = relay.upstreams().get(attempt.key).map_or(0, |it| it.in_flight),
+        list_sequence = attempt.record.sequence,
+        attempt = number;
+        "upstream chosen"
+    );
+}
+
 fn next_upstream(
     relay: &Arc<Relay>,
     request: &CallerRequest,
@@ -161,24 +149,14 @@
     relay: &Relay,
     request: &CallerRequest,
     attempt: &mut Attempt,
-) -> Result<(Tried, Option<UpstreamAnswer>), AttemptError> {
+) -> Result<(Tried, UpstreamAnswer), AttemptError> {
     let outgoing = request.outgoing(&attempt.record, relay.now_ms(), None, None);
-    request.mark_sent();
-    let (response, answer) = match attempt.send(&outgoing).await {
-        Ok(sent) => sent,
-        Err(error) => {
-            if matches!(error, AttemptError::Unreachable(_)) {
-                request.mark_not_run();
-            }
-            return Err(error);
-        }
-    };
+    let (response, answer) = request.send(attempt, &outgoing).await?;
     let (parts, body) = response.into_parts();
     let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
     let body = body.map_err(|error| AttemptError::Lost(error.to_string()))?.to_bytes();
     if answer.is_not_run {
-        request.mark_not_run();
-        return Ok((Tried::NotRun, Some(answer)));
+        return Ok((Tried::NotRun, answer));
     }
     if parts.status.is_success() && (!answer.is_sealed || answer.is_encoded) {
         return Err(AttemptError::Damaged("it lacks the upstream's signature".to_owned()));
@@ -198,7 +176,7 @@
         took_ms = took_ms;
         "upstream answered"
     );
-    Ok((tried, Some(answer)))
+    Ok((tried, answer))
 }
 
 fn pass_on(status: StatusCode, headers: &hyper::HeaderMap, body: Bytes) -> Response<AnswerBody> {
--- a/crates/entry/src/relay/request.rs
+++ b/crates/entry/src/relay/request.rs
@@ -12,7 +12,9 @@
 use http_body_util::{BodyExt, Limited, combinators::UnsyncBoxBody};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming, header};
 use log::info;
-use yuccatrail_adapter::{CallHead, CallerHead, decode_caller, retry_after, upstream_headers};
+use yuccatrail_adapter::{
+    CallHead, CallerHead, UpstreamAnswer, decode_caller, retry_after, upstream_headers,
+};
 use yuccatrail_core::{
     outcome::Execution,
     route_table::{Admission, Denial, RouteKind, RouteTable},
@@ -22,7 +24,7 @@
 use crate::{
     caller::problem::Problem,
     relay::{
-        attempt::Outgoing,
+        attempt::{Attempt, AttemptError, Outgoing},
         metrics::RequestLabels,
         model, plain,
         state::{InProgress, Relay},
@@ -100,14 +102,23 @@
         self.arrived_ms + self.admission.route.aim_ms
     }
 
-    /// Notes that the request is about to be sent, so that an upstream may run it from now on.
-    pub(crate) fn mark_sent(&self) {
+    /// Sends the request and keeps account of whether an upstream may have run it.
+    pub(crate) async fn send(
+        &self,
+        attempt: &mut Attempt,
+        outgoing: &Outgoing,
+    ) -> Result<(Response<Incoming>, UpstreamAnswer), AttemptError> {
+        // Counted before the first byte, so that a cancelled call counts as one that may have run.
         self.sent.fetch_add(1, Ordering::Relaxed);
-    }
-
-    /// Notes that the request that was marked last has certainly not run.
-    pub(crate) fn mark_not_run(&self) {
-        self.sent.fetch_sub(1, Ordering::Relaxed);
+        let sent = attempt.send(outgoing).await;
+        let is_not_run = match &sent {
+            Ok((_, answer)) => answer.is_not_run,
+            Err(error) => matches!(error, AttemptError::Unreachable(_)),
+        };
+        if is_not_run {
+            self.sent.fetch_sub(1, Ordering::Relaxed);
+        }
+        sent
     }
 
     /// Builds the request to an upstream.
--- a/crates/entry/src/relay/settings.rs
+++ b/crates/entry/src/relay/settings.rs
@@ -7,6 +7,8 @@
 use yuccatrail_core::retry_share::RetryLimit;
 use yuccatrail_runtime::settings;
 
+use crate::settings as entry_settings;
+
 /// Subcommand whose settings the platform renders.
 const COMMAND: &str = "relay";
 
@@ -48,29 +50,17 @@
 pub(crate) fn options() -> impl Parser<RelaySettings> {
     let name = settings::name();
     let data_centre = settings::data_centre();
-    let listen = settings::address(
-        "listen",
-        "YUCCATRAIL_LISTEN",
-        "Address on which callers reach the entry",
-    );
+    let listen = entry_settings::listen();
     let ready_listen = settings::address(
         "ready-listen",
         "YUCCATRAIL_READY_LISTEN",
         "Address on which the platform asks whether the entry takes callers",
     );
-    let peer_listen = settings::address(
-        "peer-listen",
-        "YUCCATRAIL_PEER_LISTEN",
-        "Address on which other entries reach the entry",
-    );
+    let peer_listen = entry_settings::peer_listen();
     let metrics_listen =
         settings::address("metrics-listen", "YUCCATRAIL_METRICS_LISTEN", "Address of the metrics")
             .optional();
-    let platform = settings::address(
-        "platform",
-        "YUCCATRAIL_PLATFORM",
-        "Address of the platform's object store",
-    );
+    let platform = entry_settings::platform();
     let cpu_share = long("cpu-share")
         .env("YUCCATRAIL_CPU_SHARE")
         .help("Part of a core that the process may use")
--- a/crates/entry/src/relay/stream.rs
+++ b/crates/entry/src/relay/stream.rs
@@ -195,19 +195,9 @@
         let inputs = (!self.call.inputs.is_empty()).then(|| self.call.inputs.join(","));
         let now_ms = relay.now_ms();
         let outgoing = request.outgoing(&attempt.record, now_ms, inputs, self.last_id);
-        request.mark_sent();
-        let (response, answer) = match attempt.send(&outgoing).await {
-            Ok(sent) => sent,
-            Err(error) => {
-                if matches!(error, AttemptError::Unreachable(_)) {
-                    request.mark_not_run();
-                }
-                return Err(error);
-            }
-        };
+        let (response, answer) = request.send(&mut attempt, &outgoing).await?;
         let (parts, mut body) = response.into_parts();
         if answer.is_not_run {
-            request.mark_not_run();
             // Only a whole answer leaves the connection usable.
             if body.collect().await.is_ok() {
                 let is_input_gone = answer.is_input_gone;
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -2,7 +2,7 @@
 
 use std::{io, process::ExitCode, sync::Arc, time::Duration};
 
-use log::{error, info, warn};
+use log::{LevelFilter, error, info, warn};
 use tokio::{net::TcpListener, task::JoinSet};
 use tokio_util::sync::CancellationToken;
 use yuccatrail_core::drain::{PlannedStop, StopPhase, StopSettings};
@@ -22,11 +22,19 @@
 
 /// Serves callers until a planned stop has finished.
 pub(crate) async fn run(settings: Settings) -> ExitCode {
-    if let Err(error) = logging::install(settings.log_level) {
+    with_logs(settings.log_level, serve(settings)).await
+}
+
+/// Runs an entry with the process's logger and turns its end into an exit code.
+pub(crate) async fn with_logs(
+    level: LevelFilter,
+    entry: impl Future<Output = io::Result<()>>,
+) -> ExitCode {
+    if let Err(error) = logging::install(level) {
         eprintln!("{error}");
         return ExitCode::FAILURE;
     }
-    match serve(settings).await {
+    match entry.await {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             error!(error:% = error; "entry failed");
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -35,21 +35,9 @@
 pub(crate) fn options() -> impl Parser<Settings> {
     let name = settings::name();
     let data_centre = settings::data_centre();
-    let listen = settings::address(
-        "listen",
-        "YUCCATRAIL_LISTEN",
-        "Address on which callers reach the entry",
-    );
-    let peer_listen = settings::address(
-        "peer-listen",
-        "YUCCATRAIL_PEER_LISTEN",
-        "Address on which other entries reach the entry",
-    );
-    let platform = settings::address(
-        "platform",
-        "YUCCATRAIL_PLATFORM",
-        "Address of the platform's object API",
-    );
+    let listen = listen();
+    let peer_listen = peer_listen();
+    let platform = platform();
     let environment = long("environment")
         .env("YUCCATRAIL_ENVIRONMENT")
         .help("Environment whose configuration is served")
@@ -77,3 +65,22 @@
         worker_threads,
     })
 }
+
+/// Parses the address on which callers reach the entry.
+pub(crate) fn listen() -> impl Parser<SocketAddr> {
+    settings::address("listen", "YUCCATRAIL_LISTEN", "Address on which callers reach the entry")
+}
+
+/// Parses the address on which other entries reach the entry.
+pub(crate) fn peer_listen() -> impl Parser<SocketAddr> {
+    settings::address(
+        "peer-listen",
+        "YUCCATRAIL_PEER_LISTEN",
+        "Address on which other entries reach the entry",
+    )
+}
+
+/// Parses the address of the platform's object API.
+pub(crate) fn platform() -> impl Parser<SocketAddr> {
+    settings::address("platform", "YUCCATRAIL_PLATFORM", "Address of the platform's object API")
+}
