--- a/crates/runtime/src/logging.rs
+++ b/crates/runtime/src/logging.rs
@@ -96,7 +96,7 @@
     }
 
     fn report_left_out(&mut self) {
-        if self.left_out == 0 {
+        if self.left_out == 0 || self.buffer.len() >= MAX_BUFFER_BYTES {
             return;
         }
         let line = json!({
