--- a/crates/entry/src/relay/mod.rs
+++ b/crates/entry/src/relay/mod.rs
@@ -54,11 +54,13 @@
     with_logs(settings.log_level, serve(settings)).await
 }
 
-async fn serve(settings: RelaySettings) -> io::Result<()> {
+async fn serve(mut settings: RelaySettings) -> io::Result<()> {
     let signal = shutdown::stop_signal()?;
     let callers = TcpListener::bind(settings.listen).await?;
     let ready = TcpListener::bind(settings.ready_listen).await?;
     let peers = TcpListener::bind(settings.peer_listen).await?;
+    // The other entries need the port that was bound, also where any free one was asked for.
+    settings.peer_listen = peers.local_addr()?;
     let client = Client::new(ClientSettings {
         address: settings.platform,
         request_timeout_ms: STORE_TIMEOUT_MS,
