Relay: one call for the system's own requests to upstreams; drop unused state

Stage calls and releases built and read their requests alike. The mark of a reused connection, a limit that was never set and an unused count go.

--- a/crates/core/src/batching/batcher.rs
+++ b/crates/core/src/batching/batcher.rs
@@ -170,11 +170,6 @@
         self.groups.values().map(|it| it.waiting.len()).sum()
     }
 
-    /// Returns the number of calls in progress.
-    pub fn calls(&self) -> usize {
-        self.calls.len()
-    }
-
     /// Notes that a result no longer takes up room.
     pub fn release(&mut self, handle: &str) {
         for engine in self.engines.values_mut() {
--- a/crates/core/src/upstreams/choose.rs
+++ b/crates/core/src/upstreams/choose.rs
@@ -45,8 +45,6 @@
     pub affinity: Option<&'a Affinity>,
     /// Upstreams that were tried before.
     pub excluded: &'a [UpstreamKey],
-    /// Largest number of own calls in progress at one upstream; none for no limit.
-    pub max_in_flight: Option<u32>,
 }
 
 impl Upstreams {
@@ -100,9 +98,6 @@
 
 impl Upstream {
     fn fits(&self, wanted: &Wanted<'_>) -> bool {
-        if wanted.max_in_flight.is_some_and(|it| self.in_flight >= it) {
-            return false;
-        }
         let Some(model) = wanted.model else { return true };
         self.record.models.is_empty() || self.record.models.iter().any(|it| it == model)
     }
--- a/crates/entry/src/relay/attempt.rs
+++ b/crates/entry/src/relay/attempt.rs
@@ -4,9 +4,9 @@
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
-use http_body_util::Full;
-use hyper::{HeaderMap, Method, Request, Response, Uri, body::Incoming};
-use yuccatrail_adapter::{UpstreamAnswer, decode_answer};
+use http_body_util::{BodyExt, Full};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming};
+use yuccatrail_adapter::{UpstreamAnswer, decode_answer, system_headers};
 use yuccatrail_core::upstreams::{CallEnd, UpstreamKey, UpstreamRecord};
 
 use crate::relay::{
@@ -123,6 +123,26 @@
         Ok((response, answer))
     }
 
+    /// Makes a call of the system's own and reads its whole answer.
+    pub(crate) async fn post(
+        &mut self,
+        path: &'static str,
+        body: Bytes,
+    ) -> Result<(StatusCode, UpstreamAnswer, Bytes), AttemptError> {
+        let outgoing = Outgoing {
+            method: Method::POST,
+            uri: Uri::from_static(path),
+            headers: system_headers(&self.record.id, self.record.address),
+            body,
+            request_id: None,
+        };
+        let (response, answer) = self.send(&outgoing).await?;
+        let status = response.status();
+        let body = response.into_body().collect().await;
+        let body = body.map_err(|error| AttemptError::Lost(error.to_string()))?;
+        Ok((status, answer, body.to_bytes()))
+    }
+
     /// Notes that the whole answer was read and keeps the connection.
     pub(crate) fn finish(mut self, answer: &UpstreamAnswer) {
         let latency_ms = self.latency_ms;
--- a/crates/entry/src/relay/model.rs
+++ b/crates/entry/src/relay/model.rs
@@ -96,7 +96,6 @@
         data_centre: Some(&relay.settings.data_centre),
         affinity,
         excluded,
-        max_in_flight: None,
     }
 }
 
--- a/crates/entry/src/relay/pool.rs
+++ b/crates/entry/src/relay/pool.rs
@@ -54,8 +54,6 @@
 pub(crate) struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
-    /// Whether it has served a request before.
-    pub(crate) is_reused: bool,
 }
 
 impl Drop for Connection {
@@ -93,14 +91,13 @@
     pub(crate) fn keep(
         &self,
         upstream: UpstreamKey,
-        mut connection: Connection,
+        connection: Connection,
         idle_timeout_ms: Option<u64>,
         now_ms: u64,
     ) {
         if connection.sender.is_closed() {
             return;
         }
-        connection.is_reused = true;
         let own_ms = idle_timeout_ms.map_or(IDLE_MS, |it| (it as f64 * IDLE_PART) as u64);
         let expires_ms = now_ms + own_ms.min(IDLE_MS);
         let mut idle = self.lock();
@@ -140,7 +137,7 @@
             // The request in progress reports how the connection ended.
             let _ = connection.await;
         });
-        Ok(Self { sender, driver, is_reused: false })
+        Ok(Self { sender, driver })
     }
 
     /// Sends a request and waits for the head of its answer.
--- a/crates/entry/src/relay/release.rs
+++ b/crates/entry/src/relay/release.rs
@@ -6,14 +6,12 @@
     sync::{Arc, Mutex},
 };
 
-use http_body_util::BodyExt;
-use hyper::{Method, Uri};
 use log::warn;
 use yuccatrail_adapter::{FREE_PATH, encode_free, maker_of};
 use yuccatrail_core::{FastMap, stage_graph::ResultHandle, upstreams::UpstreamKey};
 
 use crate::relay::{
-    attempt::{Attempt, Outgoing},
+    attempt::Attempt,
     peers::{Owner, Peer, context_for},
     state::{Relay, lock},
 };
@@ -134,17 +132,11 @@
         }
     };
     let Some(mut attempt) = Attempt::begin(&relay, key) else { return };
-    let headers = yuccatrail_adapter::system_headers(&attempt.record.id, attempt.record.address);
-    let uri = Uri::from_static(FREE_PATH);
-    let outgoing = Outgoing { method: Method::POST, uri, headers, body, request_id: None };
-    match attempt.send(&outgoing).await {
-        Ok((response, answer)) => match response.into_body().collect().await {
-            Ok(_) => {
-                attempt.finish(&answer);
-                relay.stages.note_released(&relay, &handles);
-            }
-            Err(error) => warn!(upstream:% = attempt.record.id, error:% = error; "release failed"),
-        },
+    match attempt.post(FREE_PATH, body).await {
+        Ok((_, answer, _)) => {
+            attempt.finish(&answer);
+            relay.stages.note_released(&relay, &handles);
+        }
         Err(error) => {
             let upstream = &attempt.record.id;
             warn!(upstream:% = upstream, results = handles.len(), error:% = error; "release failed");
--- a/crates/entry/src/relay/stages.rs
+++ b/crates/entry/src/relay/stages.rs
@@ -6,8 +6,6 @@
 };
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use hyper::{Method, Uri};
 use log::{info, warn};
 use tokio::sync::oneshot;
 use yuccatrail_adapter::{STAGE_PATH, StageCallItem, decode_stage_results, encode_stage_call};
@@ -23,7 +21,7 @@
 use yuccatrail_rpc::entries::{QueueState, StageRequest};
 
 use crate::relay::{
-    attempt::{Attempt, AttemptError, Outgoing},
+    attempt::{Attempt, AttemptError},
     metrics::ServiceLabels,
     peers::{Owner, context_for, queue_state},
     state::{Relay, lock},
@@ -371,21 +369,10 @@
     let Some(mut attempt) = Attempt::begin(relay, call.order.engine) else {
         return CallResult::Full;
     };
-    let headers = yuccatrail_adapter::system_headers(&attempt.record.id, attempt.record.address);
-    let uri = Uri::from_static(STAGE_PATH);
-    let outgoing = Outgoing { method: Method::POST, uri, headers, body, request_id: None };
-    let (response, answer) = match attempt.send(&outgoing).await {
-        Ok(sent) => sent,
+    let (status, answer, body) = match attempt.post(STAGE_PATH, body).await {
+        Ok(answered) => answered,
         Err(error) => {
             log_failure(&attempt, &error);
-            return CallResult::Failed;
-        }
-    };
-    let status = response.status();
-    let body = match response.into_body().collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) => {
-            log_failure(&attempt, &AttemptError::Lost(error.to_string()));
             attempt.fail();
             return CallResult::Failed;
         }
@@ -394,23 +381,17 @@
         attempt.finish(&answer);
         return CallResult::Full;
     }
-    let results = decode_stage_results(&body, call.order.pieces.len());
-    match results {
+    let detail = match decode_stage_results(&body, call.order.pieces.len()) {
         Ok(results) if status.is_success() => {
             attempt.finish(&answer);
-            CallResult::Answered(results)
-        }
-        Ok(_) => {
-            log_failure(&attempt, &AttemptError::Damaged(format!("status {status}")));
-            attempt.fail();
-            CallResult::Failed
-        }
-        Err(detail) => {
-            log_failure(&attempt, &AttemptError::Damaged(format!("status {status}: {detail}")));
-            attempt.fail();
-            CallResult::Failed
+            return CallResult::Answered(results);
         }
-    }
+        Ok(_) => format!("status {status}"),
+        Err(detail) => format!("status {status}: {detail}"),
+    };
+    log_failure(&attempt, &AttemptError::Damaged(detail));
+    attempt.fail();
+    CallResult::Failed
 }
 
 fn log_failure(attempt: &Attempt, error: &AttemptError) {
