Agent: a call reaches only the run of the upstream that it was decided for

The decision rests on a probe of at most 5 ms before, but the connection was opened later, and the HTTP client also repeats a request whose pooled connection closed before it was written. Change: a call takes the connections of one run when it is decided on; a new connection asks the health endpoint which run it reached and is closed when that is another. The agent logs when its upstream turns cold or warm. The test in crates/agent/src/upstream/tests.rs failed before (the call reached the new run) and passes.

--- a/crates/agent/src/executor.rs
+++ b/crates/agent/src/executor.rs
@@ -10,7 +10,7 @@
 use tokio_util::sync::CancellationToken;
 use yuccatrail_core::{
     FastMap, FastSet,
-    agent::{AgentCore, CallResult, Dispatch, SubmitOrder},
+    agent::{AgentCore, CallResult, Dispatch, ProbeResult, SubmitOrder},
     attempt::{AttemptKey, AttemptLookup, Progress},
     control::{ControlUpdate, Versions},
     ids::{AttemptId, Incarnation},
@@ -25,7 +25,7 @@
 use crate::{
     listed::Listed,
     metrics::Metrics,
-    upstream::{AnswerHead, CallError, UpstreamClient},
+    upstream::{AnswerHead, CallError, RunClient, UpstreamClient},
 };
 
 /// Largest size of the output in one reply, in bytes.
@@ -53,6 +53,8 @@
     listed: Listed,
     /// Whether a probe that attempts wait for is under way.
     probing: bool,
+    /// Whether the upstream counted as cold when that was logged last.
+    logged_cold: bool,
 }
 
 impl State {
@@ -62,6 +64,17 @@
         info!(version = version; "upstream listed as {state:?}");
         self.core.set_listed(version, state, now_ms);
     }
+
+    /// Logs when the upstream turned cold or warm.
+    fn log_warmth(&mut self) {
+        let load = self.core.load();
+        if load.cold == self.logged_cold {
+            return;
+        }
+        self.logged_cold = load.cold;
+        let (running, limit, doubts_probes) = (load.running, load.limit, self.core.doubts_probes());
+        info!(cold = load.cold, running = running, limit = limit, doubts_probes = doubts_probes; "upstream's warmth changed");
+    }
 }
 
 /// Call of an attempt that waits for dispatch.
@@ -99,6 +112,7 @@
             unread: FastSet::default(),
             listed: Listed::default(),
             probing: false,
+            logged_cold: true,
         };
         Arc::new(Self { incarnation, clock, upstream, control, metrics, state: Mutex::new(state) })
     }
@@ -208,7 +222,14 @@
     async fn probe_upstream(&self) {
         let ticket = self.lock().core.begin_probe(self.clock.now_ms());
         let result = self.upstream.probe().await;
-        let strikes = self.lock().core.on_probe(ticket, result, self.clock.now_ms());
+        let strikes = {
+            let mut state = self.lock();
+            // Both change together, so that no call goes to a run that the decision did not know.
+            if let ProbeResult::Answered { boot_id: Some(run), .. } = result {
+                self.upstream.set_run(run);
+            }
+            state.core.on_probe(ticket, result, self.clock.now_ms())
+        };
         for strike in strikes {
             self.metrics.strikes.inc();
             info!(fingerprint:% = strike.fingerprint, alone = strike.alone, stop = strike.number; "upstream stopped with a request in progress");
@@ -292,7 +313,8 @@
             }
             self.metrics.dispatched.inc();
             info!(attempt:% = dispatch.attempt, path:% = pending.call.path, queued_ms = dispatch.queued_ms; "dispatching to upstream");
-            tokio::spawn(self.clone().run(dispatch, pending.call, cut));
+            let run = self.upstream.current_run();
+            tokio::spawn(self.clone().run(dispatch, run, pending.call, cut));
         }
         self.wake(&mut state);
         if state.core.wants_probe() && !state.probing {
@@ -307,14 +329,20 @@
         self.start_ready();
     }
 
-    async fn run(self: Arc<Self>, dispatch: Dispatch, call: UpstreamCall, cut: CancellationToken) {
+    async fn run(
+        self: Arc<Self>,
+        dispatch: Dispatch,
+        client: RunClient,
+        call: UpstreamCall,
+        cut: CancellationToken,
+    ) {
         let on_chunk = |chunk| {
             let mut state = self.lock();
             state.core.push_chunk(dispatch.key, chunk);
             self.wake(&mut state);
         };
         let answer = tokio::select! {
-            answer = self.upstream.call(dispatch.attempt, call, on_chunk) => Some(answer),
+            answer = client.call(dispatch.attempt, call, on_chunk) => Some(answer),
             () = cut.cancelled() => None,
         };
         let result = match answer {
@@ -384,6 +412,7 @@
 
     /// Wakes the readers of changed attempts and lets go of what ended attempts no longer need.
     fn wake(&self, state: &mut State) {
+        state.log_warmth();
         for attempt in state.core.take_changed() {
             if let Some(notify) = state.changed.get(&attempt) {
                 notify.notify_waiters();
--- a/crates/agent/src/upstream.rs
+++ b/crates/agent/src/upstream.rs
@@ -1,10 +1,15 @@
 //! HTTP client for the one upstream.
 
+mod connect;
+#[cfg(test)]
+mod tests;
+
 use std::{
     error::Error,
     hash::{Hash, Hasher},
     io,
     net::SocketAddr,
+    sync::{Mutex, PoisonError},
     time::Duration,
 };
 
@@ -25,6 +30,8 @@
 use yuccatrail_core::{agent::ProbeResult, ids::AttemptId};
 use yuccatrail_rpc::messages::{ResponseForm, UpstreamCall};
 
+use self::connect::RunConnector;
+
 /// Time after which an attempt to connect fails.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time after which an unanswered probe counts as silence.
@@ -68,11 +75,30 @@
     warm: Option<bool>,
 }
 
+impl Health {
+    /// Returns the number that stands for the engine start.
+    fn run(&self) -> u64 {
+        boot_number(&self.boot_id)
+    }
+}
+
 /// Connections to the one upstream.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct UpstreamClient {
     address: SocketAddr,
-    client: Client<HttpConnector, Full<Bytes>>,
+    connector: HttpConnector,
+    /// Connections of probes, which go to any run.
+    probes: Client<HttpConnector, Full<Bytes>>,
+    /// Connections of calls to the run that was probed last.
+    calls: Mutex<RunClient>,
+}
+
+/// Connections of calls to one run of the upstream.
+#[derive(Clone, Debug)]
+pub(crate) struct RunClient {
+    address: SocketAddr,
+    run: Option<u64>,
+    client: Client<RunConnector, Full<Bytes>>,
 }
 
 impl UpstreamClient {
@@ -81,11 +107,24 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            .build(connector);
-        Self { address, client }
+        let probes = builder().build(connector.clone());
+        let calls = Mutex::new(RunClient::new(connector.clone(), address, None));
+        Self { address, connector, probes, calls }
+    }
+
+    /// Notes the run that a probe found; calls that begin from now on go to this run.
+    pub(crate) fn set_run(&self, run: u64) {
+        let mut calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
+        if calls.run != Some(run) {
+            *calls = RunClient::new(self.connector.clone(), self.address, Some(run));
+        }
+    }
+
+    /// Returns the connections to the run that was noted last.
+    ///
+    /// A call takes them when it is decided on, so that it cannot reach a later run.
+    pub(crate) fn current_run(&self) -> RunClient {
+        self.calls.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// Asks the upstream for its health.
@@ -101,15 +140,22 @@
     }
 
     async fn health(&self) -> Result<Health, CallError> {
-        let request = Request::get(self.url("/health")).body(Full::default());
+        let request = Request::get(format!("http://{}/health", self.address)).body(Full::default());
         let Ok(request) = request else { return Err(CallError::NotConnected) };
-        let response = self.send(request).await?;
+        let response = sent(self.probes.request(request).await)?;
         if !response.status().is_success() {
             return Err(CallError::Status(response.status().as_u16()));
         }
         let body = response.into_body().collect().await.map_err(|_| CallError::Lost)?.to_bytes();
         serde_json::from_slice(&body).map_err(|_| CallError::Cut)
     }
+}
+
+impl RunClient {
+    fn new(connector: HttpConnector, address: SocketAddr, run: Option<u64>) -> Self {
+        let client = builder().build(RunConnector::new(connector, address, run));
+        Self { address, run, client }
+    }
 
     /// Makes a call and passes each chunk of the answer to `on_chunk`.
     pub(crate) async fn call(
@@ -120,7 +166,7 @@
     ) -> Result<AnswerHead, CallError> {
         let form = call.response;
         let Some(request) = self.build(attempt, call) else { return Err(CallError::NotConnected) };
-        let response = self.send(request).await?;
+        let response = sent(self.client.request(request).await)?;
         let head = AnswerHead {
             status: response.status().as_u16(),
             content_type: content_type(&response),
@@ -156,20 +202,29 @@
         builder.body(Full::new(call.body)).ok()
     }
 
-    async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, CallError> {
-        match self.client.request(request).await {
-            Ok(response) => Ok(response),
-            Err(error) if is_refused(&error) => Err(CallError::Refused),
-            Err(error) if error.is_connect() => Err(CallError::NotConnected),
-            Err(_) => Err(CallError::Lost),
-        }
-    }
-
     fn url(&self, path: &str) -> String {
         format!("http://{}{path}", self.address)
     }
 }
 
+fn builder() -> client::legacy::Builder {
+    let mut builder = Client::builder(TokioExecutor::new());
+    builder.pool_timer(TokioTimer::new()).pool_idle_timeout(IDLE_TIMEOUT);
+    builder
+}
+
+/// Tells what a failed request has come to.
+fn sent(
+    result: Result<Response<Incoming>, client::legacy::Error>,
+) -> Result<Response<Incoming>, CallError> {
+    match result {
+        Ok(response) => Ok(response),
+        Err(error) if is_refused(&error) => Err(CallError::Refused),
+        Err(error) if error.is_connect() => Err(CallError::NotConnected),
+        Err(_) => Err(CallError::Lost),
+    }
+}
+
 /// Tells whether a connection was refused, which only happens when nothing listens.
 fn is_refused(error: &client::legacy::Error) -> bool {
     let mut source = error.source();
--- a/crates/core/src/agent/probing.rs
+++ b/crates/core/src/agent/probing.rs
@@ -27,6 +27,11 @@
         self.wants_probe
     }
 
+    /// Tells whether a jump of the latency contradicts probes that report warmth.
+    pub fn doubts_probes(&self) -> bool {
+        self.capacity.doubts_probes()
+    }
+
     /// Takes the result of a probe; returns new strikes.
     pub fn on_probe(
         &mut self,
--- a/crates/core/src/capacity/mod.rs
+++ b/crates/core/src/capacity/mod.rs
@@ -188,6 +188,11 @@
         self.phase != Phase::Warm
     }
 
+    /// Tells whether a jump of the latency contradicts probes that report warmth.
+    pub fn doubts_probes(&self) -> bool {
+        self.doubts_probes
+    }
+
     /// Returns the number of calls that the upstream can bear at once in a cold start.
     pub fn cold_limit(&self) -> u32 {
         self.config.cold_limit()
