--- a/crates/entry/src/relay/attempt.rs
+++ b/crates/entry/src/relay/attempt.rs
@@ -11,6 +11,7 @@
 
 use crate::relay::{
     pool::{Connection, SendError},
+    sabotage::Mechanism,
     state::Relay,
 };
 
@@ -113,7 +114,7 @@
         let answer = decode_answer(response.status(), response.headers());
         self.observe(&answer, now_ms);
         let is_other = answer.request_id.is_some() && answer.request_id != outgoing.request_id;
-        if outgoing.request_id.is_some() && is_other {
+        if outgoing.request_id.is_some() && is_other && !Mechanism::OwnAnswer.is_off() {
             self.end(CallEnd::Failed);
             return Err(AttemptError::Damaged("it belongs to another request".to_owned()));
         }
--- a/crates/entry/src/relay/mod.rs
+++ b/crates/entry/src/relay/mod.rs
@@ -9,6 +9,7 @@
 mod pool;
 mod release;
 mod request;
+mod sabotage;
 mod server;
 mod settings;
 mod state;
@@ -29,6 +30,7 @@
 
 use crate::{
     relay::{
+        sabotage::Mechanism,
         server::{answer_metrics, answer_ready, serve_callers},
         state::Relay,
     },
@@ -113,6 +115,9 @@
     tokio::time::sleep(Duration::from_millis(ROTATION_MS.min(limit_ms))).await;
     closing.cancel();
     while relay.in_progress() > 0 {
+        if Mechanism::PatientStop.is_off() {
+            return;
+        }
         if relay.now_ms().saturating_sub(begun_ms) >= limit_ms {
             warn!(cut = relay.in_progress(); "the time limit of the planned stop cuts requests");
             return;
--- a/crates/entry/src/relay/plain.rs
+++ b/crates/entry/src/relay/plain.rs
@@ -13,6 +13,7 @@
     attempt::{Attempt, AttemptError},
     metrics::ServiceLabels,
     request::{AnswerBody, CallerRequest, Refusal},
+    sabotage::Mechanism,
     state::Relay,
 };
 
@@ -43,7 +44,8 @@
     request: &CallerRequest,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let route = &request.admission.route;
-    let max_runs = if route.is_repeatable() { route.max_attempts } else { 1 };
+    let may_repeat = route.is_repeatable() || Mechanism::SendOnce.is_off();
+    let max_runs = if may_repeat { route.max_attempts } else { 1 };
     let mut tried: Vec<UpstreamKey> = Vec::new();
     let (mut runs, mut arrivals) = (0, 0);
     let mut failure = None;
--- a/crates/entry/src/relay/request.rs
+++ b/crates/entry/src/relay/request.rs
@@ -27,6 +27,7 @@
         attempt::{Attempt, AttemptError, Outgoing},
         metrics::RequestLabels,
         model, plain,
+        sabotage::Mechanism,
         state::{InProgress, Relay},
     },
 };
@@ -147,7 +148,8 @@
 
     /// Builds the answer to a request that gets none of an upstream.
     pub(crate) fn refuse(&self, relay: &Relay, refusal: &Refusal) -> Response<AnswerBody> {
-        let may_have_run = self.sent.load(Ordering::Relaxed) > 0;
+        let may_have_run =
+            self.sent.load(Ordering::Relaxed) > 0 && !Mechanism::TrueRefusal.is_off();
         let (status, outcome) = if may_have_run {
             (refusal.status, Execution::Unknown)
         } else {
--- a/crates/entry/src/relay/stream.rs
+++ b/crates/entry/src/relay/stream.rs
@@ -27,6 +27,7 @@
     plain::take_retry,
     release::HeldResults,
     request::{AnswerBody, BrokenOff, CallerRequest, Refusal},
+    sabotage::Mechanism,
     state::{InProgress, Relay},
 };
 
@@ -296,6 +297,9 @@
             return Err(self.break_off("upstream_lost"));
         }
         self.cutter = EventCutter::new();
+        if Mechanism::ResumePosition.is_off() {
+            self.last_id = None;
+        }
         let limit = Duration::from_millis(request.remaining_ms(self.call.relay.now_ms()));
         match tokio::time::timeout(limit, self.connect()).await {
             Ok(Ok((status, _))) if status.is_success() => {
