Relay: an entry that the store refuses takes its lists from the others

Cause: entries passed on configurations only. A relay that was killed and started again while the store refused it never got ready; one that ran went on sending to upstreams and data centres that had left meanwhile. Ways weighed: peers push each change (each entry would send to all, also where nobody needs it); the entry asks another store address (there is one). Chosen: the regular question between entries carries the revisions of the platform's lists and the asker's own address; an entry that does not follow the platform fetches newer lists from one that does. Cold upstreams keep their remaining time, the entries that share limits come along, so that a fresh entry does not spend a whole retry budget.

--- a/crates/core/src/upstreams/directory.rs
+++ b/crates/core/src/upstreams/directory.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
+use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 
 use crate::{
@@ -37,11 +38,29 @@
     }
 }
 
+/// Revisions of the platform's lists that are in force; each rises with every change.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListRevisions {
+    /// Revision of the list of upstreams.
+    pub upstreams: u64,
+    /// Revision of the list of data centres that receive no work.
+    pub evacuations: u64,
+}
+
+impl ListRevisions {
+    /// Tells whether either list is newer than the other's.
+    pub fn has_newer_than(self, other: Self) -> bool {
+        self.upstreams > other.upstreams || self.evacuations > other.evacuations
+    }
+}
+
 /// One update of the platform's list.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ListUpdate {
     /// All upstreams that are listed.
     Snapshot(Vec<UpstreamRecord>),
+    /// All upstreams that another entry knows.
+    Heard(Vec<UpstreamRecord>),
     /// An upstream was listed or its record changed.
     Listed(UpstreamRecord),
     /// An upstream is no longer listed.
@@ -68,7 +87,11 @@
     /// Whether the other entries are known; without them a cold upstream gets nothing.
     knows_entries: bool,
     lapse_grace_until_ms: u64,
+    /// Whether a list has arrived, from the platform or from another entry.
     has_list: bool,
+    /// Whether the platform's own list has arrived.
+    has_platform_list: bool,
+    revisions: ListRevisions,
 }
 
 impl Upstreams {
@@ -87,6 +110,40 @@
         self.has_list
     }
 
+    /// Tells whether the platform's own list has arrived.
+    pub fn has_platform_list(&self) -> bool {
+        self.has_platform_list
+    }
+
+    /// Returns the names of the entries that share the limits; none before they are known.
+    pub fn entries(&self) -> Option<&[String]> {
+        self.knows_entries.then_some(self.entries.as_slice())
+    }
+
+    /// Returns the revisions of the lists in force.
+    pub fn revisions(&self) -> ListRevisions {
+        self.revisions
+    }
+
+    /// Notes the revision of the list of upstreams that is in force.
+    pub fn set_upstreams_revision(&mut self, revision: u64) {
+        self.revisions.upstreams = revision;
+    }
+
+    /// Notes the revision of the list of data centres that is in force.
+    pub fn set_evacuations_revision(&mut self, revision: u64) {
+        self.revisions.evacuations = revision;
+    }
+
+    /// Returns all records, with the time for which each upstream still counts as cold.
+    pub fn records(&self, now_ms: u64) -> Vec<UpstreamRecord> {
+        let records = self.all.values().map(|it| UpstreamRecord {
+            cold_remaining_ms: it.cold_until_ms.saturating_sub(now_ms),
+            ..it.record.clone()
+        });
+        records.collect()
+    }
+
     /// Returns an upstream, unless it is gone.
     pub fn get(&self, key: UpstreamKey) -> Option<&Upstream> {
         self.all.get(key)
@@ -138,7 +195,11 @@
     /// Takes in an update of the platform's list.
     pub fn update(&mut self, update: ListUpdate, now_ms: u64) {
         match update {
-            ListUpdate::Snapshot(records) => self.replace_all(records, now_ms),
+            ListUpdate::Snapshot(records) => {
+                self.has_platform_list = true;
+                self.replace_all(records, now_ms);
+            }
+            ListUpdate::Heard(records) => self.replace_all(records, now_ms),
             ListUpdate::Listed(record) => self.list(record, now_ms, self.has_list),
             ListUpdate::Unlisted { id } => self.unlist(&id, now_ms),
             ListUpdate::PlatformReturned => {
@@ -177,6 +238,18 @@
         }
     }
 
+    /// Sets the data centres that receive no work.
+    pub fn replace_evacuated(&mut self, data_centres: &[String], now_ms: u64) {
+        let returned: Vec<String> =
+            self.evacuated.iter().filter(|it| !data_centres.contains(it)).cloned().collect();
+        for data_centre in &returned {
+            self.set_evacuated(data_centre, false, now_ms);
+        }
+        for data_centre in data_centres {
+            self.set_evacuated(data_centre, true, now_ms);
+        }
+    }
+
     /// Returns the data centres that receive no work.
     pub fn evacuated(&self) -> &FastSet<String> {
         &self.evacuated
--- a/crates/core/src/upstreams/mod.rs
+++ b/crates/core/src/upstreams/mod.rs
@@ -13,7 +13,7 @@
 pub use choose::{Affinity, Wanted};
 pub use cold::{ColdLimit, ColdShare};
 pub(crate) use directory::rendezvous_weight;
-pub use directory::{ListUpdate, Upstreams, UpstreamsSettings};
+pub use directory::{ListRevisions, ListUpdate, Upstreams, UpstreamsSettings};
 pub use record::{CallEnd, Load, Upstream, UpstreamKey, UpstreamRecord};
 
 #[cfg(test)]
--- a/crates/core/src/upstreams/record.rs
+++ b/crates/core/src/upstreams/record.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
+use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
 
 use crate::upstreams::ColdShare;
@@ -12,7 +13,7 @@
 }
 
 /// An upstream as the platform lists it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamRecord {
     /// Identifier under which the upstream is listed.
     pub id: String,
--- a/crates/core/src/upstreams/tests.rs
+++ b/crates/core/src/upstreams/tests.rs
@@ -3,7 +3,8 @@
 use crate::{
     FastMap,
     upstreams::{
-        Affinity, CallEnd, ListUpdate, UpstreamRecord, Upstreams, UpstreamsSettings, Wanted,
+        Affinity, CallEnd, ListRevisions, ListUpdate, UpstreamRecord, Upstreams, UpstreamsSettings,
+        Wanted,
     },
 };
 
@@ -51,6 +52,41 @@
     assert!(upstreams.is_empty());
 }
 
+#[test]
+fn a_list_heard_from_an_entry_counts_until_the_platforms_own_arrives() {
+    let mut fresh = Upstreams::new(UpstreamsSettings::default(), "entry-2");
+    let told = upstreams(vec![record("a", "x"), record("b", "x")]);
+    fresh.update(ListUpdate::Heard(told.records(0)), 0);
+    assert!(fresh.has_list() && !fresh.has_platform_list());
+    assert!(chosen(&fresh, 1).is_some());
+    fresh.update(ListUpdate::Heard(vec![record("b", "x")]), 300);
+    assert_eq!(chosen(&fresh, 301).as_deref(), Some("b"), "an older belief does not stay");
+    fresh.update(ListUpdate::Snapshot(vec![record("c", "x")]), 400);
+    assert!(fresh.has_platform_list());
+    assert!(fresh.records(500).iter().all(|it| it.id == "c"));
+}
+
+#[test]
+fn either_list_can_be_newer() {
+    let revisions = |upstreams, evacuations| ListRevisions { upstreams, evacuations };
+    assert!(revisions(2, 1).has_newer_than(revisions(1, 1)));
+    assert!(revisions(1, 2).has_newer_than(revisions(5, 1)));
+    assert!(!revisions(1, 1).has_newer_than(revisions(1, 1)));
+    assert!(!revisions(1, 1).has_newer_than(revisions(2, 1)));
+}
+
+#[test]
+fn the_time_for_which_an_upstream_is_cold_is_passed_on() {
+    let mut told = upstreams(vec![]);
+    told.update(ListUpdate::Listed(record("a", "x")), 1_000);
+    let records = told.records(1_500);
+    assert_eq!(records[0].cold_remaining_ms, 2_500, "it has just started");
+    let mut fresh = Upstreams::new(UpstreamsSettings::default(), "entry-2");
+    fresh.update(ListUpdate::Heard(records), 50);
+    let (_, upstream) = fresh.of_service("s").next().unwrap();
+    assert!(upstream.is_cold(2_549) && !upstream.is_cold(2_550));
+}
+
 #[test]
 fn an_upstream_that_is_missing_after_an_outage_stays_for_the_grace_time() {
     let mut upstreams = upstreams(vec![record("a", "x")]);
--- a/crates/entry/src/relay/feed.rs
+++ b/crates/entry/src/relay/feed.rs
@@ -48,12 +48,17 @@
     let (poller, mut updates) = Poller::start(client, evacuations_form(), settings, &stop);
     while let Some(update) = updates.recv().await {
         match update {
-            PollUpdate::Snapshot { items, .. } => replace_evacuations(&relay, items),
-            other => {
-                for change in changes_of(other) {
-                    set_evacuation(&relay, &change);
+            PollUpdate::Snapshot { items, revision } => {
+                replace_evacuations(&relay, items);
+                relay.upstreams().set_evacuations_revision(revision);
+            }
+            PollUpdate::Changes(changes) => {
+                for change in &changes.items {
+                    set_evacuation(&relay, change);
                 }
+                relay.upstreams().set_evacuations_revision(changes.revision);
             }
+            PollUpdate::Unavailable(_) | PollUpdate::Available => {}
         }
     }
     poller.close().await;
@@ -75,6 +80,9 @@
 fn set_evacuation(relay: &Relay, change: &StoreChange<()>) {
     let is_out = !matches!(change, StoreChange::Absent { .. });
     let name = name_of(change);
+    if relay.upstreams().evacuated().contains(name) == is_out {
+        return;
+    }
     let now_ms = relay.now_ms();
     relay.upstreams().set_evacuated(name, is_out, now_ms);
     info!(data_centre = name, is_out = is_out; "data centre taken out or back");
@@ -90,16 +98,22 @@
             PollUpdate::Snapshot { items, revision } => {
                 info!(upstreams = items.len(), revision = revision; "upstreams listed");
                 let records = items.into_iter().filter_map(record_of).collect();
-                relay.upstreams().update(ListUpdate::Snapshot(records), now_ms);
+                let mut upstreams = relay.upstreams();
+                upstreams.update(ListUpdate::Snapshot(records), now_ms);
+                upstreams.set_upstreams_revision(revision);
             }
             PollUpdate::Changes(changes) => {
                 for change in changes.items {
                     let update = list_update(change);
                     relay.upstreams().update(update, now_ms);
                 }
+                relay.upstreams().set_upstreams_revision(changes.revision);
+            }
+            PollUpdate::Available => {
+                relay.set_follows_platform(true);
+                relay.upstreams().update(ListUpdate::PlatformReturned, now_ms);
             }
-            PollUpdate::Available => relay.upstreams().update(ListUpdate::PlatformReturned, now_ms),
-            PollUpdate::Unavailable(_) => {}
+            PollUpdate::Unavailable(_) => relay.set_follows_platform(false),
         }
         relay.stages.pump_all(&relay);
     }
--- a/crates/entry/src/relay/peers.rs
+++ b/crates/entry/src/relay/peers.rs
@@ -23,11 +23,13 @@
     FastMap, FastSet,
     ownership::{Candidate, owner},
     route_table::{Configuration, RouteTable},
+    upstreams::{ListRevisions, ListUpdate},
 };
 use yuccatrail_platform::{Client, PlatformError, PollUpdate, Poller, PollerSettings};
 use yuccatrail_rpc::{
     entries::{
-        EntryPeer, EntryPeerClient, Hello, HelloReply, QueueState, StageReply, StageRequest,
+        Beliefs, EntryPeer, EntryPeerClient, Hello, HelloReply, QueueState, StageReply,
+        StageRequest,
     },
     transport,
 };
@@ -188,11 +190,16 @@
     let client = EntryPeerClient::new(Config::default(), Box::pin(transport)).spawn();
     let peer = Peer { name: name.to_owned(), client, lost: CancellationToken::new() };
     loop {
-        let hello = Hello { from: relay.settings.name.clone() };
+        let hello = Hello {
+            from: relay.settings.name.clone(),
+            peer_address: relay.settings.peer_listen,
+            cpu_share: relay.settings.cpu_share,
+        };
         let asked = peer.client.hello(context_for(HELLO_TIMEOUT_MS), hello);
         match tokio::time::timeout(limit, asked).await {
             Ok(Ok(reply)) => {
                 take_newer_configuration(relay, &peer, reply.config_version).await;
+                take_beliefs(relay, &peer, reply.list_revisions).await;
                 relay.peers.note_reply(name, reply, &peer);
             }
             Ok(Err(error)) => return error.to_string(),
@@ -216,6 +223,47 @@
     }
 }
 
+/// Takes over newer lists from an entry that follows the platform while this one does not.
+async fn take_beliefs(relay: &Arc<Relay>, peer: &Peer, revisions: Option<ListRevisions>) {
+    let is_newer = |it: ListRevisions| it.has_newer_than(relay.upstreams().revisions());
+    if relay.follows_platform() || !revisions.is_some_and(is_newer) {
+        return;
+    }
+    let beliefs = match peer.client.beliefs(context_for(HELLO_TIMEOUT_MS)).await {
+        Ok(Some(beliefs)) => beliefs,
+        Ok(None) => return,
+        Err(error) => {
+            warn!(entry:% = peer.name, error:% = error; "newer lists not heard");
+            return;
+        }
+    };
+    // The platform's own lists may have arrived meanwhile.
+    if relay.follows_platform() || !is_newer(beliefs.revisions) {
+        return;
+    }
+    let now_ms = relay.now_ms();
+    let mut upstreams = relay.upstreams();
+    let known = upstreams.revisions();
+    info!(
+        entry:% = peer.name,
+        upstreams = beliefs.upstreams.len(),
+        revision = beliefs.revisions.upstreams,
+        known_revision = known.upstreams;
+        "lists heard from an entry"
+    );
+    upstreams.set_entries(beliefs.entries);
+    if beliefs.revisions.evacuations >= known.evacuations {
+        upstreams.replace_evacuated(&beliefs.evacuated, now_ms);
+        upstreams.set_evacuations_revision(beliefs.revisions.evacuations);
+    }
+    if beliefs.revisions.upstreams >= known.upstreams {
+        upstreams.update(ListUpdate::Heard(beliefs.upstreams), now_ms);
+        upstreams.set_upstreams_revision(beliefs.revisions.upstreams);
+    }
+    drop(upstreams);
+    relay.stages.pump_all(relay);
+}
+
 /// Returns the context of a call that is given up after a time in milliseconds.
 pub(crate) fn context_for(limit_ms: u64) -> Context {
     let mut context = context::current();
@@ -316,16 +364,37 @@
 }
 
 impl EntryPeer for Connection {
-    async fn hello(self, _: Context, _: Hello) -> HelloReply {
+    async fn hello(self, _: Context, request: Hello) -> HelloReply {
+        // Without the platform an entry that starts again finds the others by their questions.
+        if !self.relay.upstreams().has_platform_list() {
+            let record =
+                EntryRecord { peer_address: request.peer_address, cpu_share: request.cpu_share };
+            self.relay.peers.set_record(&self.relay, &request.from, record);
+        }
         let queues = self.relay.stages.states(&self.relay);
         let config_version = self.relay.table().map(|it| it.version());
-        HelloReply { takes_work: self.relay.is_ready(), config_version, queues }
+        let revisions = self.relay.upstreams().revisions();
+        let list_revisions = self.relay.follows_platform().then_some(revisions);
+        HelloReply { takes_work: self.relay.is_ready(), config_version, list_revisions, queues }
     }
 
     async fn configuration(self, _: Context) -> Option<Arc<Configuration>> {
         self.relay.table().map(|it| it.configuration().clone())
     }
 
+    async fn beliefs(self, _: Context) -> Option<Beliefs> {
+        if !self.relay.follows_platform() {
+            return None;
+        }
+        let upstreams = self.relay.upstreams();
+        Some(Beliefs {
+            revisions: upstreams.revisions(),
+            upstreams: upstreams.records(self.relay.now_ms()),
+            evacuated: upstreams.evacuated().iter().cloned().collect(),
+            entries: upstreams.entries()?.to_vec(),
+        })
+    }
+
     async fn run_stage(self, _: Context, request: StageRequest) -> StageReply {
         let (end, handles) = self.relay.stages.run_for_peer(&self.relay, request).await;
         StageReply { end, handles }
--- a/crates/entry/src/relay/state.rs
+++ b/crates/entry/src/relay/state.rs
@@ -39,6 +39,8 @@
     upstreams: Mutex<Upstreams>,
     retries: Mutex<RetryShare>,
     is_stopping: AtomicBool,
+    /// Whether the platform's list of upstreams can be followed now.
+    follows_platform: AtomicBool,
     in_progress: AtomicUsize,
 }
 
@@ -67,6 +69,7 @@
             upstreams: Mutex::new(Upstreams::new(UpstreamsSettings::default(), &settings.name)),
             retries: Mutex::new(RetryShare::new(settings.bounds.retries)),
             is_stopping: AtomicBool::new(false),
+            follows_platform: AtomicBool::new(true),
             in_progress: AtomicUsize::new(0),
             settings,
         })
@@ -127,6 +130,16 @@
         self.is_stopping.store(true, Ordering::Relaxed);
     }
 
+    /// Notes whether the platform's list of upstreams can be followed.
+    pub(crate) fn set_follows_platform(&self, follows: bool) {
+        self.follows_platform.store(follows, Ordering::Relaxed);
+    }
+
+    /// Tells whether the beliefs come from the platform and are kept up to date.
+    pub(crate) fn follows_platform(&self) -> bool {
+        self.follows_platform.load(Ordering::Relaxed) && self.upstreams().has_platform_list()
+    }
+
     /// Tells whether callers may come: the relay holds a configuration and a list and stays.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_stopping.load(Ordering::Relaxed)
--- a/crates/rpc/src/entries.rs
+++ b/crates/rpc/src/entries.rs
@@ -1,11 +1,12 @@
 //! Calls among entries that share the work of stage services.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 use yuccatrail_core::{
     batching::{GroupEnd, PieceSource},
     route_table::Configuration,
+    upstreams::{ListRevisions, UpstreamRecord},
 };
 
 /// Asks another entry whether it takes work.
@@ -13,6 +14,10 @@
 pub struct Hello {
     /// Name of the entry that asks.
     pub from: String,
+    /// Address on which other entries reach the one that asks.
+    pub peer_address: SocketAddr,
+    /// Part of a core that the entry that asks may use.
+    pub cpu_share: f64,
 }
 
 /// State of an entry.
@@ -22,6 +27,8 @@
     pub takes_work: bool,
     /// Version of the configuration in force; none before the first.
     pub config_version: Option<u64>,
+    /// Revisions of the platform's lists; none unless the entry follows the platform now.
+    pub list_revisions: Option<ListRevisions>,
     /// Queues of the stage services.
     pub queues: Vec<QueueState>,
 }
@@ -69,6 +76,19 @@
     pub handles: Vec<String>,
 }
 
+/// What an entry knows from the platform.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Beliefs {
+    /// Revisions of the lists.
+    pub revisions: ListRevisions,
+    /// Upstreams, with the time for which each still counts as cold.
+    pub upstreams: Vec<UpstreamRecord>,
+    /// Data centres that receive no work.
+    pub evacuated: Vec<String>,
+    /// Names of the entries that share the limits.
+    pub entries: Vec<String>,
+}
+
 /// Calls that an entry answers to another.
 #[tarpc::service]
 pub trait EntryPeer {
@@ -76,6 +96,8 @@
     async fn hello(request: Hello) -> HelloReply;
     /// Returns the configuration in force; none before the first.
     async fn configuration() -> Option<Arc<Configuration>>;
+    /// Returns what the entry knows from the platform; none unless it follows the platform now.
+    async fn beliefs() -> Option<Beliefs>;
     /// Makes all pieces of one stage.
     async fn run_stage(request: StageRequest) -> StageReply;
     /// Releases results that nobody needs any more.
