Beliefs that entries pass on: the decision stands in core, with a fuzz over several entries

Which lists an entry takes over is decided by revision in core::upstreams::beliefs; the relay only asks and logs.

--- /dev/null
+++ b/crates/core/src/upstreams/beliefs.rs
@@ -0,0 +1,85 @@
+//! What entries tell each other of the platform's lists.
+//!
+//! An entry that cannot follow the platform takes newer lists from one that does. Revisions come
+//! from the platform and rise with every change, so that an older list never replaces a newer one.
+
+use serde::{Deserialize, Serialize};
+
+use crate::upstreams::{ListUpdate, UpstreamRecord, Upstreams};
+
+/// Revisions of the platform's lists that are in force; each rises with every change.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListRevisions {
+    /// Revision of the list of upstreams.
+    pub upstreams: u64,
+    /// Revision of the list of data centres that receive no work.
+    pub evacuations: u64,
+}
+
+impl ListRevisions {
+    /// Tells whether either list is newer than the other's.
+    pub fn has_newer_than(self, other: Self) -> bool {
+        self.upstreams > other.upstreams || self.evacuations > other.evacuations
+    }
+}
+
+/// What an entry knows from the platform.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beliefs {
+    /// Revisions of the lists.
+    pub revisions: ListRevisions,
+    /// Upstreams, with the time for which each still counts as cold.
+    pub upstreams: Vec<UpstreamRecord>,
+    /// Data centres that receive no work.
+    pub evacuated: Vec<String>,
+    /// Names of the entries that share the limits.
+    pub entries: Vec<String>,
+}
+
+impl Upstreams {
+    /// Returns what this entry knows; none before the platform has told of upstreams and entries.
+    pub fn beliefs(&self, now_ms: u64) -> Option<Beliefs> {
+        if !self.has_platform_list() {
+            return None;
+        }
+        let records = self.all.values().map(|it| UpstreamRecord {
+            cold_remaining_ms: it.cold_until_ms.saturating_sub(now_ms),
+            ..it.record.clone()
+        });
+        Some(Beliefs {
+            revisions: self.revisions(),
+            upstreams: records.collect(),
+            evacuated: self.evacuated().iter().cloned().collect(),
+            entries: self.known_entries()?.to_vec(),
+        })
+    }
+
+    /// Takes over those lists of another entry that are newer than the own ones.
+    pub fn take_over(&mut self, beliefs: Beliefs, now_ms: u64) {
+        let known = self.revisions();
+        if !beliefs.revisions.has_newer_than(known) {
+            return;
+        }
+        self.set_entries(beliefs.entries);
+        if beliefs.revisions.evacuations > known.evacuations {
+            self.replace_evacuated(&beliefs.evacuated, now_ms);
+            self.set_evacuations_revision(beliefs.revisions.evacuations);
+        }
+        if beliefs.revisions.upstreams > known.upstreams {
+            self.update(ListUpdate::Heard(beliefs.upstreams), now_ms);
+            self.set_upstreams_revision(beliefs.revisions.upstreams);
+        }
+    }
+
+    /// Sets the data centres that receive no work.
+    pub fn replace_evacuated(&mut self, data_centres: &[String], now_ms: u64) {
+        let returned: Vec<String> =
+            self.evacuated().iter().filter(|it| !data_centres.contains(it)).cloned().collect();
+        for data_centre in &returned {
+            self.set_evacuated(data_centre, false, now_ms);
+        }
+        for data_centre in data_centres {
+            self.set_evacuated(data_centre, true, now_ms);
+        }
+    }
+}
--- a/crates/core/src/upstreams/directory.rs
+++ b/crates/core/src/upstreams/directory.rs
@@ -2,12 +2,11 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use serde::{Deserialize, Serialize};
 use slotmap::SlotMap;
 
 use crate::{
     FastMap, FastSet,
-    upstreams::{CallEnd, ColdLimit, Load, Upstream, UpstreamKey, UpstreamRecord},
+    upstreams::{CallEnd, ColdLimit, ListRevisions, Load, Upstream, UpstreamKey, UpstreamRecord},
 };
 
 /// Settings of [`Upstreams`].
@@ -38,22 +37,6 @@
     }
 }
 
-/// Revisions of the platform's lists that are in force; each rises with every change.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ListRevisions {
-    /// Revision of the list of upstreams.
-    pub upstreams: u64,
-    /// Revision of the list of data centres that receive no work.
-    pub evacuations: u64,
-}
-
-impl ListRevisions {
-    /// Tells whether either list is newer than the other's.
-    pub fn has_newer_than(self, other: Self) -> bool {
-        self.upstreams > other.upstreams || self.evacuations > other.evacuations
-    }
-}
-
 /// One update of the platform's list.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ListUpdate {
@@ -116,7 +99,7 @@
     }
 
     /// Returns the names of the entries that share the limits; none before they are known.
-    pub fn entries(&self) -> Option<&[String]> {
+    pub(crate) fn known_entries(&self) -> Option<&[String]> {
         self.knows_entries.then_some(self.entries.as_slice())
     }
 
@@ -135,15 +118,6 @@
         self.revisions.evacuations = revision;
     }
 
-    /// Returns all records, with the time for which each upstream still counts as cold.
-    pub fn records(&self, now_ms: u64) -> Vec<UpstreamRecord> {
-        let records = self.all.values().map(|it| UpstreamRecord {
-            cold_remaining_ms: it.cold_until_ms.saturating_sub(now_ms),
-            ..it.record.clone()
-        });
-        records.collect()
-    }
-
     /// Returns an upstream, unless it is gone.
     pub fn get(&self, key: UpstreamKey) -> Option<&Upstream> {
         self.all.get(key)
@@ -238,18 +212,6 @@
         }
     }
 
-    /// Sets the data centres that receive no work.
-    pub fn replace_evacuated(&mut self, data_centres: &[String], now_ms: u64) {
-        let returned: Vec<String> =
-            self.evacuated.iter().filter(|it| !data_centres.contains(it)).cloned().collect();
-        for data_centre in &returned {
-            self.set_evacuated(data_centre, false, now_ms);
-        }
-        for data_centre in data_centres {
-            self.set_evacuated(data_centre, true, now_ms);
-        }
-    }
-
     /// Returns the data centres that receive no work.
     pub fn evacuated(&self) -> &FastSet<String> {
         &self.evacuated
--- a/crates/core/src/upstreams/tests.rs
+++ b/crates/core/src/upstreams/tests.rs
@@ -1,10 +1,12 @@
+use std::collections::BTreeSet;
+
 use proptest::{prelude::*, test_runner::RngSeed};
 
 use crate::{
     FastMap,
     upstreams::{
-        Affinity, CallEnd, ListRevisions, ListUpdate, UpstreamRecord, Upstreams, UpstreamsSettings,
-        Wanted,
+        Affinity, Beliefs, CallEnd, ListRevisions, ListUpdate, UpstreamRecord, Upstreams,
+        UpstreamsSettings, Wanted,
     },
 };
 
@@ -52,41 +54,167 @@
     assert!(upstreams.is_empty());
 }
 
+/// Returns a directory that holds the platform's list of a revision.
+fn told(records: Vec<UpstreamRecord>, revision: u64) -> Upstreams {
+    let mut upstreams = upstreams(records);
+    upstreams.set_upstreams_revision(revision);
+    upstreams
+}
+
 #[test]
-fn a_list_heard_from_an_entry_counts_until_the_platforms_own_arrives() {
+fn lists_heard_from_an_entry_count_until_newer_ones_come() {
     let mut fresh = Upstreams::new(UpstreamsSettings::default(), "entry-2");
-    let told = upstreams(vec![record("a", "x"), record("b", "x")]);
-    fresh.update(ListUpdate::Heard(told.records(0)), 0);
+    assert_eq!(fresh.beliefs(0), None, "what was heard is not passed on");
+    let first = told(vec![record("a", "x"), record("b", "x")], 3).beliefs(0).unwrap();
+    fresh.take_over(first.clone(), 0);
     assert!(fresh.has_list() && !fresh.has_platform_list());
-    assert!(chosen(&fresh, 1).is_some());
-    fresh.update(ListUpdate::Heard(vec![record("b", "x")]), 300);
-    assert_eq!(chosen(&fresh, 301).as_deref(), Some("b"), "an older belief does not stay");
-    fresh.update(ListUpdate::Snapshot(vec![record("c", "x")]), 400);
-    assert!(fresh.has_platform_list());
-    assert!(fresh.records(500).iter().all(|it| it.id == "c"));
+    assert_eq!(fresh.beliefs(0), None);
+    fresh.take_over(told(vec![record("b", "x")], 4).beliefs(0).unwrap(), 300);
+    assert_eq!(chosen(&fresh, 301).as_deref(), Some("b"), "what has left is forgotten");
+    fresh.take_over(first, 400);
+    assert_eq!(fresh.len(), 1, "an older list changes nothing");
 }
 
 #[test]
-fn either_list_can_be_newer() {
-    let revisions = |upstreams, evacuations| ListRevisions { upstreams, evacuations };
-    assert!(revisions(2, 1).has_newer_than(revisions(1, 1)));
-    assert!(revisions(1, 2).has_newer_than(revisions(5, 1)));
-    assert!(!revisions(1, 1).has_newer_than(revisions(1, 1)));
-    assert!(!revisions(1, 1).has_newer_than(revisions(2, 1)));
+fn a_data_centre_that_is_out_is_passed_on_and_taken_back() {
+    let mut teller = told(vec![record("a", "x"), record("b", "y")], 1);
+    teller.set_evacuated("x", true, 0);
+    teller.set_evacuations_revision(2);
+    let mut fresh = Upstreams::new(UpstreamsSettings::default(), "entry-2");
+    fresh.take_over(teller.beliefs(0).unwrap(), 0);
+    assert_eq!(chosen(&fresh, 1).as_deref(), Some("b"));
+    teller.set_evacuated("x", false, 10);
+    teller.set_evacuations_revision(3);
+    fresh.take_over(teller.beliefs(10).unwrap(), 10);
+    assert!(fresh.evacuated().is_empty());
 }
 
 #[test]
 fn the_time_for_which_an_upstream_is_cold_is_passed_on() {
-    let mut told = upstreams(vec![]);
-    told.update(ListUpdate::Listed(record("a", "x")), 1_000);
-    let records = told.records(1_500);
-    assert_eq!(records[0].cold_remaining_ms, 2_500, "it has just started");
+    let mut teller = told(vec![], 1);
+    teller.update(ListUpdate::Listed(record("a", "x")), 1_000);
+    let beliefs = teller.beliefs(1_500).unwrap();
+    assert_eq!(beliefs.upstreams[0].cold_remaining_ms, 2_500, "it has just started");
     let mut fresh = Upstreams::new(UpstreamsSettings::default(), "entry-2");
-    fresh.update(ListUpdate::Heard(records), 50);
+    fresh.take_over(beliefs, 50);
     let (_, upstream) = fresh.of_service("s").next().unwrap();
     assert!(upstream.is_cold(2_549) && !upstream.is_cold(2_550));
 }
 
+/// One step of the platform or of the entries, by their numbers.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// An upstream is listed or leaves.
+    Toggle(u8),
+    /// A data centre is taken out or back.
+    Evacuate(u8),
+    /// An entry reads the platform's lists.
+    Read(usize),
+    /// An entry tells another what it knows.
+    Tell(usize, usize),
+}
+
+const ENTRIES: usize = 4;
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        (0..6_u8).prop_map(Step::Toggle),
+        (0..2_u8).prop_map(Step::Evacuate),
+        (0..ENTRIES).prop_map(Step::Read),
+        (0..ENTRIES, 0..ENTRIES).prop_map(|(from, to)| Step::Tell(from, to)),
+    ]
+}
+
+/// What an entry holds: identifiers of its upstreams, and data centres that are out.
+fn held(entry: &Upstreams) -> (BTreeSet<String>, BTreeSet<String>) {
+    let upstreams = entry.of_service("s").map(|(_, it)| it.record.id.clone()).collect();
+    (upstreams, entry.evacuated().iter().cloned().collect())
+}
+
+/// Plays steps and checks that each entry holds exactly what the platform held at its revisions, and
+/// that these never fall.
+fn play(steps: &[Step], take_over: fn(&mut Upstreams, Beliefs)) -> Result<(), TestCaseError> {
+    let mut entries: Vec<Upstreams> = (0..ENTRIES)
+        .map(|it| Upstreams::new(UpstreamsSettings::default(), &format!("entry-{it}")))
+        .collect();
+    let (mut listed, mut out) = (BTreeSet::new(), BTreeSet::new());
+    let mut revision = 0;
+    let mut lists = vec![listed.clone()];
+    let mut outs = vec![out.clone()];
+    for step in steps {
+        let before: Vec<ListRevisions> = entries.iter().map(Upstreams::revisions).collect();
+        match *step {
+            Step::Toggle(number) => {
+                let id = format!("u{number}");
+                if !listed.remove(&id) {
+                    listed.insert(id);
+                }
+                revision += 1;
+            }
+            Step::Evacuate(number) => {
+                let data_centre = format!("d{number}");
+                if !out.remove(&data_centre) {
+                    out.insert(data_centre);
+                }
+                revision += 1;
+            }
+            Step::Read(number) => {
+                let entry = &mut entries[number];
+                entry.set_entries(Vec::new());
+                let records = listed.iter().map(|it| record(it, "x")).collect();
+                entry.update(ListUpdate::Snapshot(records), 0);
+                let evacuated: Vec<String> = out.iter().cloned().collect();
+                entry.replace_evacuated(&evacuated, 0);
+                entry.set_upstreams_revision(revision);
+                entry.set_evacuations_revision(revision);
+            }
+            Step::Tell(from, to) => {
+                if let Some(beliefs) = entries[from].beliefs(0) {
+                    take_over(&mut entries[to], beliefs);
+                }
+            }
+        }
+        lists.resize(revision as usize + 1, listed.clone());
+        outs.resize(revision as usize + 1, out.clone());
+        for (entry, before) in entries.iter().zip(before) {
+            let now = entry.revisions();
+            prop_assert!(!before.has_newer_than(now), "{before:?} became {now:?}");
+            let wanted =
+                (lists[now.upstreams as usize].clone(), outs[now.evacuations as usize].clone());
+            prop_assert_eq!(held(entry), wanted);
+        }
+    }
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 256,
+        rng_seed: RngSeed::Fixed(7605),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn entries_that_tell_each_other_hold_what_the_platform_held(
+        steps in prop::collection::vec(step(), 1..60),
+    ) {
+        play(&steps, |entry, beliefs| entry.take_over(beliefs, 0))?;
+    }
+}
+
+#[test]
+fn the_play_notices_an_older_list_that_replaces_a_newer_one() {
+    let careless = |entry: &mut Upstreams, beliefs: Beliefs| {
+        entry.replace_evacuated(&beliefs.evacuated, 0);
+        entry.set_evacuations_revision(beliefs.revisions.evacuations);
+        entry.update(ListUpdate::Heard(beliefs.upstreams), 0);
+        entry.set_upstreams_revision(beliefs.revisions.upstreams);
+    };
+    let steps = [Step::Read(0), Step::Toggle(1), Step::Read(1), Step::Tell(0, 1)];
+    assert!(play(&steps, careless).is_err());
+    assert!(play(&steps, |entry, beliefs| entry.take_over(beliefs, 0)).is_ok());
+}
+
 #[test]
 fn an_upstream_that_is_missing_after_an_outage_stays_for_the_grace_time() {
     let mut upstreams = upstreams(vec![record("a", "x")]);
--- a/crates/entry/src/relay/peers.rs
+++ b/crates/entry/src/relay/peers.rs
@@ -23,13 +23,12 @@
     FastMap, FastSet,
     ownership::{Candidate, owner},
     route_table::{Configuration, RouteTable},
-    upstreams::{ListRevisions, ListUpdate},
+    upstreams::{Beliefs, ListRevisions},
 };
 use yuccatrail_platform::{Client, PlatformError, PollUpdate, Poller, PollerSettings};
 use yuccatrail_rpc::{
     entries::{
-        Beliefs, EntryPeer, EntryPeerClient, Hello, HelloReply, QueueState, StageReply,
-        StageRequest,
+        EntryPeer, EntryPeerClient, Hello, HelloReply, QueueState, StageReply, StageRequest,
     },
     transport,
 };
@@ -238,28 +237,19 @@
         }
     };
     // The platform's own lists may have arrived meanwhile.
-    if relay.follows_platform() || !is_newer(beliefs.revisions) {
+    if relay.follows_platform() {
         return;
     }
     let now_ms = relay.now_ms();
     let mut upstreams = relay.upstreams();
-    let known = upstreams.revisions();
     info!(
         entry:% = peer.name,
         upstreams = beliefs.upstreams.len(),
         revision = beliefs.revisions.upstreams,
-        known_revision = known.upstreams;
+        known_revision = upstreams.revisions().upstreams;
         "lists heard from an entry"
     );
-    upstreams.set_entries(beliefs.entries);
-    if beliefs.revisions.evacuations >= known.evacuations {
-        upstreams.replace_evacuated(&beliefs.evacuated, now_ms);
-        upstreams.set_evacuations_revision(beliefs.revisions.evacuations);
-    }
-    if beliefs.revisions.upstreams >= known.upstreams {
-        upstreams.update(ListUpdate::Heard(beliefs.upstreams), now_ms);
-        upstreams.set_upstreams_revision(beliefs.revisions.upstreams);
-    }
+    upstreams.take_over(beliefs, now_ms);
     drop(upstreams);
     relay.stages.pump_all(relay);
 }
@@ -386,13 +376,7 @@
         if !self.relay.follows_platform() {
             return None;
         }
-        let upstreams = self.relay.upstreams();
-        Some(Beliefs {
-            revisions: upstreams.revisions(),
-            upstreams: upstreams.records(self.relay.now_ms()),
-            evacuated: upstreams.evacuated().iter().cloned().collect(),
-            entries: upstreams.entries()?.to_vec(),
-        })
+        self.relay.upstreams().beliefs(self.relay.now_ms())
     }
 
     async fn run_stage(self, _: Context, request: StageRequest) -> StageReply {
--- a/crates/rpc/src/entries.rs
+++ b/crates/rpc/src/entries.rs
@@ -6,7 +6,7 @@
 use yuccatrail_core::{
     batching::{GroupEnd, PieceSource},
     route_table::Configuration,
-    upstreams::{ListRevisions, UpstreamRecord},
+    upstreams::{Beliefs, ListRevisions},
 };
 
 /// Asks another entry whether it takes work.
@@ -76,19 +76,6 @@
     pub handles: Vec<String>,
 }
 
-/// What an entry knows from the platform.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Beliefs {
-    /// Revisions of the lists.
-    pub revisions: ListRevisions,
-    /// Upstreams, with the time for which each still counts as cold.
-    pub upstreams: Vec<UpstreamRecord>,
-    /// Data centres that receive no work.
-    pub evacuated: Vec<String>,
-    /// Names of the entries that share the limits.
-    pub entries: Vec<String>,
-}
-
 /// Calls that an entry answers to another.
 #[tarpc::service]
 pub trait EntryPeer {
