Relay: events are written from one buffer

Cause: a profile of a calm run (release build, 60 callers, one relay, 499 samples a second) shows 23 % of the processor time in writev to callers; each event of a stream went out as length, content and line end. Ruled out: the cutting of events and the choice (5 % and less each). Change: the server copies the parts into one buffer and writes once.

--- a/crates/entry/src/relay/server.rs
+++ b/crates/entry/src/relay/server.rs
@@ -40,7 +40,9 @@
         builder
             .timer(TokioTimer::new())
             .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms))
-            .max_buf_size(limits.header_bytes);
+            .max_buf_size(limits.header_bytes)
+            // An event is small, so one copy costs less than a write of three parts.
+            .writev(false);
         let connection = builder.serve_connection(TokioIo::new(stream), service);
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
