Stages: inputs of a call are released once they are read, where their makers lack room

Its calls held 15.6 pieces of 26 with 200 in the queue, in turns of 24 and of 3 to 8: results took up room from their call until the call that reads them had ended, about 0.8 s, of which the reader needs its inputs for milliseconds. Ruled out: idle upstreams (96 % busy), a smoother filling (at most 8 % by the arithmetic). Change: 120 ms after a call began its inputs are released, if no other stage reads them, all pieces that read them run, and one more piece would wait at their maker's service for more than two calls' time. A call that fails afterwards ends its stages as InputGone; the request then runs those stages again, now with the stages before them whose results had been released as well (before, the second attempt was bound to fail). Tests: core::batching (let go once, not while pieces wait, not for other readers, a failure afterwards), core::stage_graph (restart with released stages).

--- a/crates/core/src/batching/batcher.rs
+++ b/crates/core/src/batching/batcher.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     FastMap,
-    batching::{EngineView, StageWork, engine::Engine, order::Place},
+    batching::{EngineView, PieceSource, StageWork, engine::Engine, order::Place},
     route_table::StageService,
     stage_graph::ResultHandle,
     upstreams::UpstreamKey,
@@ -89,6 +89,8 @@
     pub(super) waiting: Vec<usize>,
     results: Vec<Option<ResultHandle>>,
     tries: u32,
+    /// Its inputs no longer take up room, so that no piece can be made again.
+    has_let_inputs_go: bool,
 }
 
 #[derive(Debug)]
@@ -99,6 +101,8 @@
     stated_ms: f64,
     overdue_ms: u64,
     is_overdue: bool,
+    /// The upstream has had the time to read the inputs.
+    has_read: bool,
     reserved_bytes: u64,
 }
 
@@ -149,6 +153,7 @@
             waiting: (0..work.pieces).collect(),
             results: vec![None; work.pieces],
             tries: 0,
+            has_let_inputs_go: false,
             work,
         };
         self.groups.insert(group)
@@ -300,6 +305,10 @@
             CallResult::Full => {
                 engine.pause(now_ms + FULL_PAUSE_MS);
                 for (group, piece) in call.pieces {
+                    if self.groups.get(group).is_some_and(|it| it.has_let_inputs_go) {
+                        self.end(group, GroupEnd::InputGone, &mut settled);
+                        continue;
+                    }
                     self.requeue(group, piece);
                 }
             }
@@ -313,6 +322,42 @@
         settled
     }
 
+    /// Notes that the upstream of a call has had the time to read its inputs, and returns those that
+    /// nobody else reads and that `is_wanted_back` selects.
+    ///
+    /// They may be released, which makes room at their makers before the call ends. If the call
+    /// fails, its stages end as [`GroupEnd::InputGone`].
+    pub fn let_inputs_go(
+        &mut self,
+        key: CallKey,
+        is_wanted_back: impl Fn(&ResultHandle) -> bool,
+    ) -> Vec<ResultHandle> {
+        let Some(call) = self.calls.get_mut(key) else { return Vec::new() };
+        if call.is_overdue {
+            return Vec::new();
+        }
+        call.has_read = true;
+        let mut groups: Vec<GroupKey> = call.pieces.iter().map(|it| it.0).collect();
+        groups.dedup();
+        let mut handles = Vec::new();
+        for key in groups {
+            let is_read =
+                |it: &Call| it.has_read || it.pieces.iter().all(|(group, _)| *group != key);
+            if !self.calls.values().all(is_read) {
+                continue;
+            }
+            let Some(group) = self.groups.get_mut(key) else { continue };
+            let PieceSource::Inputs(inputs) = &group.work.source else { continue };
+            let is_open = !group.waiting.is_empty() || group.has_let_inputs_go;
+            if is_open || !group.work.is_only_reader || !inputs.iter().any(&is_wanted_back) {
+                continue;
+            }
+            group.has_let_inputs_go = true;
+            handles.extend(inputs.iter().cloned());
+        }
+        handles
+    }
+
     /// Forgets upstreams that no longer exist; results that they held are gone with them.
     pub fn keep_engines(&mut self, exists: impl Fn(UpstreamKey) -> bool) {
         self.engines.retain(|key, _| exists(*key));
@@ -367,6 +412,7 @@
             stated_ms,
             overdue_ms,
             is_overdue: false,
+            has_read: false,
             reserved_bytes,
         });
         let expected_end_ms = now_ms + expected_ms as u64;
@@ -427,6 +473,10 @@
 
     fn retry(&mut self, key: GroupKey, piece: usize, settled: &mut Settled) {
         let Some(group) = self.groups.get_mut(key) else { return };
+        if group.has_let_inputs_go {
+            self.end(key, GroupEnd::InputGone, settled);
+            return;
+        }
         group.tries += 1;
         // Each failed call counts once for every piece of the group that it held.
         if group.tries > MAX_TRIES * group.work.pieces as u32 {
@@ -438,6 +488,10 @@
 
     fn requeue(&mut self, key: GroupKey, piece: usize) {
         let Some(group) = self.groups.get_mut(key) else { return };
+        // The call in progress is the only one that can still make it.
+        if group.has_let_inputs_go {
+            return;
+        }
         let is_made = group.results.get(piece).is_some_and(Option::is_some);
         if !is_made && !group.waiting.contains(&piece) {
             group.waiting.push(piece);
--- a/crates/core/src/batching/tests.rs
+++ b/crates/core/src/batching/tests.rs
@@ -30,6 +30,7 @@
         stage: 0,
         pieces,
         source: PieceSource::Key("k".to_owned()),
+        is_only_reader: true,
         result_bytes: 1_500_000,
         priority: 0,
         aim_ms,
@@ -186,6 +187,54 @@
     assert!(batcher.next_call(&engines, 10).is_some_and(|it| it.engine != near));
 }
 
+fn reading(pieces: usize, inputs: &[&str]) -> StageWork {
+    let inputs = inputs.iter().map(|it| (*it).to_owned()).collect();
+    StageWork { source: PieceSource::Inputs(inputs), ..work(pieces, 1_000, 5_000) }
+}
+
+#[test]
+fn inputs_are_let_go_once_all_pieces_that_read_them_run() {
+    let engines = engines(2);
+    let mut batcher = Batcher::new(SERVICE);
+    let group = batcher.submit(reading(12, &["a", "b"]));
+    let first = batcher.next_call(&engines, 0).unwrap();
+    assert!(batcher.let_inputs_go(first.call, |_| true).is_empty(), "two pieces wait");
+    let second = batcher.next_call(&engines, 0).unwrap();
+    assert_eq!(batcher.let_inputs_go(second.call, |_| true), ["a", "b"]);
+    assert!(batcher.let_inputs_go(first.call, |_| true).is_empty(), "only once");
+    batcher.finish(first.call, answer(&first), 300);
+    let settled = batcher.finish(second.call, answer(&second), 300);
+    assert_eq!((settled.ended[0].0, settled.ended[0].1), (group, GroupEnd::Made));
+}
+
+#[test]
+fn a_call_that_fails_after_its_inputs_were_let_go_ends_its_stages() {
+    let engines = engines(1);
+    for result in [CallResult::Failed, CallResult::Full] {
+        let mut batcher = Batcher::new(SERVICE);
+        batcher.submit(reading(2, &["a"]));
+        let order = batcher.next_call(&engines, 0).unwrap();
+        assert_eq!(batcher.let_inputs_go(order.call, |_| true), ["a"]);
+        batcher.requeue_overdue(5_000);
+        assert_eq!(batcher.waiting(), 0, "it cannot be made elsewhere");
+        let settled = batcher.finish(order.call, result, 5_000);
+        assert_eq!(settled.ended.len(), 1);
+        assert_eq!(settled.ended[0].1, GroupEnd::InputGone);
+    }
+}
+
+#[test]
+fn inputs_stay_where_another_stage_reads_them_or_their_maker_has_room() {
+    let engines = engines(1);
+    let mut batcher = Batcher::new(SERVICE);
+    batcher.submit(StageWork { is_only_reader: false, ..reading(1, &["a"]) });
+    batcher.submit(reading(1, &["b"]));
+    let order = batcher.next_call(&engines, 0).unwrap();
+    assert_eq!(order.pieces.len(), 2);
+    assert!(batcher.let_inputs_go(order.call, |it| it == "c").is_empty());
+    assert_eq!(batcher.let_inputs_go(order.call, |it| it != "c"), ["b"]);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 256,
--- a/crates/core/src/stage_graph/mod.rs
+++ b/crates/core/src/stage_graph/mod.rs
@@ -33,6 +33,8 @@
     after: Vec<Vec<usize>>,
     pieces: Vec<usize>,
     states: Vec<StageState>,
+    /// Stages whose results no longer exist.
+    released: Vec<bool>,
 }
 
 impl StageGraph {
@@ -40,7 +42,12 @@
     pub fn new(stages: &[StageSpec], pieces: &[usize]) -> Self {
         let after = stages.iter().map(|it| it.after.clone()).collect();
         let pieces = (0..stages.len()).map(|it| pieces.get(it).copied().unwrap_or(0)).collect();
-        let mut graph = Self { after, pieces, states: vec![StageState::Blocked; stages.len()] };
+        let mut graph = Self {
+            after,
+            pieces,
+            states: vec![StageState::Blocked; stages.len()],
+            released: vec![false; stages.len()],
+        };
         for stage in 0..stages.len() {
             if graph.pieces[stage] == 0 {
                 graph.states[stage] = StageState::Done(Vec::new());
@@ -71,11 +78,25 @@
         }
     }
 
-    /// Makes a stage and everything that read its results run again.
+    /// Notes that the results that a stage read have been released.
+    pub fn note_inputs_released(&mut self, stage: usize) {
+        for before in &self.after[stage] {
+            self.released[*before] = true;
+        }
+    }
+
+    /// Makes a stage and everything that read its results run again, with the stages before it whose
+    /// results are gone.
     pub fn restart(&mut self, stage: usize) {
         if self.pieces[stage] > 0 {
             self.states[stage] = StageState::Blocked;
         }
+        self.released[stage] = false;
+        for before in self.after[stage].clone() {
+            if self.released[before] {
+                self.restart(before);
+            }
+        }
         for later in 0..self.states.len() {
             if self.after[later].contains(&stage) && self.states[later] != StageState::Blocked {
                 self.restart(later);
--- a/crates/core/src/stage_graph/tests.rs
+++ b/crates/core/src/stage_graph/tests.rs
@@ -99,3 +99,25 @@
     assert_eq!(graph.slack_ms(0, &time_ms), 80.0);
     assert_eq!(graph.slack_ms(1, &time_ms), 0.0);
 }
+
+#[test]
+fn a_stage_runs_again_with_the_stages_before_it_whose_results_were_released() {
+    let stages = [stage(&[]), stage(&[0]), stage(&[1]), stage(&[])];
+    let mut graph = StageGraph::new(&stages, &[1, 1, 1, 1]);
+    graph.start_ready();
+    graph.finish(0, handles(&["a"]));
+    graph.finish(3, handles(&["d"]));
+    graph.start_ready();
+    graph.finish(1, handles(&["b"]));
+    graph.note_inputs_released(1);
+    graph.start_ready();
+    graph.restart_inputs(2);
+    let ready = graph.start_ready();
+    assert_eq!(ready, [ReadyStage { stage: 0, pieces: 1, inputs: None }], "and not stage 3");
+    graph.finish(0, handles(&["e"]));
+    let inputs = Some(handles(&["e"]));
+    assert_eq!(graph.start_ready(), [ReadyStage { stage: 1, pieces: 1, inputs }]);
+    graph.finish(1, handles(&["f"]));
+    let inputs = Some(handles(&["f"]));
+    assert_eq!(graph.start_ready(), [ReadyStage { stage: 2, pieces: 1, inputs }]);
+}
--- a/crates/entry/src/relay/model.rs
+++ b/crates/entry/src/relay/model.rs
@@ -197,9 +197,15 @@
 }
 
 /// Releases the results that only a finished stage has read.
-fn release_read(graph: &StageGraph, held: &mut HeldResults, stage: usize, inputs: &[ResultHandle]) {
+fn release_read(
+    graph: &mut StageGraph,
+    held: &mut HeldResults,
+    stage: usize,
+    inputs: &[ResultHandle],
+) {
     if !inputs.is_empty() && !graph.has_other_reader(stage) {
         held.release(inputs);
+        graph.note_inputs_released(stage);
     }
 }
 
@@ -223,6 +229,7 @@
         stage: ready.stage,
         pieces: ready.pieces,
         source,
+        is_only_reader: !graph.has_other_reader(ready.stage),
         result_bytes: stages[ready.stage].result_bytes,
         priority: request.admission.priority,
         aim_ms: request.aim_ms().saturating_sub(following_ms),
--- a/crates/entry/src/relay/stages.rs
+++ b/crates/entry/src/relay/stages.rs
@@ -8,7 +8,9 @@
 use bytes::Bytes;
 use log::{info, warn};
 use tokio::sync::oneshot;
-use yuccatrail_adapter::{STAGE_PATH, StageCallItem, decode_stage_results, encode_stage_call};
+use yuccatrail_adapter::{
+    STAGE_PATH, StageCallItem, decode_stage_results, encode_stage_call, maker_of,
+};
 use yuccatrail_core::{
     FastMap,
     batching::{
@@ -32,6 +34,12 @@
 /// Shortest limit of a call, in milliseconds; a call that waits behind two others takes a second.
 const MIN_CALL_LIMIT_MS: u64 = 2_000;
 
+/// Time after which an upstream has read the inputs of a call, in milliseconds: a few megabytes take
+/// one, the way to another data centre a few, a lost packet up to a hundred.
+const READ_MS: u64 = 120;
+/// Times the shortest call that one more piece has to wait at a service before its results are
+/// released as soon as they are read.
+const PRESSED_FACTOR: f64 = 2.0;
 /// Owners that are asked for the work of one stage before this entry does it itself.
 const MAX_OWNERS: usize = 3;
 /// Time beyond the deadline for which an owner's answer is awaited, in milliseconds.
@@ -98,6 +106,7 @@
                 stage: work.stage,
                 pieces: work.pieces,
                 source: work.source.clone(),
+                is_only_reader: work.is_only_reader,
                 result_bytes: work.result_bytes,
                 priority: work.priority,
                 aim_in_ms: work.aim_ms.saturating_sub(now_ms),
@@ -131,6 +140,7 @@
             stage: request.stage,
             pieces: request.pieces,
             source: request.source,
+            is_only_reader: request.is_only_reader,
             result_bytes: request.result_bytes,
             priority: request.priority,
             aim_ms: now_ms + request.aim_in_ms,
@@ -267,6 +277,32 @@
         queue.batcher.cancel(group)
     }
 
+    /// Releases the inputs that a call has read, where their makers lack room.
+    fn let_inputs_go(&self, relay: &Relay, call: &StageCall) {
+        let now_ms = relay.now_ms();
+        let services: Vec<Arc<str>> = lock(&self.queues).keys().cloned().collect();
+        let is_pressed = |service: &Arc<str>| {
+            let wait_ms = self.estimate_ms(relay, service, 1, now_ms).unwrap_or(0.0);
+            wait_ms > self.duration_ms(service, 1) * PRESSED_FACTOR
+        };
+        let pressed: Vec<Arc<str>> = services.into_iter().filter(is_pressed).collect();
+        if pressed.is_empty() {
+            return;
+        }
+        let is_wanted_back = |handle: &ResultHandle| {
+            let maker = maker_of(handle);
+            let upstreams = relay.upstreams();
+            let key = maker.and_then(|it| upstreams.at_address(it));
+            let service = key.and_then(|it| upstreams.get(it)).map(|it| &it.record.service);
+            service.is_some_and(|it| pressed.contains(it))
+        };
+        let handles = match lock(&self.queues).get_mut(&call.service) {
+            Some(queue) => queue.batcher.let_inputs_go(call.order.call, is_wanted_back),
+            None => return,
+        };
+        relay.releases.add(handles);
+    }
+
     fn finish(&self, relay: &Arc<Relay>, call: &StageCall, result: CallResult) {
         let now_ms = relay.now_ms();
         {
@@ -339,7 +375,16 @@
     relay.metrics.stage_pieces.get_or_create(&labels).inc_by(call.order.pieces.len() as u64);
     let started_ms = relay.now_ms();
     let limit = Duration::from_millis(call.limit_ms);
-    let result = match tokio::time::timeout(limit, send_call(&relay, &call)).await {
+    let sending = async {
+        let mut sending = std::pin::pin!(send_call(&relay, &call));
+        tokio::select! {
+            result = &mut sending => return result,
+            () = tokio::time::sleep(Duration::from_millis(READ_MS)) => {}
+        }
+        relay.stages.let_inputs_go(&relay, &call);
+        sending.await
+    };
+    let result = match tokio::time::timeout(limit, sending).await {
         Ok(result) => result,
         Err(_) => {
             warn!(service:% = call.service, limit_ms = call.limit_ms; "stage call timed out");
--- a/crates/rpc/src/entries.rs
+++ b/crates/rpc/src/entries.rs
@@ -55,6 +55,8 @@
     pub pieces: usize,
     /// What each piece is made from.
     pub source: PieceSource,
+    /// Whether no other stage reads its inputs.
+    pub is_only_reader: bool,
     /// Approximate size of one result, in bytes.
     pub result_bytes: u64,
     /// Rank of the request; 0 is the most urgent.
