Stages: results are released early wherever more pieces than one call wait at their service

Change: the owner of a service says whether more pieces wait than one call takes; the readers' owners go by that.

--- a/crates/core/src/batching/batcher.rs
+++ b/crates/core/src/batching/batcher.rs
@@ -175,6 +175,11 @@
         self.groups.values().map(|it| it.waiting.len()).sum()
     }
 
+    /// Tells whether more pieces wait than one call takes, so that room is worth having soon.
+    pub fn is_pressed(&self) -> bool {
+        self.waiting() > self.service.batch
+    }
+
     /// Notes that a result no longer takes up room.
     pub fn release(&mut self, handle: &str) {
         for engine in self.engines.values_mut() {
--- a/crates/entry/src/relay/peers.rs
+++ b/crates/entry/src/relay/peers.rs
@@ -64,7 +64,7 @@
     record: EntryRecord,
     stop: CancellationToken,
     peer: Option<Peer>,
-    queues: FastMap<String, u64>,
+    queues: FastMap<String, QueueState>,
 }
 
 /// Who owns a piece of shared work.
@@ -105,7 +105,16 @@
     /// this entry is the owner.
     pub(crate) fn wait_ms(&self, relay: &Relay, service: &str) -> Option<u64> {
         let Owner::Other(peer) = self.owner(relay, service) else { return None };
-        lock(&self.known).get(&peer.name)?.queues.get(service).copied()
+        lock(&self.known).get(&peer.name)?.queues.get(service).map(|it| it.wait_ms)
+    }
+
+    /// Tells whether much waits in the queue of a service at its owner; none where this entry is the
+    /// owner.
+    pub(crate) fn is_pressed(&self, relay: &Relay, service: &str) -> Option<bool> {
+        let Owner::Other(peer) = self.owner(relay, service) else { return None };
+        let known = lock(&self.known);
+        let queue = known.get(&peer.name).and_then(|it| it.queues.get(service));
+        Some(queue.is_some_and(|it| it.is_pressed))
     }
 
     fn set_record(&self, relay: &Arc<Relay>, name: &str, record: EntryRecord) {
@@ -143,7 +152,7 @@
             info!(entry = name, takes_work = reply.takes_work; "entry heard");
         }
         entry.peer = reply.takes_work.then(|| peer.clone());
-        entry.queues = reply.queues.into_iter().map(|it| (it.service, it.wait_ms)).collect();
+        entry.queues = reply.queues.into_iter().map(|it| (it.service.clone(), it)).collect();
     }
 
     fn note_lost(&self, name: &str, detail: &str) {
@@ -413,8 +422,3 @@
         })
         .await;
 }
-
-/// State of one queue, for other entries.
-pub(crate) fn queue_state(service: &str, wait_ms: f64) -> QueueState {
-    QueueState { service: service.to_owned(), wait_ms: wait_ms as u64 }
-}
--- a/crates/entry/src/relay/stages.rs
+++ b/crates/entry/src/relay/stages.rs
@@ -25,7 +25,7 @@
 use crate::relay::{
     attempt::{Attempt, AttemptError},
     metrics::ServiceLabels,
-    peers::{Owner, context_for, queue_state},
+    peers::{Owner, context_for},
     state::{Relay, lock},
 };
 
@@ -37,9 +37,6 @@
 /// Time after which an upstream has read the inputs of a call, in milliseconds: a few megabytes take
 /// one, the way to another data centre a few, a lost packet up to a hundred.
 const READ_MS: u64 = 120;
-/// Times the shortest call that one more piece has to wait at a service before its results are
-/// released as soon as they are read.
-const PRESSED_FACTOR: f64 = 2.0;
 /// Owners that are asked for the work of one stage before this entry does it itself.
 const MAX_OWNERS: usize = 3;
 /// Time beyond the deadline for which an owner's answer is awaited, in milliseconds.
@@ -157,7 +154,11 @@
         let mut states = Vec::with_capacity(services.len());
         for service in services {
             let Some(wait_ms) = self.own_estimate_ms(relay, &service, 1, now_ms) else { continue };
-            states.push(queue_state(&service, wait_ms));
+            states.push(QueueState {
+                service: service.to_string(),
+                wait_ms: wait_ms as u64,
+                is_pressed: self.is_pressed_here(&service),
+            });
         }
         states
     }
@@ -277,13 +278,16 @@
         queue.batcher.cancel(group)
     }
 
+    fn is_pressed_here(&self, service: &str) -> bool {
+        lock(&self.queues).get(service).is_some_and(|it| it.batcher.is_pressed())
+    }
+
     /// Releases the inputs that a call has read, where their makers lack room.
     fn let_inputs_go(&self, relay: &Relay, call: &StageCall) {
-        let now_ms = relay.now_ms();
         let services: Vec<Arc<str>> = lock(&self.queues).keys().cloned().collect();
         let is_pressed = |service: &Arc<str>| {
-            let wait_ms = self.estimate_ms(relay, service, 1, now_ms).unwrap_or(0.0);
-            wait_ms > self.duration_ms(service, 1) * PRESSED_FACTOR
+            let at_owner = relay.peers.is_pressed(relay, service);
+            at_owner.unwrap_or_else(|| self.is_pressed_here(service))
         };
         let pressed: Vec<Arc<str>> = services.into_iter().filter(is_pressed).collect();
         if pressed.is_empty() {
