--- a/crates/core/src/batching/batcher.rs
+++ b/crates/core/src/batching/batcher.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     FastMap,
-    batching::{EngineView, PieceSource, StageWork, engine::Engine, order::Place},
+    batching::{EngineView, StageWork, engine::Engine, order::Place},
     route_table::StageService,
     stage_graph::ResultHandle,
     upstreams::UpstreamKey,
@@ -90,19 +90,19 @@
     results: Vec<Option<ResultHandle>>,
     tries: u32,
     /// Its inputs no longer take up room, so that no piece can be made again.
-    has_let_inputs_go: bool,
+    pub(super) has_let_inputs_go: bool,
 }
 
 #[derive(Debug)]
-struct Call {
+pub(super) struct Call {
     engine: UpstreamKey,
-    pieces: Vec<(GroupKey, usize)>,
+    pub(super) pieces: Vec<(GroupKey, usize)>,
     started_ms: u64,
     stated_ms: f64,
     overdue_ms: u64,
-    is_overdue: bool,
+    pub(super) is_overdue: bool,
     /// The upstream has had the time to read the inputs.
-    has_read: bool,
+    pub(super) has_read: bool,
     reserved_bytes: u64,
 }
 
@@ -127,7 +127,7 @@
 pub struct Batcher {
     pub(super) service: StageService,
     pub(super) groups: SlotMap<GroupKey, Group>,
-    calls: SlotMap<CallKey, Call>,
+    pub(super) calls: SlotMap<CallKey, Call>,
     pub(super) engines: FastMap<UpstreamKey, Engine>,
 }
 
@@ -175,11 +175,6 @@
         self.groups.values().map(|it| it.waiting.len()).sum()
     }
 
-    /// Tells whether more pieces wait than one call takes, so that room is worth having soon.
-    pub fn is_pressed(&self) -> bool {
-        self.waiting() > self.service.batch
-    }
-
     /// Notes that a result no longer takes up room.
     pub fn release(&mut self, handle: &str) {
         for engine in self.engines.values_mut() {
@@ -327,42 +322,6 @@
         settled
     }
 
-    /// Notes that the upstream of a call has had the time to read its inputs, and returns those that
-    /// nobody else reads and that `is_wanted_back` selects.
-    ///
-    /// They may be released, which makes room at their makers before the call ends. If the call
-    /// fails, its stages end as [`GroupEnd::InputGone`].
-    pub fn let_inputs_go(
-        &mut self,
-        key: CallKey,
-        is_wanted_back: impl Fn(&ResultHandle) -> bool,
-    ) -> Vec<ResultHandle> {
-        let Some(call) = self.calls.get_mut(key) else { return Vec::new() };
-        if call.is_overdue {
-            return Vec::new();
-        }
-        call.has_read = true;
-        let mut groups: Vec<GroupKey> = call.pieces.iter().map(|it| it.0).collect();
-        groups.dedup();
-        let mut handles = Vec::new();
-        for key in groups {
-            let is_read =
-                |it: &Call| it.has_read || it.pieces.iter().all(|(group, _)| *group != key);
-            if !self.calls.values().all(is_read) {
-                continue;
-            }
-            let Some(group) = self.groups.get_mut(key) else { continue };
-            let PieceSource::Inputs(inputs) = &group.work.source else { continue };
-            let is_open = !group.waiting.is_empty() || group.has_let_inputs_go;
-            if is_open || !group.work.is_only_reader || !inputs.iter().any(&is_wanted_back) {
-                continue;
-            }
-            group.has_let_inputs_go = true;
-            handles.extend(inputs.iter().cloned());
-        }
-        handles
-    }
-
     /// Forgets upstreams that no longer exist; results that they held are gone with them.
     pub fn keep_engines(&mut self, exists: impl Fn(UpstreamKey) -> bool) {
         self.engines.retain(|key, _| exists(*key));
--- a/crates/core/src/batching/mod.rs
+++ b/crates/core/src/batching/mod.rs
@@ -9,6 +9,7 @@
 mod batcher;
 mod engine;
 mod fill;
+mod inputs;
 mod order;
 
 pub use batcher::{
