--- a/crates/core/src/batching/inputs.rs
+++ b/crates/core/src/batching/inputs.rs
@@ -18,7 +18,7 @@
     /// nobody else reads and that `is_wanted_back` selects.
     ///
     /// They may be released, which makes room at their makers before the call ends. If the call
-    /// fails, its stages end as [`GroupEnd::InputGone`].
+    /// fails, its stages end as `InputGone`.
     pub fn let_inputs_go(
         &mut self,
         key: CallKey,
