Relay: a configuration is asked of another entry only where the platform does not tell of it in time

Cause: in a storm of versions each of 25 entries that answered with a newer one was asked for the whole configuration, several at once for the same version, although the platform's answer was on its way. Change: an entry asks for a version only if it has been without it for 600 ms, and one entry at a time; an entry without any configuration asks at once. Tests: relay::peers (the second failed by construction before: every offer was asked for).

--- a/crates/entry/src/relay/peers.rs
+++ b/crates/entry/src/relay/peers.rs
@@ -1,5 +1,8 @@
 //! The other entries: how they are found, whether they live, and the calls to them.
 
+#[cfg(test)]
+mod tests;
+
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex},
@@ -43,6 +46,9 @@
 const HELLO_TIMEOUT_MS: u64 = 700;
 /// Time between two attempts to connect, in milliseconds.
 const RECONNECT_MS: u64 = 300;
+/// Time for which the platform is given to tell of a configuration that another entry has, in
+/// milliseconds: its answers are gathered for 250, and two seconds are the bound.
+const CONFIGURATION_PATIENCE_MS: u64 = 600;
 /// Time between two attempts to write the own record, in milliseconds.
 const REGISTER_INTERVAL_MS: u64 = 500;
 /// Longest wait of a planned stop for the removal of the own record, in milliseconds.
@@ -79,6 +85,35 @@
 #[derive(Default)]
 pub(crate) struct Peers {
     known: Mutex<FastMap<String, Known>>,
+    missing: Mutex<Missing>,
+}
+
+/// A configuration that another entry has and this one lacks.
+#[derive(Default)]
+struct Missing {
+    /// Its version, and the time at which it was first heard of, in milliseconds.
+    heard: Option<(u64, u64)>,
+    /// Time until which an entry is being asked for it, in milliseconds.
+    asked_until_ms: u64,
+}
+
+impl Missing {
+    /// Notes that another entry has a version; tells whether it is time to ask for it.
+    ///
+    /// A whole configuration takes a narrow link tens of milliseconds, so it is asked for only where
+    /// the platform has not told of it in time, and from one entry. An entry without any asks at once.
+    fn begin(&mut self, own: Option<u64>, offered: u64, now_ms: u64) -> bool {
+        let (_, since_ms) = match self.heard.filter(|(version, _)| own < Some(*version)) {
+            Some(heard) => heard,
+            None => *self.heard.insert((offered, now_ms)),
+        };
+        let is_patient = own.is_some() && now_ms < since_ms + CONFIGURATION_PATIENCE_MS;
+        if is_patient || now_ms < self.asked_until_ms {
+            return false;
+        }
+        self.asked_until_ms = now_ms + HELLO_TIMEOUT_MS;
+        true
+    }
 }
 
 impl Peers {
@@ -219,7 +254,9 @@
 
 /// Takes over a newer configuration from an entry that the store has told of it.
 async fn take_newer_configuration(relay: &Relay, peer: &Peer, version: Option<u64>) {
-    if version <= relay.table().map(|it| it.version()) {
+    let own = relay.table().map(|it| it.version());
+    let Some(offered) = version.filter(|it| Some(*it) > own) else { return };
+    if !lock(&relay.peers.missing).begin(own, offered, relay.now_ms()) {
         return;
     }
     match peer.client.configuration(context_for(HELLO_TIMEOUT_MS)).await {
@@ -229,6 +266,7 @@
         Ok(None) => {}
         Err(error) => warn!(entry:% = peer.name, error:% = error; "newer configuration not heard"),
     }
+    lock(&relay.peers.missing).asked_until_ms = 0;
 }
 
 /// Takes over newer lists from an entry that follows the platform while this one does not.
