Stage work has one type, also between entries

The request to a service's owner repeated every field of the work and copied them there and back. The work itself is sent now, with its times counted from the sending; no behaviour changes.

--- a/crates/core/src/batching/order.rs
+++ b/crates/core/src/batching/order.rs
@@ -19,7 +19,7 @@
 }
 
 /// All pieces of one stage of one request.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StageWork {
     /// Identifier of the request.
     pub request_id: String,
@@ -53,6 +53,20 @@
 }
 
 impl StageWork {
+    /// Returns the work with its times counted from `now_ms`, for an entry with another clock.
+    pub fn without_clock(&self, now_ms: u64) -> Self {
+        Self {
+            aim_ms: self.aim_ms.saturating_sub(now_ms),
+            deadline_ms: self.deadline_ms.saturating_sub(now_ms),
+            ..self.clone()
+        }
+    }
+
+    /// Returns work whose times count from `now_ms` with its times on the own clock.
+    pub fn on_clock(self, now_ms: u64) -> Self {
+        Self { aim_ms: now_ms + self.aim_ms, deadline_ms: now_ms + self.deadline_ms, ..self }
+    }
+
     /// Returns the place of the work when a call that starts now takes `call_ms`.
     pub(crate) fn place(&self, is_untouched: bool, now_ms: u64, call_ms: f64) -> Place {
         let is_late = now_ms as f64 + call_ms > self.aim_ms as f64;
--- a/crates/core/src/batching/tests.rs
+++ b/crates/core/src/batching/tests.rs
@@ -235,6 +235,15 @@
     assert_eq!(batcher.let_inputs_go(order.call, |it| it != "c"), ["b"]);
 }
 
+#[test]
+fn work_that_goes_to_another_entry_keeps_its_remaining_times() {
+    let sent = work(2, 1_500, 5_000).without_clock(1_000);
+    assert_eq!((sent.aim_ms, sent.deadline_ms), (500, 4_000));
+    assert_eq!(work(2, 1_500, 5_000).without_clock(2_000).aim_ms, 0, "it is late already");
+    let taken = sent.on_clock(70_000);
+    assert_eq!((taken.aim_ms, taken.deadline_ms), (70_500, 74_000));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 256,
--- a/crates/entry/src/relay/stages.rs
+++ b/crates/entry/src/relay/stages.rs
@@ -97,20 +97,9 @@
         for _ in 0..MAX_OWNERS {
             let Owner::Other(peer) = relay.peers.owner(relay, service) else { break };
             let now_ms = relay.now_ms();
-            let request = StageRequest {
-                service: service.to_string(),
-                request_id: work.request_id.clone(),
-                stage: work.stage,
-                pieces: work.pieces,
-                source: work.source.clone(),
-                is_only_reader: work.is_only_reader,
-                result_bytes: work.result_bytes,
-                priority: work.priority,
-                aim_in_ms: work.aim_ms.saturating_sub(now_ms),
-                deadline_in_ms: work.deadline_ms.saturating_sub(now_ms),
-                data_centre: work.data_centre.as_deref().map(str::to_owned),
-            };
-            let context = context_for(request.deadline_in_ms + PEER_SLACK_MS);
+            let sent = work.without_clock(now_ms);
+            let context = context_for(sent.deadline_ms + PEER_SLACK_MS);
+            let request = StageRequest { service: service.to_string(), work: sent };
             let reply = tokio::select! {
                 reply = peer.client.run_stage(context, request) => reply,
                 () = peer.lost.cancelled() => {
@@ -130,20 +119,8 @@
 
     /// Makes the pieces that another entry asks for.
     pub(crate) async fn run_for_peer(&self, relay: &Arc<Relay>, request: StageRequest) -> Ending {
-        let now_ms = relay.now_ms();
         let service: Arc<str> = request.service.into();
-        let work = StageWork {
-            request_id: request.request_id,
-            stage: request.stage,
-            pieces: request.pieces,
-            source: request.source,
-            is_only_reader: request.is_only_reader,
-            result_bytes: request.result_bytes,
-            priority: request.priority,
-            aim_ms: now_ms + request.aim_in_ms,
-            deadline_ms: now_ms + request.deadline_in_ms,
-            data_centre: request.data_centre.map(Into::into),
-        };
+        let work = request.work.on_clock(relay.now_ms());
         self.run_here(relay, &service, work).await
     }
 
--- a/crates/rpc/src/entries.rs
+++ b/crates/rpc/src/entries.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use yuccatrail_core::{
-    batching::{GroupEnd, PieceSource},
+    batching::{GroupEnd, StageWork},
     route_table::Configuration,
     upstreams::{Beliefs, ListRevisions},
 };
@@ -49,26 +49,8 @@
 pub struct StageRequest {
     /// Name of the service.
     pub service: String,
-    /// Identifier of the caller's request.
-    pub request_id: String,
-    /// Position of the stage in the request's route.
-    pub stage: usize,
-    /// Number of pieces.
-    pub pieces: usize,
-    /// What each piece is made from.
-    pub source: PieceSource,
-    /// Whether no other stage reads its inputs.
-    pub is_only_reader: bool,
-    /// Approximate size of one result, in bytes.
-    pub result_bytes: u64,
-    /// Rank of the request; 0 is the most urgent.
-    pub priority: u8,
-    /// Time that is left for the request to be on time, in milliseconds.
-    pub aim_in_ms: u64,
-    /// Time after which the results are of no use, in milliseconds.
-    pub deadline_in_ms: u64,
-    /// Data centre in which the results will be read.
-    pub data_centre: Option<String>,
+    /// The work; its times count from the sending of the request.
+    pub work: StageWork,
 }
 
 /// How the work of a stage ended.
