Evacuated data centres are compared in one place

The relay's feed computed what a new list changes and core did the same for lists heard from an entry. Both use core now, which returns the changes; a data centre that an entry heard of from another is logged as well, which was missing.

--- a/crates/core/src/upstreams/beliefs.rs
+++ b/crates/core/src/upstreams/beliefs.rs
@@ -54,32 +54,43 @@
         })
     }
 
-    /// Takes over those lists of another entry that are newer than the own ones.
-    pub fn take_over(&mut self, beliefs: Beliefs, now_ms: u64) {
+    /// Takes over those lists of another entry that are newer than the own ones; returns the data
+    /// centres that changed, each with whether it receives no work now.
+    pub fn take_over(&mut self, beliefs: Beliefs, now_ms: u64) -> Vec<(String, bool)> {
         let known = self.revisions();
         if !beliefs.revisions.has_newer_than(known) {
-            return;
+            return Vec::new();
         }
+        let mut changed = Vec::new();
         self.set_entries(beliefs.entries);
         if beliefs.revisions.evacuations > known.evacuations {
-            self.replace_evacuated(&beliefs.evacuated, now_ms);
+            changed = self.replace_evacuated(beliefs.evacuated, now_ms);
             self.set_evacuations_revision(beliefs.revisions.evacuations);
         }
         if beliefs.revisions.upstreams > known.upstreams {
             self.update(ListUpdate::Heard(beliefs.upstreams), now_ms);
             self.set_upstreams_revision(beliefs.revisions.upstreams);
         }
+        changed
     }
 
-    /// Sets the data centres that receive no work.
-    pub fn replace_evacuated(&mut self, data_centres: &[String], now_ms: u64) {
-        let returned: Vec<String> =
+    /// Sets the data centres that receive no work; returns those that changed, each with whether it
+    /// receives no work now.
+    pub fn replace_evacuated(
+        &mut self,
+        data_centres: Vec<String>,
+        now_ms: u64,
+    ) -> Vec<(String, bool)> {
+        let returned =
             self.evacuated().iter().filter(|it| !data_centres.contains(it)).cloned().collect();
-        for data_centre in &returned {
-            self.set_evacuated(data_centre, false, now_ms);
-        }
-        for data_centre in data_centres {
-            self.set_evacuated(data_centre, true, now_ms);
+        let mut changed = Vec::new();
+        for (names, is_out) in [(returned, false), (data_centres, true)] {
+            for name in names {
+                if self.set_evacuated(&name, is_out, now_ms) {
+                    changed.push((name, is_out));
+                }
+            }
         }
+        changed
     }
 }
--- a/crates/core/src/upstreams/directory.rs
+++ b/crates/core/src/upstreams/directory.rs
@@ -192,16 +192,15 @@
         }
     }
 
-    /// Sets whether a data centre receives no work.
+    /// Sets whether a data centre receives no work; returns whether that is a change.
     ///
     /// Its upstreams may come back cold, and their records may not say so yet.
-    pub fn set_evacuated(&mut self, data_centre: &str, is_evacuated: bool, now_ms: u64) {
+    pub fn set_evacuated(&mut self, data_centre: &str, is_evacuated: bool, now_ms: u64) -> bool {
         if is_evacuated {
-            self.evacuated.insert(data_centre.to_owned());
-            return;
+            return self.evacuated.insert(data_centre.to_owned());
         }
         if !self.evacuated.remove(data_centre) {
-            return;
+            return false;
         }
         for upstream in self.all.values_mut() {
             if upstream.record.data_centre.as_ref() != data_centre {
@@ -210,6 +209,7 @@
             let (cold_start_ms, _) = cold_start(&self.cold_starts, &upstream.record.service);
             upstream.cold_until_ms = upstream.cold_until_ms.max(now_ms + cold_start_ms);
         }
+        true
     }
 
     /// Returns the data centres that receive no work.
--- a/crates/core/src/upstreams/tests.rs
+++ b/crates/core/src/upstreams/tests.rs
@@ -81,11 +81,13 @@
     teller.set_evacuated("x", true, 0);
     teller.set_evacuations_revision(2);
     let mut fresh = Upstreams::new(UpstreamsSettings::default(), "entry-2");
-    fresh.take_over(teller.beliefs(0).unwrap(), 0);
+    let out = [("x".to_owned(), true)];
+    assert_eq!(fresh.take_over(teller.beliefs(0).unwrap(), 0), out);
     assert_eq!(chosen(&fresh, 1).as_deref(), Some("b"));
     teller.set_evacuated("x", false, 10);
     teller.set_evacuations_revision(3);
-    fresh.take_over(teller.beliefs(10).unwrap(), 10);
+    let back = [("x".to_owned(), false)];
+    assert_eq!(fresh.take_over(teller.beliefs(10).unwrap(), 10), back);
     assert!(fresh.evacuated().is_empty());
 }
 
@@ -164,7 +166,7 @@
                 let records = listed.iter().map(|it| record(it, "x")).collect();
                 entry.update(ListUpdate::Snapshot(records), 0);
                 let evacuated: Vec<String> = out.iter().cloned().collect();
-                entry.replace_evacuated(&evacuated, 0);
+                entry.replace_evacuated(evacuated, 0);
                 entry.set_upstreams_revision(revision);
                 entry.set_evacuations_revision(revision);
             }
@@ -187,6 +189,11 @@
     Ok(())
 }
 
+/// Takes over as an entry does.
+fn heedful(entry: &mut Upstreams, beliefs: Beliefs) {
+    entry.take_over(beliefs, 0);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 256,
@@ -198,21 +205,21 @@
     fn entries_that_tell_each_other_hold_what_the_platform_held(
         steps in prop::collection::vec(step(), 1..60),
     ) {
-        play(&steps, |entry, beliefs| entry.take_over(beliefs, 0))?;
+        play(&steps, heedful)?;
     }
 }
 
 #[test]
 fn the_play_notices_an_older_list_that_replaces_a_newer_one() {
     let careless = |entry: &mut Upstreams, beliefs: Beliefs| {
-        entry.replace_evacuated(&beliefs.evacuated, 0);
+        entry.replace_evacuated(beliefs.evacuated, 0);
         entry.set_evacuations_revision(beliefs.revisions.evacuations);
         entry.update(ListUpdate::Heard(beliefs.upstreams), 0);
         entry.set_upstreams_revision(beliefs.revisions.upstreams);
     };
     let steps = [Step::Read(0), Step::Toggle(1), Step::Read(1), Step::Tell(0, 1)];
     assert!(play(&steps, careless).is_err());
-    assert!(play(&steps, |entry, beliefs| entry.take_over(beliefs, 0)).is_ok());
+    assert!(play(&steps, heedful).is_ok());
 }
 
 #[test]
--- a/crates/entry/src/relay/feed.rs
+++ b/crates/entry/src/relay/feed.rs
@@ -6,7 +6,6 @@
 use tokio_util::sync::CancellationToken;
 use yuccatrail_adapter::{StoreChange, configuration_form, evacuations_form, servers_form};
 use yuccatrail_core::{
-    FastSet,
     route_table::{Configuration, RouteTable},
     upstreams::{ListUpdate, UpstreamRecord},
 };
@@ -47,16 +46,24 @@
     let settings = PollerSettings::default();
     let (poller, mut updates) = Poller::start(client, evacuations_form(), settings, &stop);
     while let Some(update) = updates.recv().await {
+        let now_ms = relay.now_ms();
         match update {
             PollUpdate::Snapshot { items, revision } => {
-                replace_evacuations(&relay, items);
-                relay.upstreams().set_evacuations_revision(revision);
+                let listed = items.iter().filter(|it| is_out(it)).map(|it| name_of(it).to_owned());
+                let mut upstreams = relay.upstreams();
+                let changed = upstreams.replace_evacuated(listed.collect(), now_ms);
+                upstreams.set_evacuations_revision(revision);
+                log_evacuations(&changed);
             }
             PollUpdate::Changes(changes) => {
+                let mut upstreams = relay.upstreams();
                 for change in &changes.items {
-                    set_evacuation(&relay, change);
+                    let (name, is_out) = (name_of(change), is_out(change));
+                    if upstreams.set_evacuated(name, is_out, now_ms) {
+                        log_evacuations(&[(name.to_owned(), is_out)]);
+                    }
                 }
-                relay.upstreams().set_evacuations_revision(changes.revision);
+                upstreams.set_evacuations_revision(changes.revision);
             }
             PollUpdate::Unavailable(_) | PollUpdate::Available => {}
         }
@@ -64,28 +71,16 @@
     poller.close().await;
 }
 
-fn replace_evacuations(relay: &Relay, items: Vec<StoreChange<()>>) {
-    let listed: FastSet<String> = items.iter().map(|it| name_of(it).to_owned()).collect();
-    let known: Vec<String> = relay.upstreams().evacuated().iter().cloned().collect();
-    for name in known {
-        if !listed.contains(&name) {
-            set_evacuation(relay, &StoreChange::Absent { name });
-        }
-    }
-    for change in &items {
-        set_evacuation(relay, change);
+/// Logs the data centres that changed, each with whether it receives no work now.
+pub(crate) fn log_evacuations(changed: &[(String, bool)]) {
+    for (data_centre, is_out) in changed {
+        info!(data_centre = data_centre, is_out = *is_out; "data centre taken out or back");
     }
 }
 
-fn set_evacuation(relay: &Relay, change: &StoreChange<()>) {
-    let is_out = !matches!(change, StoreChange::Absent { .. });
-    let name = name_of(change);
-    if relay.upstreams().evacuated().contains(name) == is_out {
-        return;
-    }
-    let now_ms = relay.now_ms();
-    relay.upstreams().set_evacuated(name, is_out, now_ms);
-    info!(data_centre = name, is_out = is_out; "data centre taken out or back");
+/// Tells whether an entry of the list takes a data centre out; what can't be read counts as one.
+fn is_out(change: &StoreChange<()>) -> bool {
+    !matches!(change, StoreChange::Absent { .. })
 }
 
 /// Follows the upstreams.
--- a/crates/entry/src/relay/peers.rs
+++ b/crates/entry/src/relay/peers.rs
@@ -37,7 +37,10 @@
 };
 use yuccatrail_runtime::accept::accept;
 
-use crate::relay::state::{Relay, lock};
+use crate::relay::{
+    feed::log_evacuations,
+    state::{Relay, lock},
+};
 
 /// Time between two questions to another entry, in milliseconds.
 const HELLO_INTERVAL_MS: u64 = 300;
@@ -296,8 +299,9 @@
         known_revision = upstreams.revisions().upstreams;
         "lists heard from an entry"
     );
-    upstreams.take_over(beliefs, now_ms);
+    let changed = upstreams.take_over(beliefs, now_ms);
     drop(upstreams);
+    log_evacuations(&changed);
     relay.stages.pump_all(relay);
 }
 
