Relay: one copy of the check for a signature, of the runs of a route and of the service at an address

Plain calls and streams repeated the first two, releases and stages the third; the pool had a lock of its own beside the relay's; an answer that was not run chose its outcome twice. An ended upstream connection and a request without a key for its pieces leave a log line now. No decision changes.

--- a/crates/core/src/route_table/configuration.rs
+++ b/crates/core/src/route_table/configuration.rs
@@ -70,6 +70,11 @@
             RouteKind::Stream => self.is_resumable,
         }
     }
+
+    /// Returns the number of upstreams that may run one request.
+    pub fn max_runs(&self) -> u32 {
+        if self.is_repeatable() { self.max_attempts } else { 1 }
+    }
 }
 
 /// One of the services that share a route's requests.
--- a/crates/entry/src/relay/attempt.rs
+++ b/crates/entry/src/relay/attempt.rs
@@ -207,6 +207,17 @@
     }
 }
 
+/// Checks that a success comes from the upstream as it is.
+pub(crate) fn check_signature(
+    status: StatusCode,
+    answer: &UpstreamAnswer,
+) -> Result<(), AttemptError> {
+    if status.is_success() && (!answer.is_sealed || answer.is_encoded) {
+        return Err(AttemptError::Damaged("it lacks the upstream's signature".to_owned()));
+    }
+    Ok(())
+}
+
 impl Outgoing {
     fn to_request(&self) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
--- a/crates/entry/src/relay/model.rs
+++ b/crates/entry/src/relay/model.rs
@@ -222,7 +222,10 @@
     let following_ms = following_ms as u64;
     let source = match &ready.inputs {
         Some(inputs) => PieceSource::Inputs(inputs.clone()),
-        None => PieceSource::Key(request.head.piece_key.clone().unwrap_or_default()),
+        None => PieceSource::Key(request.head.piece_key.clone().unwrap_or_else(|| {
+            info!(id:% = request.id, stage = ready.stage; "request names no key for its pieces");
+            String::new()
+        })),
     };
     StageWork {
         request_id: request.id.clone(),
--- a/crates/entry/src/relay/plain.rs
+++ b/crates/entry/src/relay/plain.rs
@@ -10,7 +10,7 @@
 use yuccatrail_core::upstreams::{UpstreamKey, Wanted};
 
 use crate::relay::{
-    attempt::{Attempt, AttemptError},
+    attempt::{Attempt, AttemptError, check_signature},
     metrics::ServiceLabels,
     request::{AnswerBody, CallerRequest, Refusal},
     sabotage::Mechanism,
@@ -44,8 +44,8 @@
     request: &CallerRequest,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let route = &request.admission.route;
-    let may_repeat = route.is_repeatable() || Mechanism::SendOnce.is_off();
-    let max_runs = if may_repeat { route.max_attempts } else { 1 };
+    let is_sent_once = !Mechanism::SendOnce.is_off();
+    let max_runs = if is_sent_once { route.max_runs() } else { route.max_attempts };
     let mut tried: Vec<UpstreamKey> = Vec::new();
     let (mut runs, mut arrivals) = (0, 0);
     let mut failure = None;
@@ -160,9 +160,7 @@
     if answer.is_not_run {
         return Ok((Tried::NotRun, answer));
     }
-    if parts.status.is_success() && (!answer.is_sealed || answer.is_encoded) {
-        return Err(AttemptError::Damaged("it lacks the upstream's signature".to_owned()));
-    }
+    check_signature(parts.status, &answer)?;
     let response = pass_on(parts.status, &parts.headers, body);
     let tried = if parts.status.is_server_error() {
         Tried::Failure(response)
--- a/crates/entry/src/relay/pool.rs
+++ b/crates/entry/src/relay/pool.rs
@@ -3,21 +3,20 @@
 //! A connection serves one request at a time and is kept only after a whole answer. Dropping it
 //! closes it at once, which tells the upstream to stop.
 
-use std::{
-    net::SocketAddr,
-    sync::{Mutex, MutexGuard, PoisonError},
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::Mutex, time::Duration};
 
 use bytes::Bytes;
 use derive_more::{Display, Error, From};
 use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
+use log::debug;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::JoinHandle};
 use yuccatrail_core::{FastMap, upstreams::UpstreamKey};
 
+use crate::relay::state::lock;
+
 /// Longest time to open a connection, in milliseconds; far above a round trip in a region.
 const CONNECT_TIMEOUT_MS: u64 = 300;
 /// Time after which a connection is closed whose sent bytes nobody acknowledges, in milliseconds.
@@ -77,7 +76,7 @@
 impl Pool {
     /// Takes an idle connection, if one is left.
     pub(crate) fn take_idle(&self, upstream: UpstreamKey, now_ms: u64) -> Option<Connection> {
-        let mut idle = self.lock();
+        let mut idle = lock(&self.idle);
         let connections = idle.get_mut(&upstream)?;
         while let Some(candidate) = connections.pop() {
             if candidate.expires_ms > now_ms && !candidate.connection.sender.is_closed() {
@@ -100,7 +99,7 @@
         }
         let own_ms = idle_timeout_ms.map_or(IDLE_MS, |it| (it as f64 * IDLE_PART) as u64);
         let expires_ms = now_ms + own_ms.min(IDLE_MS);
-        let mut idle = self.lock();
+        let mut idle = lock(&self.idle);
         let connections = idle.entry(upstream).or_default();
         if connections.len() < MAX_IDLE {
             connections.push(Idle { connection, expires_ms });
@@ -109,7 +108,7 @@
 
     /// Closes connections that have been idle for too long, and those of upstreams that are gone.
     pub(crate) fn expire(&self, exists: impl Fn(UpstreamKey) -> bool, now_ms: u64) {
-        self.lock().retain(|key, connections| {
+        lock(&self.idle).retain(|key, connections| {
             connections.retain(|it| it.expires_ms > now_ms && !it.connection.sender.is_closed());
             !connections.is_empty() && exists(*key)
         });
@@ -117,11 +116,7 @@
 
     /// Closes all idle connections of an upstream.
     pub(crate) fn close_idle(&self, upstream: UpstreamKey) {
-        self.lock().remove(&upstream);
-    }
-
-    fn lock(&self) -> MutexGuard<'_, FastMap<UpstreamKey, Vec<Idle>>> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.idle).remove(&upstream);
     }
 }
 
@@ -134,8 +129,10 @@
         prepare(&stream)?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
         let driver = tokio::spawn(async move {
-            // The request in progress reports how the connection ended.
-            let _ = connection.await;
+            // The request in progress reports the same to its caller.
+            if let Err(error) = connection.await {
+                debug!(error:% = error; "connection to an upstream ended");
+            }
         });
         Ok(Self { sender, driver })
     }
--- a/crates/entry/src/relay/release.rs
+++ b/crates/entry/src/relay/release.rs
@@ -106,11 +106,7 @@
 }
 
 fn owner_of(relay: &Relay, maker: SocketAddr) -> Owner {
-    let service = {
-        let upstreams = relay.upstreams();
-        let key = upstreams.at_address(maker);
-        key.and_then(|it| upstreams.get(it)).map(|it| it.record.service.clone())
-    };
+    let service = relay.upstreams().service_at(maker).cloned();
     match service {
         Some(service) => relay.peers.owner(relay, &service),
         None => Owner::Own,
--- a/crates/entry/src/relay/request.rs
+++ b/crates/entry/src/relay/request.rs
@@ -190,6 +190,7 @@
     let arrived_ms = relay.now_ms();
     let (parts, body) = request.into_parts();
     let head = decode_caller(&parts.headers);
+    // A request may come without an identifier; its log lines then show an empty one.
     let id = head.request_id.clone().unwrap_or_default();
     let Some(table) = relay.table() else {
         let problem = Problem {
--- a/crates/entry/src/relay/server.rs
+++ b/crates/entry/src/relay/server.rs
@@ -30,6 +30,7 @@
         if let Err(error) = prepare(&stream) {
             warn!(error:% = error; "options of a caller's connection can't be set");
         }
+        // Before the first configuration the defaults hold, and requests are refused.
         let limits = relay.table().map(|it| it.limits()).unwrap_or_default();
         let relay = relay.clone();
         let service = service_fn(move |request| {
--- a/crates/entry/src/relay/stages.rs
+++ b/crates/entry/src/relay/stages.rs
@@ -271,11 +271,8 @@
             return;
         }
         let is_wanted_back = |handle: &ResultHandle| {
-            let maker = maker_of(handle);
-            let upstreams = relay.upstreams();
-            let key = maker.and_then(|it| upstreams.at_address(it));
-            let service = key.and_then(|it| upstreams.get(it)).map(|it| &it.record.service);
-            service.is_some_and(|it| pressed.contains(it))
+            let Some(maker) = maker_of(handle) else { return false };
+            relay.upstreams().service_at(maker).is_some_and(|it| pressed.contains(it))
         };
         let handles = match lock(&self.queues).get_mut(&call.service) {
             Some(queue) => queue.batcher.let_inputs_go(call.order.call, is_wanted_back),
--- a/crates/entry/src/relay/stream.rs
+++ b/crates/entry/src/relay/stream.rs
@@ -22,7 +22,7 @@
 };
 
 use crate::relay::{
-    attempt::{Attempt, AttemptError},
+    attempt::{Attempt, AttemptError, check_signature},
     model::wanted,
     plain::take_retry,
     release::HeldResults,
@@ -142,8 +142,7 @@
     /// Sends the request to one upstream after another until one begins to answer.
     async fn connect(&mut self) -> Result<(StatusCode, HeaderMap), OpenError> {
         let (relay, request) = (self.call.relay.clone(), self.call.request.clone());
-        let route = &request.admission.route;
-        let max_runs = if route.is_repeatable() { route.max_attempts } else { 1 };
+        let max_runs = request.admission.route.max_runs();
         let mut arrivals = self.runs;
         while self.tried.len() < MAX_TRIES && self.runs < max_runs {
             let Some(attempt) = self.next_upstream() else { break };
@@ -200,16 +199,14 @@
         let (parts, mut body) = response.into_parts();
         if answer.is_not_run {
             // Only a whole answer leaves the connection usable.
-            if body.collect().await.is_ok() {
-                let is_input_gone = answer.is_input_gone;
+            let is_whole = body.collect().await.is_ok();
+            let tried = if answer.is_input_gone { Tried::InputGone } else { Tried::NotRun };
+            if is_whole {
                 attempt.finish(&answer);
-                return Ok(if is_input_gone { Tried::InputGone } else { Tried::NotRun });
             }
-            return Ok(if answer.is_input_gone { Tried::InputGone } else { Tried::NotRun });
-        }
-        if parts.status.is_success() && (!answer.is_sealed || answer.is_encoded) {
-            return Err(AttemptError::Damaged("it lacks the upstream's signature".to_owned()));
+            return Ok(tried);
         }
+        check_signature(parts.status, &answer)?;
         if parts.status.is_server_error() && self.call.request.admission.route.is_repeatable() {
             warn!(id:% = request.id, status = parts.status.as_u16(); "upstream failed");
             attempt.fail();
