--- a/crates/fakes/src/stack/faults.rs
+++ b/crates/fakes/src/stack/faults.rs
@@ -8,8 +8,8 @@
 
 use super::{
     caller::{Answer, CallerError},
+    link::Link,
     process::{Process, ProcessError, Signal},
-    relay::Relay,
     run::{Stack, StackError, start_agent, start_entry_at, start_upstream},
 };
 use crate::{platform, upstream::server::CALL_LINE};
@@ -171,27 +171,29 @@
         self.wait_connected(self.entry(number), self.upstreams.len()).await
     }
 
-    /// Lists an upstream under the address of a relay and waits until every entry uses it.
+    /// Lists an upstream under the address of a link and waits until every entry uses it.
     ///
     /// # Errors
     ///
-    /// Returns an error when the relay does not start or the entries do not connect to it in time.
-    pub async fn interpose(&self, number: usize) -> Result<Relay, StackError> {
+    /// Returns an error when the link does not open or the entries do not connect to it in time.
+    pub async fn interpose(&self, number: usize) -> Result<Link, StackError> {
         let pair = &self.upstreams[number];
-        let relay = Relay::start(pair.agent.address).await.map_err(ProcessError::from)?;
-        let instance = InstanceRecord { address: relay.address(), ..pair.instance() };
+        let link = Link::open(pair.agent.address).await.map_err(ProcessError::from)?;
+        let instance = InstanceRecord { address: link.address(), ..pair.instance() };
         let listed = self.client.get::<InstanceRecord>(Kind::Instances, &pair.plan.name).await?;
         let Some(listed) = listed else {
             return Err(StackError::NotReached { what: format!("{} is listed", pair.plan.name) });
         };
         let version = listed.resource_version;
         self.client.update(Kind::Instances, &pair.plan.name, &version, &instance).await?;
-        wait_until("connections through the relay", async || relay.open() == self.entries.len())
-            .await?;
+        wait_until("connections through the link", async || {
+            link.connections() == self.entries.len()
+        })
+        .await?;
         for entry in &self.entries {
             self.wait_connected(entry.address, self.upstreams.len()).await?;
         }
-        Ok(relay)
+        Ok(link)
     }
 
     /// Replaces the platform stand-in's switches.
--- a/platform/stand-ins/src/soak/link.rs
+++ b/crates/fakes/src/stack/link.rs
@@ -3,7 +3,15 @@
 #[cfg(test)]
 mod tests;
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -20,7 +28,7 @@
 
 /// What a link does to its connections.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) enum LinkState {
+pub enum LinkState {
     /// Bytes pass.
     #[default]
     Open,
@@ -38,42 +46,82 @@
 
 /// A way through which processes reach a target.
 #[derive(Debug)]
-pub(crate) struct Link {
+pub struct Link {
     address: SocketAddr,
     state: watch::Sender<LinkState>,
-    _tasks: JoinSet<()>,
+    cuts: watch::Sender<u64>,
+    open: Arc<AtomicUsize>,
+    accepting: JoinSet<()>,
+}
+
+/// Counts a connection for as long as it is open.
+struct Counted(Arc<AtomicUsize>);
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
 }
 
 impl Link {
     /// Opens a link to a target.
-    pub(crate) async fn open(target: SocketAddr) -> io::Result<Self> {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no address can be bound.
+    pub async fn open(target: SocketAddr) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
-        let state = watch::Sender::new(LinkState::Open);
-        let mut tasks = JoinSet::new();
-        tasks.spawn(accept(listener, target, state.clone()));
-        Ok(Self { address, state, _tasks: tasks })
+        let (state, cuts) = (watch::Sender::new(LinkState::Open), watch::Sender::new(0));
+        let open = Arc::new(AtomicUsize::new(0));
+        let mut accepting = JoinSet::new();
+        accepting.spawn(accept(listener, target, state.clone(), cuts.clone(), open.clone()));
+        Ok(Self { address, state, cuts, open, accepting })
     }
 
     /// Returns the address that stands for the target's.
-    pub(crate) fn address(&self) -> SocketAddr {
+    pub fn address(&self) -> SocketAddr {
         self.address
     }
 
+    /// Returns the number of open connections.
+    pub fn connections(&self) -> usize {
+        self.open.load(Ordering::SeqCst)
+    }
+
     /// Sets the state from now on; connections that lost bytes are reset.
-    pub(crate) fn set(&self, state: LinkState) {
+    pub fn set(&self, state: LinkState) {
         self.state.send_replace(state);
     }
+
+    /// Closes every open connection; new ones are accepted.
+    pub fn cut(&self) {
+        self.cuts.send_modify(|it| *it += 1);
+    }
+
+    /// Closes every connection and stops to listen.
+    pub fn close(self) {
+        drop(self.accepting);
+    }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, state: watch::Sender<LinkState>) {
+async fn accept(
+    listener: TcpListener,
+    target: SocketAddr,
+    state: watch::Sender<LinkState>,
+    cuts: watch::Sender<u64>,
+    open: Arc<AtomicUsize>,
+) {
     let mut connections = JoinSet::new();
     while let Ok((stream, _)) = listener.accept().await {
         while connections.try_join_next().is_some() {}
-        let state = state.subscribe();
+        let (state, mut cut, open) = (state.subscribe(), cuts.subscribe(), open.clone());
         connections.spawn(async move {
-            // Both sides end connections as they like; what they lose is checked by the soak.
-            let _ = pass(stream, target, state).await;
+            tokio::select! {
+                // Both sides end connections as they like; what they lose is for the tests to see.
+                _ = pass(stream, target, state, open) => {}
+                _ = cut.changed() => {}
+            }
         });
     }
 }
@@ -82,6 +130,7 @@
     stream: TcpStream,
     target: SocketAddr,
     mut state: watch::Receiver<LinkState>,
+    open: Arc<AtomicUsize>,
 ) -> io::Result<()> {
     stream.set_nodelay(true)?;
     if *state.borrow() == LinkState::Reset {
@@ -89,6 +138,8 @@
     }
     let other = TcpStream::connect(target).await?;
     other.set_nodelay(true)?;
+    open.fetch_add(1, Ordering::SeqCst);
+    let _counted = Counted(open);
     let (to_target, from_target) = (state.clone(), state.clone());
     let (mut reader, mut writer) = stream.into_split();
     let (mut other_reader, mut other_writer) = other.into_split();
--- a/platform/stand-ins/src/soak/link/tests.rs
+++ b/crates/fakes/src/stack/link/tests.rs
@@ -66,3 +66,20 @@
     assert!(exchange(&mut stream, 5_000).await.unwrap().is_ok());
     assert!(begun.elapsed() >= Duration::from_millis(120), "60 ms each way");
 }
+
+#[tokio::test]
+async fn a_cut_closes_what_is_open_and_lets_new_connections_pass() {
+    let link = echo().await;
+    let mut stream = TcpStream::connect(link.address()).await.unwrap();
+    assert!(exchange(&mut stream, 5_000).await.unwrap().is_ok());
+    assert_eq!(link.connections(), 1);
+    link.cut();
+    assert!(stream.read_u8().await.is_err());
+    let mut stream = TcpStream::connect(link.address()).await.unwrap();
+    assert!(exchange(&mut stream, 5_000).await.unwrap().is_ok());
+    assert_eq!(link.connections(), 1);
+    let address = link.address();
+    link.close();
+    assert!(stream.read_u8().await.is_err());
+    assert!(TcpStream::connect(address).await.is_err());
+}
--- a/crates/fakes/src/stack/mod.rs
+++ b/crates/fakes/src/stack/mod.rs
@@ -3,9 +3,9 @@
 pub mod caller;
 pub mod expected;
 pub mod faults;
+pub mod link;
 pub mod operate;
 pub mod plan;
 pub mod process;
-pub mod relay;
 pub mod run;
 pub mod traffic;
--- a/crates/fakes/tests/configuration.rs
+++ b/crates/fakes/tests/configuration.rs
@@ -10,10 +10,10 @@
     platform::Outage,
     stack::{
         caller::Caller,
+        link::Link,
         operate::start_entry_at,
         plan::StackPlan,
         process::{Process, Signal},
-        relay::Relay,
         run::{Stack, promote, start_agent},
         traffic::{Verdict, read_order},
     },
@@ -146,7 +146,7 @@
     let plan = StackPlan::small(&["north"], &["north", "south"]).only_pool("work-orders");
     let document = plan.document.replace("estimate_ms = 20", "estimate_ms = 21");
     let mut stack = Stack::start(plan).await.expect("the stack starts");
-    let relay = Relay::start(stack.platform.address).await.expect("a relay");
+    let relay = Link::open(stack.platform.address).await.expect("a relay");
     stack.add_entry("north", relay.address()).await.expect("a second entry");
     stack.add_entry("north", stack.platform.address).await.expect("a third entry");
     stack.list_entries(&["north"; 3]).await.expect("the entries know each other");
--- a/crates/fakes/tests/data_centre_out.rs
+++ b/crates/fakes/tests/data_centre_out.rs
@@ -7,9 +7,9 @@
     platform::Outage,
     stack::{
         caller::Caller,
+        link::Link,
         plan::StackPlan,
         process::Signal,
-        relay::Relay,
         run::Stack,
         traffic::{Traffic, is_whole_draft, read_order},
     },
@@ -39,12 +39,12 @@
 }
 
 /// Starts two entries in `north`; the second reaches the platform through the relay.
-async fn start() -> (Stack, Relay) {
+async fn start() -> (Stack, Link) {
     let mut plan = StackPlan::small(&["north"], &["north", "south"]);
     plan.upstreams.retain(|it| it.name != "engines-south");
     plan.switch_pool("engines", |it| it.token_delay_ms = 250);
     let mut stack = Stack::start(plan).await.expect("the stack starts");
-    let relay = Relay::start(stack.platform.address).await.expect("a relay");
+    let relay = Link::open(stack.platform.address).await.expect("a relay");
     stack.add_entry("north", relay.address()).await.expect("a second entry");
     stack.list_entries(&["north", "north"]).await.expect("the entries know each other");
     (stack, relay)
