Pieces are made where most of their inputs lie

Cause: 90 % of the bytes between data centres were results that the pieces of a later stage read: each of ten pieces reads all six results of 60 kB of the stage before, and only results of 100 kB and more were placed. Ruled out: placing the earlier stage (its reader follows it now).

A piece's home is the data centre that most of its bytes are read from or will be read in. A call takes pieces that belong near it first, then those that are more than the next calls at their homes take, then none: they wait up to one call if they have the time.

--- a/crates/core/src/batching/batcher.rs
+++ b/crates/core/src/batching/batcher.rs
@@ -256,9 +256,9 @@
         let mut order: Vec<(f64, UpstreamKey)> = Vec::with_capacity(usable.len());
         for view in usable {
             let engine = self.engines.entry(view.key).or_insert_with(Engine::new);
-            let is_other = head.data_centre.as_ref().is_some_and(|it| *it != view.data_centre);
-            let megabytes = head.result_bytes as f64 / 1e6;
-            let distance_ms = if is_other { megabytes * OTHER_DATA_CENTRE_MS_PER_MB } else { 0.0 };
+            let remote = head.home.as_ref().filter(|it| it.data_centre != view.data_centre);
+            let remote_megabytes = remote.map_or(0.0, |it| it.remote_bytes as f64 / 1e6);
+            let distance_ms = remote_megabytes * OTHER_DATA_CENTRE_MS_PER_MB;
             let is_busy = engine.calls >= self.service.slots.max(1);
             let free_ms = if is_busy { engine.busy_until_ms } else { 0.0 };
             let start_ms = free_ms.max(now_ms as f64).max(engine.paused_until_ms as f64);
--- a/crates/core/src/batching/fill.rs
+++ b/crates/core/src/batching/fill.rs
@@ -1,4 +1,8 @@
-//! Which pieces one call takes: within the batch, the room of the upstreams and the reader's place.
+//! Which pieces one call takes: within the batch, the room of the upstreams and their homes.
+//!
+//! Answers days on which stages read results of hundreds of kilobytes for each piece: a call takes
+//! the pieces whose home is near first, and those of another data centre only where that has more of
+//! them than its next calls take, or where they have no time to wait.
 
 use std::sync::Arc;
 
@@ -8,12 +12,13 @@
     upstreams::UpstreamKey,
 };
 
-/// Size from which a result is made in its reader's data centre if that costs little, in bytes.
-const LARGE_RESULT_BYTES: u64 = 100_000;
-/// Time for which a piece with a large result waits for an upstream near its reader, in milliseconds:
-/// about one call.
+/// Bytes between data centres from which a piece is made at its home if that costs little.
+const MIN_REMOTE_BYTES: u64 = 100_000;
+/// Time for which a piece waits for an upstream of its home, in milliseconds: about one call.
 const HOME_WAIT_MS: f64 = 250.0;
-
+/// Time that a piece has beyond its stage to wait for its home, in milliseconds: the longest wait and
+/// half as much again, since later stages may be held up too.
+const HOME_SPARE_MS: f64 = 400.0;
 /// Part of an upstream's room that is planned with; sizes of results are approximate, and one piece
 /// without room holds up its whole stage.
 const ROOM_PART: f64 = 0.94;
@@ -22,8 +27,15 @@
 #[derive(Debug, Default)]
 pub(super) struct Homes {
     places: FastMap<UpstreamKey, Arc<str>>,
-    /// Data centres with an upstream that is free now or soon.
-    free_soon: FastSet<Arc<str>>,
+    /// Upstreams in each data centre that are free now or soon.
+    free_soon: FastMap<Arc<str>, usize>,
+}
+
+impl Homes {
+    /// Returns the upstreams of a data centre that are free now or soon.
+    fn places_soon(&self, data_centre: &str) -> usize {
+        self.free_soon.get(data_centre).copied().unwrap_or(0)
+    }
 }
 
 impl Batcher {
@@ -43,26 +55,56 @@
                 !it.is_paused(now_ms) && (!is_busy || it.busy_until_ms <= soon_ms)
             });
             if is_free_soon {
-                homes.free_soon.insert(view.data_centre.clone());
+                *homes.free_soon.entry(view.data_centre.clone()).or_default() += 1;
             }
         }
         homes
     }
 
-    /// Tells whether a large result is better made by an upstream of its reader's data centre.
-    fn belongs_elsewhere(
+    /// Returns the data centre in which a piece is better made than at `engine`, if there is one.
+    fn better_home<'a>(
         &self,
-        work: &StageWork,
+        work: &'a StageWork,
         engine: UpstreamKey,
         homes: &Homes,
         now_ms: u64,
-    ) -> bool {
-        let Some(reader) = &work.data_centre else { return false };
-        if work.result_bytes < LARGE_RESULT_BYTES || homes.places.get(&engine) == Some(reader) {
-            return false;
+    ) -> Option<&'a str> {
+        let home = work.home.as_ref()?;
+        let is_home = homes.places.get(&engine) == Some(&home.data_centre);
+        if is_home || home.remote_bytes < MIN_REMOTE_BYTES {
+            return None;
         }
         let spare_ms = work.aim_ms as f64 - now_ms as f64 - self.duration_ms(self.service.batch);
-        homes.free_soon.contains(reader) && spare_ms > HOME_WAIT_MS
+        let can_wait = homes.places_soon(&home.data_centre) > 0 && spare_ms > HOME_SPARE_MS;
+        can_wait.then_some(&*home.data_centre)
+    }
+
+    /// Returns the pieces that an upstream may take: those that belong near it, then those that are
+    /// too many for the next calls at their homes.
+    fn near_first(
+        &self,
+        engine: UpstreamKey,
+        queue: &[(GroupKey, usize)],
+        homes: &Homes,
+        now_ms: u64,
+    ) -> Vec<(GroupKey, usize)> {
+        let mut near = Vec::with_capacity(queue.len());
+        let mut too_many = Vec::new();
+        let mut waiting: FastMap<&str, usize> = FastMap::default();
+        for (key, piece) in queue {
+            let Some(group) = self.groups.get(*key) else { continue };
+            let Some(home) = self.better_home(&group.work, engine, homes, now_ms) else {
+                near.push((*key, *piece));
+                continue;
+            };
+            let ahead = waiting.entry(home).or_default();
+            *ahead += 1;
+            if *ahead > homes.places_soon(home) * self.service.batch {
+                too_many.push((*key, *piece));
+            }
+        }
+        near.extend(too_many);
+        near
     }
 
     /// Returns the room of all upstreams that no begun work will need, in bytes.
@@ -98,6 +140,7 @@
         homes: &Homes,
         now_ms: u64,
     ) -> Vec<(GroupKey, usize)> {
+        let queue = self.near_first(engine, queue, homes, now_ms);
         let mut unpromised_bytes = self.unpromised_bytes(homes, now_ms);
         let mut is_alone = self.is_all_room_free(homes, now_ms);
         let mut begun: FastSet<GroupKey> = FastSet::default();
@@ -106,7 +149,7 @@
         let mut room_bytes = state.free_bytes(planned_bytes, now_ms);
         let pace = state.pace(now_ms);
         let mut pieces = Vec::new();
-        for (group, piece) in queue {
+        for (group, piece) in &queue {
             if pieces.len() >= self.service.batch.max(1) {
                 break;
             }
@@ -115,9 +158,6 @@
             if end_ms > work.deadline_ms as f64 || work.result_bytes > room_bytes {
                 continue;
             }
-            if self.belongs_elsewhere(work, engine, homes, now_ms) {
-                continue;
-            }
             let is_new = self.groups.get(*group).is_some_and(Group::is_untouched);
             if is_new && !begun.contains(group) {
                 // A stage that is split over two calls holds its first results for longer.
--- a/crates/core/src/batching/mod.rs
+++ b/crates/core/src/batching/mod.rs
@@ -16,7 +16,7 @@
     Batcher, CallKey, CallOrder, CallResult, GroupEnd, GroupKey, PieceResult, Settled,
 };
 pub use engine::EngineView;
-pub use order::{PieceSource, StageWork};
+pub use order::{Home, PieceSource, StageWork};
 
 #[cfg(test)]
 mod tests;
--- a/crates/core/src/batching/order.rs
+++ b/crates/core/src/batching/order.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::stage_graph::ResultHandle;
+use crate::{FastMap, stage_graph::ResultHandle};
 
 /// Advance in the queue for each rank of priority, in milliseconds: about one call.
 const PRIORITY_STEP_MS: u64 = 200;
@@ -18,6 +18,15 @@
     Inputs(Vec<ResultHandle>),
 }
 
+/// Data centre in which a piece is made with the fewest bytes between data centres.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Home {
+    /// The data centre.
+    pub data_centre: Arc<str>,
+    /// Bytes that a piece moves between data centres if it is made elsewhere.
+    pub remote_bytes: u64,
+}
+
 /// All pieces of one stage of one request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StageWork {
@@ -39,8 +48,8 @@
     pub aim_ms: u64,
     /// Time after which the results are of no use, in milliseconds.
     pub deadline_ms: u64,
-    /// Data centre in which the results will be read.
-    pub data_centre: Option<Arc<str>>,
+    /// Where its pieces are best made, as far as that is known.
+    pub home: Option<Home>,
 }
 
 /// Place in the queue; the smallest goes first.
@@ -52,6 +61,19 @@
     due_ms: u64,
 }
 
+impl Home {
+    /// Chooses the data centre that most bytes of a piece are read from or will be read in.
+    pub fn choose(shares: impl IntoIterator<Item = (Arc<str>, u64)>) -> Option<Self> {
+        let mut bytes_by_place: FastMap<Arc<str>, u64> = FastMap::default();
+        for (data_centre, bytes) in shares {
+            *bytes_by_place.entry(data_centre).or_default() += bytes;
+        }
+        let most = |it: &(Arc<str>, u64)| (it.1, std::cmp::Reverse(it.0.clone()));
+        let (data_centre, remote_bytes) = bytes_by_place.into_iter().max_by_key(most)?;
+        Some(Self { data_centre, remote_bytes })
+    }
+}
+
 impl StageWork {
     /// Returns the work with its times counted from `now_ms`, for an entry with another clock.
     pub fn without_clock(&self, now_ms: u64) -> Self {
--- a/crates/core/src/batching/tests.rs
+++ b/crates/core/src/batching/tests.rs
@@ -3,7 +3,8 @@
 
 use crate::{
     batching::{
-        Batcher, CallOrder, CallResult, EngineView, GroupEnd, PieceResult, PieceSource, StageWork,
+        Batcher, CallOrder, CallResult, EngineView, GroupEnd, Home, PieceResult, PieceSource,
+        StageWork,
     },
     route_table::StageService,
     upstreams::UpstreamKey,
@@ -35,7 +36,7 @@
         priority: 0,
         aim_ms,
         deadline_ms,
-        data_centre: None,
+        home: None,
     }
 }
 
@@ -175,7 +176,8 @@
     engines[1].data_centre = "y".into();
     let near = engines[1].key;
     let mut batcher = Batcher::new(SERVICE);
-    let read_in_y = |aim_ms| StageWork { data_centre: Some("y".into()), ..work(1, aim_ms, 9_000) };
+    let home = Home { data_centre: "y".into(), remote_bytes: 1_500_000 };
+    let read_in_y = |aim_ms| StageWork { home: Some(home.clone()), ..work(1, aim_ms, 9_000) };
     batcher.submit(read_in_y(3_000));
     let first = batcher.next_call(&engines, 0).unwrap();
     assert_eq!(first.engine, near);
@@ -187,6 +189,53 @@
     assert!(batcher.next_call(&engines, 10).is_some_and(|it| it.engine != near));
 }
 
+#[test]
+fn a_call_takes_the_pieces_that_belong_near_it_first() {
+    let mut engines = engines(2);
+    engines[1].data_centre = "y".into();
+    let (far, near) = (engines[0].key, engines[1].key);
+    let mut batcher = Batcher::new(SERVICE);
+    let home = Home { data_centre: "y".into(), remote_bytes: 360_000 };
+    let small = |pieces, aim_ms| StageWork { result_bytes: 6_000, ..work(pieces, aim_ms, 9_000) };
+    let of_y = batcher.submit(StageWork { home: Some(home.clone()), ..small(8, 3_000) });
+    let of_anywhere = batcher.submit(small(4, 3_100));
+    let first = batcher.next_call(&engines, 0).unwrap();
+    assert_eq!((first.engine, first.pieces.len()), (near, 8), "a stage is not split without need");
+    assert!(first.pieces.iter().all(|it| it.0 == of_y));
+    let second = batcher.next_call(&engines, 0).unwrap();
+    assert_eq!((second.engine, second.pieces.len()), (far, 4));
+    assert!(second.pieces.iter().all(|it| it.0 == of_anywhere));
+}
+
+#[test]
+fn pieces_beyond_the_next_call_of_their_home_are_made_elsewhere() {
+    let mut engines = engines(2);
+    engines[1].data_centre = "y".into();
+    let (far, near) = (engines[0].key, engines[1].key);
+    let mut batcher = Batcher::new(SERVICE);
+    let home = Home { data_centre: "y".into(), remote_bytes: 360_000 };
+    let of_y = |aim_ms| StageWork {
+        result_bytes: 6_000,
+        home: Some(home.clone()),
+        ..work(SERVICE.batch, aim_ms, 9_000)
+    };
+    batcher.submit(of_y(3_000));
+    let next = batcher.submit(of_y(3_100));
+    let last = batcher.submit(of_y(3_200));
+    assert_eq!(batcher.next_call(&engines, 0).unwrap().engine, near);
+    let elsewhere = batcher.next_call(&engines, 200).unwrap();
+    assert_eq!((elsewhere.engine, elsewhere.pieces[0].0), (far, last));
+    assert_eq!(batcher.work(next).map(|it| it.aim_ms), Some(3_100), "it waits for its home");
+}
+
+#[test]
+fn a_home_is_where_most_bytes_of_a_piece_are() {
+    let shares = [("x", 60_000), ("y", 100_000), ("x", 60_000)];
+    let home = Home::choose(shares.map(|(place, bytes)| (place.into(), bytes)));
+    assert_eq!(home, Some(Home { data_centre: "x".into(), remote_bytes: 120_000 }));
+    assert_eq!(Home::choose([]), None);
+}
+
 fn reading(pieces: usize, inputs: &[&str]) -> StageWork {
     let inputs = inputs.iter().map(|it| (*it).to_owned()).collect();
     StageWork { source: PieceSource::Inputs(inputs), ..work(pieces, 1_000, 5_000) }
--- a/crates/core/src/upstreams/directory.rs
+++ b/crates/core/src/upstreams/directory.rs
@@ -134,6 +134,11 @@
         self.all.iter().find(|(_, it)| it.record.address == address).map(|(key, _)| key)
     }
 
+    /// Returns the data centre of the upstream that has an address.
+    pub fn data_centre_at(&self, address: SocketAddr) -> Option<&Arc<str>> {
+        Some(&self.get(self.at_address(address)?)?.record.data_centre)
+    }
+
     /// Returns the service of the upstream that has an address.
     pub fn service_at(&self, address: SocketAddr) -> Option<&Arc<str>> {
         Some(&self.get(self.at_address(address)?)?.record.service)
--- a/crates/entry/src/relay/model.rs
+++ b/crates/entry/src/relay/model.rs
@@ -5,8 +5,9 @@
 use futures::{StreamExt, stream::FuturesUnordered};
 use hyper::Response;
 use log::info;
+use yuccatrail_adapter::maker_of;
 use yuccatrail_core::{
-    batching::{GroupEnd, PieceSource, StageWork},
+    batching::{GroupEnd, Home, PieceSource, StageWork},
     stage_graph::{ReadyStage, ResultHandle, StageGraph},
     upstreams::{Affinity, UpstreamKey, Wanted},
 };
@@ -237,6 +238,31 @@
         priority: request.admission.priority,
         aim_ms: request.aim_ms().saturating_sub(following_ms),
         deadline_ms: request.deadline_ms.saturating_sub(following_ms),
-        data_centre: data_centre.cloned(),
+        home: Home::choose(bytes_by_place(relay, request, graph, ready, data_centre)),
     }
 }
+
+/// Returns the bytes that a piece of a stage reads from each data centre and that its reader will
+/// read in the data centre of the model upstream.
+fn bytes_by_place(
+    relay: &Relay,
+    request: &CallerRequest,
+    graph: &StageGraph,
+    ready: &ReadyStage,
+    reader: Option<&Arc<str>>,
+) -> Vec<(Arc<str>, u64)> {
+    let stages = &request.admission.route.stages;
+    let stage = &stages[ready.stage];
+    let mut shares: Vec<(Arc<str>, u64)> = Vec::new();
+    shares.extend(reader.map(|it| (it.clone(), stage.result_bytes)));
+    let sizes = stage
+        .after
+        .iter()
+        .flat_map(|it| std::iter::repeat_n(stages[*it].result_bytes, graph.pieces(*it)));
+    let upstreams = relay.upstreams();
+    for (input, bytes) in ready.inputs.iter().flatten().zip(sizes) {
+        let place = maker_of(input).and_then(|it| upstreams.data_centre_at(it));
+        shares.extend(place.map(|it| (it.clone(), bytes)));
+    }
+    shares
+}
