Entries ask a few others instead of all

Cause: each entry kept a connection to every other and asked it every 300 ms, so that at 300 entries each one asked and answered a thousand questions a second: 27 % of its processor share, 40 MB and 882 kB a second in the middle, 7.5 s until served after all were killed. On the way, each choice of an owner hashed all names.

An entry asks the first two that may take work in each stage service's order, and two neighbours on a circle of all entries, more where those don't answer or, without the platform, don't follow it. Orders are made once for each set of entries. The time between two questions grows with the entries (5 ms each, 300 ms at least), so that an owner answers 200 a second at most. An entry that the platform refuses learns the others from one that asks it.

--- a/crates/core/src/ownership/mod.rs
+++ b/crates/core/src/ownership/mod.rs
@@ -1,13 +1,17 @@
 //! Which entry owns a shared piece of work, chosen alike by all entries without agreement.
 //!
-//! The owner is the candidate with the largest weight for the work's name, so a change of one entry
-//! moves only what that entry owned. Where the views of two entries differ for a moment, two entries
-//! own the same work; whoever uses this must bear that.
+//! The owner is the first entry that takes work in an order that every entry computes alike from the
+//! work's name, so a change of one entry moves only what that entry owned. Where the views of two
+//! entries differ for a moment, two entries own the same work; whoever uses this must bear that.
+
+mod view;
 
 use crate::upstreams::rendezvous_weight;
 
-/// Part of the largest processor share from which an entry is a candidate; weaker ones would slow
-/// everybody's work down.
+pub use view::{EntryView, Heard, OwnState};
+
+/// Part of the largest processor share from which an entry goes before the weaker ones, which would
+/// slow everybody's work down.
 const MIN_SHARE_OF_LARGEST: f64 = 0.5;
 
 /// An entry that may own work.
@@ -19,11 +23,15 @@
     pub cpu_share: f64,
 }
 
-/// Returns the owner of the work named `subject`, or `None` without candidates.
-pub fn owner<'a>(subject: &str, candidates: &'a [Candidate]) -> Option<&'a Candidate> {
+/// Returns the entries in their order for the work named `subject`: the strong ones first, each
+/// group by weight.
+fn ranked(subject: &str, mut candidates: Vec<Candidate>) -> Vec<Candidate> {
     let largest = candidates.iter().map(|it| it.cpu_share).fold(0.0, f64::max);
-    let is_strong = |it: &&Candidate| it.cpu_share >= largest * MIN_SHARE_OF_LARGEST;
-    candidates.iter().filter(is_strong).max_by_key(|it| rendezvous_weight(&it.name, subject))
+    candidates.sort_by_cached_key(|it| {
+        let is_weak = it.cpu_share < largest * MIN_SHARE_OF_LARGEST;
+        (is_weak, std::cmp::Reverse(rendezvous_weight(&it.name, subject)))
+    });
+    candidates
 }
 
 #[cfg(test)]
--- a/crates/core/src/ownership/tests.rs
+++ b/crates/core/src/ownership/tests.rs
@@ -1,4 +1,15 @@
-use crate::ownership::{Candidate, owner};
+use std::sync::Arc;
+
+use proptest::{prelude::*, test_runner::RngSeed};
+
+use crate::{
+    FastMap, FastSet,
+    ownership::{Candidate, EntryView, Heard, OwnState, ranked},
+};
+
+const READY: OwnState = OwnState { takes_work: true, follows_platform: true };
+const REFUSED: OwnState = OwnState { takes_work: true, follows_platform: false };
+const LIVES: Heard = Heard::Lives { takes_work: true, follows_platform: true };
 
 fn candidates(shares: &[f64]) -> Vec<Candidate> {
     let name = |index: usize| format!("entry-{index}");
@@ -9,13 +20,42 @@
         .collect()
 }
 
+fn subjects() -> Vec<Arc<str>> {
+    ["tagging", "billing", "scheduling"].map(Arc::from).to_vec()
+}
+
+/// Returns the views of all entries, none of which has heard of another.
+fn views(all: &[Candidate]) -> Vec<EntryView> {
+    let mut views: Vec<EntryView> = all.iter().cloned().map(EntryView::new).collect();
+    for view in &mut views {
+        for other in all {
+            view.list(other.clone());
+        }
+    }
+    views
+}
+
+/// Lets every view ask until nothing changes; `answers` tells what is heard of each entry.
+fn settle(views: &mut [EntryView], own: OwnState, answers: &FastMap<String, Heard>) {
+    for view in views {
+        for _ in 0..answers.len() {
+            for name in view.to_ask(&subjects(), own) {
+                view.hear(&name, answers.get(&name).copied().unwrap_or(Heard::Lost));
+            }
+        }
+    }
+}
+
+fn all_live(all: &[Candidate]) -> FastMap<String, Heard> {
+    all.iter().map(|it| (it.name.clone(), LIVES)).collect()
+}
+
 #[test]
-fn all_entries_choose_the_same_owner_whatever_the_order() {
+fn all_entries_choose_the_same_order_whatever_they_list_first() {
     let mut all = candidates(&[0.2, 0.2, 0.2, 0.2]);
-    let first = owner("work", &all).unwrap().clone();
+    let order = ranked("work", all.clone());
     all.reverse();
-    assert_eq!(owner("work", &all), Some(&first));
-    assert_eq!(owner("work", &[]), None);
+    assert_eq!(ranked("work", all), order);
 }
 
 #[test]
@@ -25,16 +65,130 @@
     let rest: Vec<Candidate> = all.iter().filter(|it| **it != lost).cloned().collect();
     for index in 0..100 {
         let subject = format!("work-{index}");
-        let before = owner(&subject, &all).unwrap();
-        let after = owner(&subject, &rest).unwrap();
-        assert!(*before == lost || before == after);
+        let before = ranked(&subject, all.clone()).remove(0);
+        let after = ranked(&subject, rest.clone()).remove(0);
+        assert!(before == lost || before == after);
     }
 }
 
 #[test]
-fn weak_entries_own_nothing_beside_strong_ones() {
+fn weak_entries_own_nothing_while_a_strong_one_lives() {
     let all = candidates(&[0.09, 0.5, 0.09, 0.4]);
     for index in 0..100 {
-        assert!(owner(&format!("work-{index}"), &all).unwrap().cpu_share >= 0.25);
+        let order = ranked(&format!("work-{index}"), all.clone());
+        assert!(order[..2].iter().all(|it| it.cpu_share >= 0.25));
+    }
+}
+
+#[test]
+fn an_entry_without_others_owns_everything_itself() {
+    let mut view = EntryView::new(candidates(&[0.2]).remove(0));
+    assert_eq!(view.owner("work", READY), None);
+    assert!(view.to_ask(&subjects(), READY).is_empty());
+}
+
+#[test]
+fn questions_stay_few_however_many_entries_there_are() {
+    for number in [3, 30, 100, 300] {
+        let all = candidates(&vec![0.2; number]);
+        let mut views = views(&all);
+        settle(&mut views, READY, &all_live(&all));
+        let mut asked_by: FastMap<String, usize> = FastMap::default();
+        for view in &mut views {
+            let asked = view.to_ask(&subjects(), READY);
+            assert!(asked.len() <= 8, "{number} entries: {}", asked.len());
+            for name in asked {
+                *asked_by.entry(name).or_default() += 1;
+            }
+        }
+        assert!(all.iter().all(|it| asked_by.get(&it.name) >= Some(&2)), "{number} entries");
+    }
+}
+
+#[test]
+fn the_next_in_order_takes_over_as_soon_as_the_owner_is_lost() {
+    let all = candidates(&[0.2; 30]);
+    let mut views = views(&all);
+    settle(&mut views, READY, &all_live(&all));
+    for subject in subjects() {
+        let order = ranked(&subject, all.clone());
+        for view in &mut views {
+            if view.owner(&subject, READY).is_none() {
+                continue;
+            }
+            view.hear(&order[0].name, Heard::Lost);
+            let next = view.owner(&subject, READY).map(str::to_owned);
+            assert!(next.is_none_or(|it| it == order[1].name));
+            view.hear(&order[0].name, LIVES);
+        }
+    }
+}
+
+#[test]
+fn an_entry_that_the_platform_refuses_asks_on_until_one_follows_it() {
+    let all = candidates(&[0.2; 30]);
+    let refused = Heard::Lives { takes_work: true, follows_platform: false };
+    let mut answers = all_live(&all);
+    for entry in &all[..20] {
+        answers.insert(entry.name.clone(), refused);
+    }
+    let mut views = views(&all);
+    settle(&mut views, REFUSED, &answers);
+    for view in &mut views[..20] {
+        let asked = view.to_ask(&subjects(), REFUSED);
+        assert!(asked.iter().any(|it| answers[it] == LIVES));
+        assert!(asked.len() <= 18);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 64,
+        rng_seed: RngSeed::Fixed(7_606),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Whichever entries are lost, the others agree on the owners once they have heard that, and
+    /// each of them is reached by news that any of them has.
+    #[test]
+    fn entries_that_live_agree_and_stay_connected(
+        number in 2_usize..40,
+        lost in prop::collection::vec(any::<prop::sample::Index>(), 0..30),
+        shares in prop::collection::vec(0.05_f64..0.5, 40),
+    ) {
+        let all = candidates(&shares[..number]);
+        let mut answers = all_live(&all);
+        for index in &lost {
+            let name = &all[index.index(number)].name;
+            answers.insert(name.clone(), Heard::Lost);
+        }
+        let mut views = views(&all);
+        settle(&mut views, READY, &answers);
+        let living: Vec<usize> =
+            (0..number).filter(|it| answers[&all[*it].name] == LIVES).collect();
+        for subject in subjects() {
+            let owners: FastSet<String> = living
+                .iter()
+                .map(|it| {
+                    let own_name = &all[*it].name;
+                    views[*it].owner(&subject, READY).unwrap_or(own_name).to_owned()
+                })
+                .collect();
+            prop_assert!(owners.len() <= 1, "{owners:?}");
+            prop_assert!(owners.iter().all(|it| answers[it] == LIVES));
+        }
+        // News passes from an entry that is asked to the one that asks.
+        let Some(first) = living.first() else { return Ok(()) };
+        let mut told: FastSet<String> = FastSet::from_iter([all[*first].name.clone()]);
+        for _ in 0..number {
+            for it in &living {
+                let asked = views[*it].to_ask(&subjects(), READY);
+                if asked.iter().any(|name| told.contains(name)) {
+                    told.insert(all[*it].name.clone());
+                }
+            }
+        }
+        prop_assert_eq!(told.len(), living.len());
     }
 }
--- a/crates/entry/src/relay/mod.rs
+++ b/crates/entry/src/relay/mod.rs
@@ -136,6 +136,7 @@
         interval.tick().await;
         let now_ms = relay.now_ms();
         relay.upstreams().expire(now_ms);
+        relay.peers.decide_whom_to_ask(&relay);
         relay.stages.tick(&relay);
         relay.releases.send_all(&relay);
         let upstreams = relay.upstreams();
--- a/crates/entry/src/relay/peers.rs
+++ b/crates/entry/src/relay/peers.rs
@@ -24,14 +24,14 @@
 };
 use yuccatrail_core::{
     FastMap, FastSet,
-    ownership::{Candidate, owner},
+    ownership::{Candidate, EntryView, Heard, OwnState},
     route_table::{Configuration, RouteTable},
     upstreams::{Beliefs, ListRevisions},
 };
 use yuccatrail_platform::{Client, PlatformError, PollUpdate, Poller, PollerSettings};
 use yuccatrail_rpc::{
     entries::{
-        EntryPeer, EntryPeerClient, Hello, HelloReply, QueueState, StageReply, StageRequest,
+        EntryAddress, EntryPeer, EntryPeerClient, HelloReply, QueueState, StageReply, StageRequest,
     },
     transport,
 };
@@ -42,8 +42,11 @@
     state::{Relay, lock},
 };
 
-/// Time between two questions to another entry, in milliseconds.
+/// Shortest time between two questions to another entry, in milliseconds.
 const HELLO_INTERVAL_MS: u64 = 300;
+/// Time between two questions for each entry of the installation, in milliseconds, so that an owner,
+/// which all others ask, answers at most 200 a second.
+const HELLO_INTERVAL_PER_ENTRY_MS: u64 = 5;
 /// Time after which an unanswered question means that the entry is gone, in milliseconds; an entry
 /// short of processor time answers in a hundred.
 const HELLO_TIMEOUT_MS: u64 = 700;
@@ -71,11 +74,20 @@
 /// What is known of another entry.
 struct Known {
     record: EntryRecord,
-    stop: CancellationToken,
+    /// Ends the questions to the entry; none while it is not asked.
+    asking: Option<CancellationToken>,
     peer: Option<Peer>,
     queues: FastMap<String, QueueState>,
 }
 
+/// All entries, with the calls to those that are asked.
+struct Directory {
+    view: EntryView,
+    known: FastMap<String, Known>,
+    /// Own state with which it was last decided whom to ask; none where that has to be decided again.
+    decided_with: Option<OwnState>,
+}
+
 /// Who owns a piece of shared work.
 pub(crate) enum Owner {
     /// This entry.
@@ -85,9 +97,8 @@
 }
 
 /// All other entries.
-#[derive(Default)]
 pub(crate) struct Peers {
-    known: Mutex<FastMap<String, Known>>,
+    directory: Mutex<Directory>,
     missing: Mutex<Missing>,
 }
 
@@ -120,19 +131,19 @@
 }
 
 impl Peers {
+    /// Creates the directory of the entry `own`, which knows no other yet.
+    pub(crate) fn new(own: Candidate) -> Self {
+        let view = EntryView::new(own);
+        let directory = Directory { view, known: FastMap::default(), decided_with: None };
+        Self { directory: Mutex::new(directory), missing: Mutex::default() }
+    }
+
     /// Returns the owner of a stage service.
     pub(crate) fn owner(&self, relay: &Relay, service: &str) -> Owner {
-        let known = lock(&self.known);
-        let mut candidates: Vec<Candidate> = known
-            .iter()
-            .filter(|(_, it)| it.peer.is_some())
-            .map(|(name, it)| Candidate { name: name.clone(), cpu_share: it.record.cpu_share })
-            .collect();
-        if relay.is_ready() || candidates.is_empty() {
-            let cpu_share = relay.settings.cpu_share;
-            candidates.push(Candidate { name: relay.settings.name.clone(), cpu_share });
-        }
-        let owner = owner(service, &candidates).and_then(|it| known.get(&it.name));
+        let own = own_state(relay);
+        let mut directory = lock(&self.directory);
+        let Directory { view, known, .. } = &mut *directory;
+        let owner = view.owner(service, own).and_then(|it| known.get(it));
         match owner.and_then(|it| it.peer.clone()) {
             Some(peer) => Owner::Other(peer),
             None => Owner::Own,
@@ -143,47 +154,85 @@
     /// this entry is the owner.
     pub(crate) fn wait_ms(&self, relay: &Relay, service: &str) -> Option<u64> {
         let Owner::Other(peer) = self.owner(relay, service) else { return None };
-        lock(&self.known).get(&peer.name)?.queues.get(service).map(|it| it.wait_ms)
+        let directory = lock(&self.directory);
+        directory.known.get(&peer.name)?.queues.get(service).map(|it| it.wait_ms)
     }
 
     /// Tells whether much waits in the queue of a service at its owner; none where this entry is the
     /// owner.
     pub(crate) fn is_pressed(&self, relay: &Relay, service: &str) -> Option<bool> {
         let Owner::Other(peer) = self.owner(relay, service) else { return None };
-        let known = lock(&self.known);
-        let queue = known.get(&peer.name).and_then(|it| it.queues.get(service));
+        let directory = lock(&self.directory);
+        let queue = directory.known.get(&peer.name).and_then(|it| it.queues.get(service));
         Some(queue.is_some_and(|it| it.is_pressed))
     }
 
-    fn set_record(&self, relay: &Arc<Relay>, name: &str, record: EntryRecord) {
+    /// Begins to ask the entries that have to be asked and stops asking the others.
+    pub(crate) fn decide_whom_to_ask(&self, relay: &Arc<Relay>) {
+        let own = own_state(relay);
+        if lock(&self.directory).decided_with == Some(own) {
+            return;
+        }
+        let services = relay.stages.services();
+        let mut directory = lock(&self.directory);
+        let Directory { view, known, decided_with } = &mut *directory;
+        *decided_with = Some(own);
+        let asked = view.to_ask(&services, own);
+        for (name, entry) in known.iter_mut() {
+            if asked.contains(name) == entry.asking.is_some() {
+                continue;
+            }
+            if let Some(asking) = entry.asking.take() {
+                // Calls in progress at the entry go on.
+                asking.cancel();
+                entry.peer = None;
+                view.hear(name, Heard::Nothing);
+                continue;
+            }
+            let stop = CancellationToken::new();
+            entry.asking = Some(stop.clone());
+            let address = entry.record.peer_address;
+            tokio::spawn(maintain(relay.clone(), name.clone(), address, stop));
+        }
+    }
+
+    /// Decides again whom to ask, for instance because there are other stage services now.
+    pub(crate) fn note_change(&self) {
+        lock(&self.directory).decided_with = None;
+    }
+
+    fn set_record(&self, relay: &Relay, name: &str, record: EntryRecord) {
         if name == relay.settings.name {
             return;
         }
-        let mut known = lock(&self.known);
-        if known.get(name).is_some_and(|it| it.record == record) {
+        let mut directory = lock(&self.directory);
+        if directory.known.get(name).is_some_and(|it| it.record == record) {
             return;
         }
         info!(entry = name, address:% = record.peer_address; "entry listed");
-        let stop = CancellationToken::new();
-        let address = record.peer_address;
-        let entry = Known { record, stop: stop.clone(), peer: None, queues: FastMap::default() };
-        if let Some(replaced) = known.insert(name.to_owned(), entry) {
+        let candidate = Candidate { name: name.to_owned(), cpu_share: record.cpu_share };
+        directory.view.list(candidate);
+        directory.decided_with = None;
+        let entry = Known { record, asking: None, peer: None, queues: FastMap::default() };
+        if let Some(replaced) = directory.known.insert(name.to_owned(), entry) {
             replaced.close();
         }
-        tokio::spawn(maintain(relay.clone(), name.to_owned(), address, stop));
     }
 
     fn remove(&self, name: &str) {
-        if let Some(removed) = lock(&self.known).remove(name) {
+        let mut directory = lock(&self.directory);
+        if let Some(removed) = directory.known.remove(name) {
             info!(entry = name; "entry no longer listed");
+            directory.view.unlist(name);
+            directory.decided_with = None;
             removed.close();
         }
     }
 
-    fn note_reply(&self, name: &str, reply: HelloReply, peer: &Peer) {
-        let mut known = lock(&self.known);
-        let Some(entry) = known.get_mut(name) else { return };
-        if entry.stop.is_cancelled() {
+    fn note_reply(&self, name: &str, reply: HelloReply, peer: &Peer, stop: &CancellationToken) {
+        let mut directory = lock(&self.directory);
+        let Some(entry) = directory.known.get_mut(name) else { return };
+        if stop.is_cancelled() {
             return;
         }
         if entry.peer.is_some() != reply.takes_work {
@@ -191,42 +240,78 @@
         }
         entry.peer = reply.takes_work.then(|| peer.clone());
         entry.queues = reply.queues.into_iter().map(|it| (it.service.clone(), it)).collect();
+        let follows_platform = reply.list_revisions.is_some();
+        directory.hear(name, Heard::Lives { takes_work: reply.takes_work, follows_platform });
     }
 
-    fn note_lost(&self, name: &str, detail: &str) {
-        let mut known = lock(&self.known);
-        let Some(entry) = known.get_mut(name) else { return };
+    fn note_lost(&self, name: &str, detail: &str, stop: &CancellationToken) {
+        let mut directory = lock(&self.directory);
+        let Some(entry) = directory.known.get_mut(name) else { return };
+        if stop.is_cancelled() {
+            return;
+        }
         if let Some(peer) = entry.peer.take() {
             warn!(entry = name, detail = detail; "entry lost");
             peer.lost.cancel();
         }
         entry.queues.clear();
+        directory.hear(name, Heard::Lost);
+    }
+
+    /// Returns the names of all entries but this one.
+    fn names(&self) -> Vec<String> {
+        lock(&self.directory).known.keys().cloned().collect()
+    }
+
+    /// Returns the time between two questions to an entry, in milliseconds.
+    fn hello_interval_ms(&self) -> u64 {
+        let entries = lock(&self.directory).view.len() as u64;
+        HELLO_INTERVAL_MS.max(entries * HELLO_INTERVAL_PER_ENTRY_MS)
+    }
+}
+
+impl Directory {
+    fn hear(&mut self, name: &str, heard: Heard) {
+        if self.view.hear(name, heard) != heard {
+            self.decided_with = None;
+        }
     }
 }
 
 impl Known {
     fn close(self) {
-        self.stop.cancel();
+        if let Some(asking) = self.asking {
+            asking.cancel();
+        }
         if let Some(peer) = self.peer {
             peer.lost.cancel();
         }
     }
 }
 
+fn own_state(relay: &Relay) -> OwnState {
+    OwnState { takes_work: relay.is_ready(), follows_platform: relay.follows_platform() }
+}
+
 /// Keeps a connection to an entry and asks it again and again.
 async fn maintain(relay: Arc<Relay>, name: String, address: SocketAddr, stop: CancellationToken) {
     while !stop.is_cancelled() {
         let detail = tokio::select! {
-            detail = converse(&relay, &name, address) => detail,
+            detail = converse(&relay, &name, address, &stop) => detail,
             () = stop.cancelled() => return,
         };
-        relay.peers.note_lost(&name, &detail);
+        relay.peers.note_lost(&name, &detail, &stop);
         tokio::time::sleep(Duration::from_millis(RECONNECT_MS)).await;
     }
 }
 
 /// Returns why the conversation ended.
-async fn converse(relay: &Arc<Relay>, name: &str, address: SocketAddr) -> String {
+async fn converse(
+    relay: &Arc<Relay>,
+    name: &str,
+    address: SocketAddr,
+    stop: &CancellationToken,
+) -> String {
     let limit = Duration::from_millis(HELLO_TIMEOUT_MS);
     let transport = match tokio::time::timeout(limit, transport::connect(address)).await {
         Ok(Ok(transport)) => transport,
@@ -235,26 +320,58 @@
     };
     let client = EntryPeerClient::new(Config::default(), Box::pin(transport)).spawn();
     let peer = Peer { name: name.to_owned(), client, lost: CancellationToken::new() };
+    let mut knows_entries = false;
     loop {
-        let hello = Hello {
-            from: relay.settings.name.clone(),
-            peer_address: relay.settings.peer_listen,
-            cpu_share: relay.settings.cpu_share,
-        };
-        let asked = peer.client.hello(context_for(HELLO_TIMEOUT_MS), hello);
+        let asked = peer.client.hello(context_for(HELLO_TIMEOUT_MS), own_address(relay));
         match tokio::time::timeout(limit, asked).await {
             Ok(Ok(reply)) => {
                 take_newer_configuration(relay, &peer, reply.config_version).await;
                 take_beliefs(relay, &peer, reply.list_revisions).await;
-                relay.peers.note_reply(name, reply, &peer);
+                relay.peers.note_reply(name, reply, &peer, stop);
+                if !knows_entries {
+                    knows_entries = take_entries(relay, &peer).await;
+                }
             }
             Ok(Err(error)) => return error.to_string(),
             Err(_) => return "no answer in time".to_owned(),
         }
-        tokio::time::sleep(Duration::from_millis(HELLO_INTERVAL_MS)).await;
+        tokio::time::sleep(Duration::from_millis(relay.peers.hello_interval_ms())).await;
     }
 }
 
+fn own_address(relay: &Relay) -> EntryAddress {
+    EntryAddress {
+        name: relay.settings.name.clone(),
+        peer_address: relay.settings.peer_listen,
+        cpu_share: relay.settings.cpu_share,
+    }
+}
+
+/// Learns of the other entries where the platform tells of none; returns whether that is done.
+async fn take_entries(relay: &Relay, peer: &Peer) -> bool {
+    if relay.upstreams().has_platform_list() {
+        return true;
+    }
+    match peer.client.entries(context_for(HELLO_TIMEOUT_MS)).await {
+        Ok(entries) => {
+            info!(entry:% = peer.name, entries = entries.len(); "entries heard from an entry");
+            for entry in entries {
+                note_address(relay, entry);
+            }
+            true
+        }
+        Err(error) => {
+            warn!(entry:% = peer.name, error:% = error; "other entries not heard");
+            false
+        }
+    }
+}
+
+fn note_address(relay: &Relay, entry: EntryAddress) {
+    let record = EntryRecord { peer_address: entry.peer_address, cpu_share: entry.cpu_share };
+    relay.peers.set_record(relay, &entry.name, record);
+}
+
 /// Takes over a newer configuration from an entry that the store has told of it.
 async fn take_newer_configuration(relay: &Relay, peer: &Peer, version: Option<u64>) {
     let own = relay.table().map(|it| it.version());
@@ -320,8 +437,7 @@
         match update {
             PollUpdate::Snapshot { items, .. } => {
                 let listed: FastSet<String> = items.iter().filter_map(present_name).collect();
-                let known: Vec<String> = lock(&relay.peers.known).keys().cloned().collect();
-                for name in known.iter().filter(|it| !listed.contains(*it)) {
+                for name in relay.peers.names().iter().filter(|it| !listed.contains(*it)) {
                     relay.peers.remove(name);
                 }
                 take_in(&relay, items);
@@ -329,14 +445,14 @@
             PollUpdate::Changes(changes) => take_in(&relay, changes.items),
             PollUpdate::Unavailable(_) | PollUpdate::Available => {}
         }
-        let mut names: Vec<String> = lock(&relay.peers.known).keys().cloned().collect();
+        let mut names = relay.peers.names();
         names.push(relay.settings.name.clone());
         relay.upstreams().set_entries(names);
     }
     poller.close().await;
 }
 
-fn take_in(relay: &Arc<Relay>, changes: Vec<StoreChange<EntryRecord>>) {
+fn take_in(relay: &Relay, changes: Vec<StoreChange<EntryRecord>>) {
     for change in changes {
         match change {
             StoreChange::Present { name, content } => {
@@ -405,12 +521,10 @@
 }
 
 impl EntryPeer for Connection {
-    async fn hello(self, _: Context, request: Hello) -> HelloReply {
+    async fn hello(self, _: Context, from: EntryAddress) -> HelloReply {
         // Without the platform an entry that starts again finds the others by their questions.
         if !self.relay.upstreams().has_platform_list() {
-            let record =
-                EntryRecord { peer_address: request.peer_address, cpu_share: request.cpu_share };
-            self.relay.peers.set_record(&self.relay, &request.from, record);
+            note_address(&self.relay, from);
         }
         let queues = self.relay.stages.states(&self.relay);
         let config_version = self.relay.table().map(|it| it.version());
@@ -419,6 +533,16 @@
         HelloReply { takes_work: self.relay.is_ready(), config_version, list_revisions, queues }
     }
 
+    async fn entries(self, _: Context) -> Vec<EntryAddress> {
+        let directory = lock(&self.relay.peers.directory);
+        let address = |(name, entry): (&String, &Known)| EntryAddress {
+            name: name.clone(),
+            peer_address: entry.record.peer_address,
+            cpu_share: entry.record.cpu_share,
+        };
+        directory.known.iter().map(address).collect()
+    }
+
     async fn configuration(self, _: Context) -> Option<Arc<Configuration>> {
         self.relay.table().map(|it| it.configuration().clone())
     }
--- a/crates/entry/src/relay/stages.rs
+++ b/crates/entry/src/relay/stages.rs
@@ -84,6 +84,11 @@
         }
     }
 
+    /// Returns the stage services.
+    pub(crate) fn services(&self) -> Vec<Arc<str>> {
+        lock(&self.queues).keys().cloned().collect()
+    }
+
     /// Makes all pieces of a stage at the service's owner and returns their results.
     ///
     /// Where the owner is lost on the way, the next one makes them again. Dropping the future gives
@@ -126,7 +131,7 @@
 
     /// Returns the state of all queues, for other entries.
     pub(crate) fn states(&self, relay: &Relay) -> Vec<QueueState> {
-        let services: Vec<Arc<str>> = lock(&self.queues).keys().cloned().collect();
+        let services = self.services();
         let now_ms = relay.now_ms();
         let mut states = Vec::with_capacity(services.len());
         for service in services {
@@ -261,7 +266,7 @@
 
     /// Releases the inputs that a call has read, where their makers lack room.
     fn let_inputs_go(&self, relay: &Relay, call: &StageCall) {
-        let services: Vec<Arc<str>> = lock(&self.queues).keys().cloned().collect();
+        let services = self.services();
         let is_pressed = |service: &Arc<str>| {
             let at_owner = relay.peers.is_pressed(relay, service);
             at_owner.unwrap_or_else(|| self.is_pressed_here(service))
--- a/crates/entry/src/relay/state.rs
+++ b/crates/entry/src/relay/state.rs
@@ -8,6 +8,7 @@
 use log::info;
 use yuccatrail_core::{
     FastMap,
+    ownership::Candidate,
     retry_share::RetryShare,
     route_table::RouteTable,
     upstreams::{Upstreams, UpstreamsSettings},
@@ -58,11 +59,12 @@
 impl Relay {
     /// Creates the state of a relay that knows nothing yet.
     pub(crate) fn new(settings: RelaySettings) -> Arc<Self> {
+        let own = Candidate { name: settings.name.clone(), cpu_share: settings.cpu_share };
         Arc::new(Self {
             clock: Clock::new(),
             pool: Pool::default(),
             stages: StageQueues::default(),
-            peers: Peers::default(),
+            peers: Peers::new(own),
             releases: Releases::default(),
             metrics: RelayMetrics::new(),
             table: Mutex::new(None),
@@ -100,6 +102,7 @@
                 self.stages.configure(&service.name, stage);
             }
         }
+        self.peers.note_change();
         self.upstreams().set_cold_starts(cold_starts);
         *current = Some(Arc::new(table));
     }
--- a/crates/rpc/src/entries.rs
+++ b/crates/rpc/src/entries.rs
@@ -9,14 +9,14 @@
     upstreams::{Beliefs, ListRevisions},
 };
 
-/// Asks another entry whether it takes work.
+/// An entry and where others reach it.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Hello {
-    /// Name of the entry that asks.
-    pub from: String,
-    /// Address on which other entries reach the one that asks.
+pub struct EntryAddress {
+    /// Name of the entry.
+    pub name: String,
+    /// Address on which other entries reach it.
     pub peer_address: SocketAddr,
-    /// Part of a core that the entry that asks may use.
+    /// Part of a core that it may use.
     pub cpu_share: f64,
 }
 
@@ -65,8 +65,10 @@
 /// Calls that an entry answers to another.
 #[tarpc::service]
 pub trait EntryPeer {
-    /// Tells whether the entry takes work.
-    async fn hello(request: Hello) -> HelloReply;
+    /// Tells whether the entry takes work; `from` is the entry that asks.
+    async fn hello(from: EntryAddress) -> HelloReply;
+    /// Returns the entries that this one knows.
+    async fn entries() -> Vec<EntryAddress>;
     /// Returns the configuration in force; none before the first.
     async fn configuration() -> Option<Arc<Configuration>>;
     /// Returns what the entry knows from the platform; none unless it follows the platform now.
