A planned stop refuses what still waits for its stages

Cause: a stop waited for them until its limit and then ended; their own deadline (8 s) was later. Ruled out: a request that an upstream had, which goes on until the limit. Now they are refused as not run 300 ms before the limit.

--- a/crates/entry/src/relay/mod.rs
+++ b/crates/entry/src/relay/mod.rs
@@ -46,6 +46,9 @@
 const ROTATION_MS: u64 = 2_600;
 /// Time before the kill at which a planned stop gives up waiting, in milliseconds.
 const STOP_MARGIN_MS: u64 = 400;
+/// Time before the end of a planned stop at which requests that no upstream has received are refused,
+/// in milliseconds; a busy entry takes a part of it to answer them all.
+const LAST_REFUSALS_MS: u64 = 300;
 /// Time between two looks at the requests in progress of a stopping relay, in milliseconds.
 const STOP_CHECK_MS: u64 = 50;
 /// Longest time for one call of the platform's store, in milliseconds; a slow store takes 240.
@@ -112,13 +115,18 @@
     relay.begin_stop();
     let begun_ms = relay.now_ms();
     let limit_ms = relay.settings.bounds.grace_period_ms.saturating_sub(STOP_MARGIN_MS);
-    tokio::time::sleep(Duration::from_millis(ROTATION_MS.min(limit_ms))).await;
+    let waiting_ms = limit_ms.saturating_sub(LAST_REFUSALS_MS);
+    tokio::time::sleep(Duration::from_millis(ROTATION_MS.min(waiting_ms))).await;
     closing.cancel();
     while relay.in_progress() > 0 {
         if Mechanism::PatientStop.is_off() {
             return;
         }
-        if relay.now_ms().saturating_sub(begun_ms) >= limit_ms {
+        let elapsed_ms = relay.now_ms().saturating_sub(begun_ms);
+        if elapsed_ms >= waiting_ms {
+            relay.give_up_waiting();
+        }
+        if elapsed_ms >= limit_ms {
             warn!(cut = relay.in_progress(); "the time limit of the planned stop cuts requests");
             return;
         }
--- a/crates/entry/src/relay/model.rs
+++ b/crates/entry/src/relay/model.rs
@@ -29,6 +29,8 @@
 const LARGE_RESULT_BYTES: u64 = 100_000;
 /// Part of its slack for which a stage waits; the rest covers what the estimates miss.
 const SLACK_PART: f64 = 0.7;
+/// Wait that is proposed by an entry that stops, in milliseconds; others can take the request now.
+const STOPPED_RETRY_MS: u64 = 20;
 /// Shortest wait that is proposed when stages are full, in milliseconds.
 const MIN_STAGE_RETRY_MS: u64 = 200;
 
@@ -45,7 +47,10 @@
     refuse_hopeless(relay, request, &graph)?;
     let mut restarts = 0;
     loop {
-        run_stages(relay, request, &mut graph, &mut held, data_centre.as_ref()).await?;
+        tokio::select! {
+            ran = run_stages(relay, request, &mut graph, &mut held, data_centre.as_ref()) => ran?,
+            () = relay.gives_up_waiting() => return Err(Refusal::busy("stopping", STOPPED_RETRY_MS)),
+        }
         let call = ModelCall {
             relay: relay.clone(),
             request: request.clone(),
--- a/crates/entry/src/relay/state.rs
+++ b/crates/entry/src/relay/state.rs
@@ -6,6 +6,7 @@
 };
 
 use log::info;
+use tokio_util::sync::CancellationToken;
 use yuccatrail_core::{
     FastMap,
     ownership::Candidate,
@@ -40,6 +41,8 @@
     upstreams: Mutex<Upstreams>,
     retries: Mutex<RetryShare>,
     is_stopping: AtomicBool,
+    /// Cancelled when a planned stop gives up what no upstream has received.
+    gives_up_waiting: CancellationToken,
     /// Whether the platform's list of upstreams can be followed now.
     follows_platform: AtomicBool,
     in_progress: AtomicUsize,
@@ -71,6 +74,7 @@
             upstreams: Mutex::new(Upstreams::new(UpstreamsSettings::default(), &settings.name)),
             retries: Mutex::new(RetryShare::new(settings.bounds.retries)),
             is_stopping: AtomicBool::new(false),
+            gives_up_waiting: CancellationToken::new(),
             follows_platform: AtomicBool::new(true),
             in_progress: AtomicUsize::new(0),
             settings,
@@ -133,6 +137,16 @@
         self.is_stopping.store(true, Ordering::Relaxed);
     }
 
+    /// Refuses the requests that no upstream has received yet.
+    pub(crate) fn give_up_waiting(&self) {
+        self.gives_up_waiting.cancel();
+    }
+
+    /// Waits until requests that no upstream has received are refused.
+    pub(crate) async fn gives_up_waiting(&self) {
+        self.gives_up_waiting.cancelled().await;
+    }
+
     /// Notes whether the platform's list of upstreams can be followed.
     pub(crate) fn set_follows_platform(&self, follows: bool) {
         self.follows_platform.store(follows, Ordering::Relaxed);
