An entry that was frozen reads its lists again before it sends anything

Cause: a process that wakes up finds requests in its sockets and lists from the time before. A gap of a second in the process's own signs of life, on a clock that counts suspensions, breaks off the polls and lists again; requests and stage calls wait for that, half a second at most. Polls no longer lose their 'available' when broken off.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod document;
 pub mod drain;
 pub mod event_stream;
+pub mod freshness;
 pub mod hedge;
 pub mod ids;
 pub mod membership;
--- a/crates/entry/src/relay/feed.rs
+++ b/crates/entry/src/relay/feed.rs
@@ -3,9 +3,11 @@
 use std::sync::Arc;
 
 use log::{info, warn};
+use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 use yuccatrail_adapter::{StoreChange, configuration_form, evacuations_form, servers_form};
 use yuccatrail_core::{
+    freshness::Belief,
     route_table::{Configuration, RouteTable},
     upstreams::{ListUpdate, UpstreamRecord},
 };
@@ -13,6 +15,24 @@
 
 use crate::relay::state::Relay;
 
+/// Returns the next update of a kind, and lists it again after a pause of this process.
+async fn next_update<T: Send + 'static>(
+    poller: &Poller,
+    updates: &mut mpsc::Receiver<PollUpdate<T>>,
+    pauses: &mut watch::Receiver<u64>,
+) -> Option<PollUpdate<T>> {
+    loop {
+        tokio::select! {
+            biased;
+            changed = pauses.changed() => {
+                changed.ok()?;
+                poller.refresh();
+            }
+            update = updates.recv() => return update,
+        }
+    }
+}
+
 /// Follows the configuration.
 pub(crate) async fn follow_configuration(
     relay: Arc<Relay>,
@@ -21,7 +41,11 @@
 ) {
     let settings = PollerSettings::default();
     let (poller, mut updates) = Poller::start(client, configuration_form(), settings, &stop);
-    while let Some(update) = updates.recv().await {
+    let mut pauses = relay.pauses();
+    while let Some(update) = next_update(&poller, &mut updates, &mut pauses).await {
+        if matches!(update, PollUpdate::Snapshot { .. }) {
+            relay.renew(Belief::Configuration);
+        }
         for change in changes_of(update) {
             adopt(&relay, change);
         }
@@ -45,7 +69,8 @@
 pub(crate) async fn follow_evacuations(relay: Arc<Relay>, client: Client, stop: CancellationToken) {
     let settings = PollerSettings::default();
     let (poller, mut updates) = Poller::start(client, evacuations_form(), settings, &stop);
-    while let Some(update) = updates.recv().await {
+    let mut pauses = relay.pauses();
+    while let Some(update) = next_update(&poller, &mut updates, &mut pauses).await {
         let now_ms = relay.now_ms();
         match update {
             PollUpdate::Snapshot { items, revision } => {
@@ -53,7 +78,9 @@
                 let mut upstreams = relay.upstreams();
                 let changed = upstreams.replace_evacuated(listed.collect(), now_ms);
                 upstreams.set_evacuations_revision(revision);
+                drop(upstreams);
                 log_evacuations(&changed);
+                relay.renew(Belief::Evacuations);
             }
             PollUpdate::Changes(changes) => {
                 let mut upstreams = relay.upstreams();
@@ -87,7 +114,8 @@
 pub(crate) async fn follow_upstreams(relay: Arc<Relay>, client: Client, stop: CancellationToken) {
     let settings = PollerSettings::default();
     let (poller, mut updates) = Poller::start(client, servers_form(), settings, &stop);
-    while let Some(update) = updates.recv().await {
+    let mut pauses = relay.pauses();
+    while let Some(update) = next_update(&poller, &mut updates, &mut pauses).await {
         let now_ms = relay.now_ms();
         match update {
             PollUpdate::Snapshot { items, revision } => {
@@ -96,6 +124,8 @@
                 let mut upstreams = relay.upstreams();
                 upstreams.update(ListUpdate::Snapshot(records), now_ms);
                 upstreams.set_upstreams_revision(revision);
+                drop(upstreams);
+                relay.renew(Belief::Upstreams);
             }
             PollUpdate::Changes(changes) => {
                 for change in changes.items {
--- a/crates/entry/src/relay/mod.rs
+++ b/crates/entry/src/relay/mod.rs
@@ -142,6 +142,7 @@
     interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
     while !finished.is_cancelled() {
         interval.tick().await;
+        relay.note_sign_of_life();
         let now_ms = relay.now_ms();
         relay.upstreams().expire(now_ms);
         relay.peers.decide_whom_to_ask(&relay);
--- a/crates/entry/src/relay/plain.rs
+++ b/crates/entry/src/relay/plain.rs
@@ -50,6 +50,7 @@
     let (mut runs, mut arrivals) = (0, 0);
     let mut failure = None;
     while tried.len() < MAX_TRIES && (runs == 0 || runs < max_runs) {
+        relay.until_fresh().await;
         let Some(mut attempt) = next_upstream(relay, request, &tried) else { break };
         if arrivals > 0 && !take_retry(relay, request) {
             break;
--- a/crates/entry/src/relay/request.rs
+++ b/crates/entry/src/relay/request.rs
@@ -188,6 +188,7 @@
 pub(crate) async fn handle(relay: Arc<Relay>, request: Request<Incoming>) -> Response<AnswerBody> {
     let in_progress = relay.begin_request();
     let arrived_ms = relay.now_ms();
+    relay.until_fresh().await;
     let (parts, body) = request.into_parts();
     let head = decode_caller(&parts.headers);
     // A request may come without an identifier; its log lines then show an empty one.
--- a/crates/entry/src/relay/stages.rs
+++ b/crates/entry/src/relay/stages.rs
@@ -248,6 +248,9 @@
     }
 
     fn pump(&self, relay: &Arc<Relay>, service: &Arc<str>) {
+        if relay.has_to_wait() {
+            return;
+        }
         let now_ms = relay.now_ms();
         let engines = usable_engines(relay, service, now_ms);
         let mut queues = lock(&self.queues);
--- a/crates/entry/src/relay/state.rs
+++ b/crates/entry/src/relay/state.rs
@@ -1,14 +1,20 @@
 //! What the tasks of a relay share.
 
-use std::sync::{
-    Arc, Mutex, MutexGuard, PoisonError,
-    atomic::{AtomicBool, AtomicUsize, Ordering},
+use std::{
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
 };
 
-use log::info;
+use log::{info, warn};
+use rustix::time::{ClockId, clock_gettime};
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use yuccatrail_core::{
     FastMap,
+    freshness::{Belief, Freshness},
     ownership::Candidate,
     retry_share::RetryShare,
     route_table::RouteTable,
@@ -21,6 +27,9 @@
     stages::StageQueues,
 };
 
+/// Time between two looks whether beliefs are fresh; lists take some milliseconds.
+const FRESH_CHECK: Duration = Duration::from_millis(2);
+
 /// State of one relay.
 pub(crate) struct Relay {
     /// Settings in force at the start.
@@ -40,6 +49,9 @@
     table: Mutex<Option<Arc<RouteTable>>>,
     upstreams: Mutex<Upstreams>,
     retries: Mutex<RetryShare>,
+    freshness: Mutex<Freshness>,
+    /// Number of pauses of this process so far.
+    pauses: watch::Sender<u64>,
     is_stopping: AtomicBool,
     /// Cancelled when a planned stop gives up what no upstream has received.
     gives_up_waiting: CancellationToken,
@@ -73,6 +85,8 @@
             table: Mutex::new(None),
             upstreams: Mutex::new(Upstreams::new(UpstreamsSettings::default(), &settings.name)),
             retries: Mutex::new(RetryShare::new(settings.bounds.retries)),
+            freshness: Mutex::new(Freshness::new(suspended_clock_ms())),
+            pauses: watch::Sender::new(0),
             is_stopping: AtomicBool::new(false),
             gives_up_waiting: CancellationToken::new(),
             follows_platform: AtomicBool::new(true),
@@ -132,6 +146,38 @@
         self.in_progress.load(Ordering::Relaxed)
     }
 
+    /// Notes that this process runs, and tells the feeds if it did not for a while.
+    pub(crate) fn note_sign_of_life(&self) {
+        let found = lock(&self.freshness).note_sign(suspended_clock_ms());
+        if let Some(pause) = found {
+            warn!(length_ms = pause.length_ms; "this process did not run, lists are read again");
+            self.pauses.send_modify(|it| *it += 1);
+        }
+    }
+
+    /// Returns a receiver that changes with each pause of this process.
+    pub(crate) fn pauses(&self) -> watch::Receiver<u64> {
+        self.pauses.subscribe()
+    }
+
+    /// Notes that a belief was read as a whole from the platform.
+    pub(crate) fn renew(&self, belief: Belief) {
+        lock(&self.freshness).renew(belief);
+    }
+
+    /// Tells whether nothing may be sent before beliefs are fresh.
+    pub(crate) fn has_to_wait(&self) -> bool {
+        self.note_sign_of_life();
+        lock(&self.freshness).has_to_wait(suspended_clock_ms())
+    }
+
+    /// Waits until beliefs are fresh after a pause of this process.
+    pub(crate) async fn until_fresh(&self) {
+        while self.has_to_wait() {
+            tokio::time::sleep(FRESH_CHECK).await;
+        }
+    }
+
     /// Notes that a planned stop has begun.
     pub(crate) fn begin_stop(&self) {
         self.is_stopping.store(true, Ordering::Relaxed);
@@ -165,6 +211,12 @@
     }
 }
 
+/// Returns the time since the instance started, which counts suspensions, in milliseconds.
+fn suspended_clock_ms() -> u64 {
+    let time = clock_gettime(ClockId::Boottime);
+    time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000
+}
+
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/entry/src/relay/stream.rs
+++ b/crates/entry/src/relay/stream.rs
@@ -145,6 +145,7 @@
         let max_runs = request.admission.route.max_runs();
         let mut arrivals = self.runs;
         while self.tried.len() < MAX_TRIES && self.runs < max_runs {
+            relay.until_fresh().await;
             let Some(attempt) = self.next_upstream() else { break };
             if arrivals > 0 && !take_retry(&relay, &request) {
                 break;
--- a/crates/platform/src/poll.rs
+++ b/crates/platform/src/poll.rs
@@ -3,10 +3,13 @@
 //! The API's paths and bodies come from outside as plain functions, so that this client serves every
 //! wire form with the same connections, call budget and delays.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use log::{info, warn};
-use tokio::{sync::mpsc, task::JoinHandle};
+use tokio::{
+    sync::{Notify, mpsc},
+    task::JoinHandle,
+};
 use tokio_util::sync::CancellationToken;
 
 use crate::{Backoff, BackoffSettings, CallKind, Client, PlatformError};
@@ -102,6 +105,7 @@
 #[derive(Debug)]
 pub struct Poller {
     cancel: CancellationToken,
+    refresh: Arc<Notify>,
     task: JoinHandle<()>,
 }
 
@@ -127,11 +131,18 @@
             is_available: true,
         };
         let stop = cancel.clone();
+        let refresh = Arc::new(Notify::new());
+        let refreshed = refresh.clone();
         let task = tokio::spawn(async move {
             // A cancelled and a finished follower need nothing more.
-            let _ = stop.run_until_cancelled(follower.run()).await;
+            let _ = stop.run_until_cancelled(follower.run(&refreshed)).await;
         });
-        (Self { cancel, task }, receiver)
+        (Self { cancel, refresh, task }, receiver)
+    }
+
+    /// Breaks off the call in progress, or the wait after one, and lists again at once.
+    pub fn refresh(&self) {
+        self.refresh.notify_one();
     }
 
     /// Stops the poller and waits until it has closed its connection.
@@ -157,22 +168,34 @@
 struct ConsumerGone;
 
 impl<T: Send + 'static> Follower<T> {
-    async fn run(mut self) {
+    async fn run(mut self, refresh: &Notify) {
         loop {
-            let round = match self.revision {
-                Some(revision) => self.poll(revision).await,
-                None => self.list().await,
-            };
-            let delivered = match round {
-                Ok(update) => self.deliver(update).await,
-                Err(error) => self.pause(error).await,
+            let done = tokio::select! {
+                done = self.round() => done,
+                () = refresh.notified() => {
+                    self.revision = None;
+                    self.backoff.reset();
+                    continue;
+                }
             };
-            if delivered.is_err() {
+            if done.is_err() {
                 return;
             }
         }
     }
 
+    /// Makes one call and passes on what it brought; may be dropped at any time, if a list follows.
+    async fn round(&mut self) -> Result<(), ConsumerGone> {
+        let answer = match self.revision {
+            Some(revision) => self.poll(revision).await,
+            None => self.list().await,
+        };
+        match answer {
+            Ok(update) => self.deliver(update).await,
+            Err(error) => self.pause(error).await,
+        }
+    }
+
     async fn list(&mut self) -> Result<PollUpdate<T>, PlatformError> {
         let mut items = Vec::new();
         let mut after: Option<String> = None;
@@ -202,9 +225,9 @@
     async fn deliver(&mut self, update: PollUpdate<T>) -> Result<(), ConsumerGone> {
         self.backoff.reset();
         if !self.is_available {
-            self.is_available = true;
             info!(kind = self.form.kind; "platform available again");
             self.send(PollUpdate::Available).await?;
+            self.is_available = true;
         }
         match &update {
             PollUpdate::Snapshot { revision, .. } => self.revision = Some(*revision),
@@ -234,9 +257,9 @@
             _ => None,
         };
         if self.is_available {
-            self.is_available = false;
             warn!(kind = self.form.kind, error:% = error; "platform not available");
             self.send(PollUpdate::Unavailable(error)).await?;
+            self.is_available = false;
         }
         let delay = self.backoff.fail(retry_after_ms, rand::random());
         tokio::time::sleep(delay).await;
