A stopping entry finishes the stages of others, and keeps its record until then

Now the record goes at the end of the stop, the stop waits for work of others, calls in progress at an entry that is no longer listed go on, and while no entry takes work the first that lives owns it.

--- a/crates/core/src/ownership/tests.rs
+++ b/crates/core/src/ownership/tests.rs
@@ -124,6 +124,22 @@
     }
 }
 
+#[test]
+fn entries_that_all_stop_still_agree_on_an_owner() {
+    let stopping = OwnState { takes_work: false, follows_platform: true };
+    let all = candidates(&[0.2; 3]);
+    let heard = Heard::Lives { takes_work: false, follows_platform: true };
+    let answers = all.iter().map(|it| (it.name.clone(), heard)).collect();
+    let mut views = views(&all);
+    settle(&mut views, stopping, &answers);
+    for subject in subjects() {
+        let first = &ranked(&subject, all.clone())[0].name;
+        for (view, own) in views.iter_mut().zip(&all) {
+            assert_eq!(view.owner(&subject, stopping).unwrap_or(&own.name), first);
+        }
+    }
+}
+
 #[test]
 fn an_entry_that_the_platform_refuses_asks_on_until_one_follows_it() {
     let all = candidates(&[0.2; 30]);
--- a/crates/core/src/ownership/view.rs
+++ b/crates/core/src/ownership/view.rs
@@ -42,6 +42,12 @@
     Lost,
 }
 
+impl Heard {
+    fn is_life(self) -> bool {
+        matches!(self, Self::Lives { .. })
+    }
+}
+
 /// State of the entry that holds the view.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OwnState {
@@ -108,6 +114,8 @@
     }
 
     /// Returns the owner of a piece of shared work, or `None` where it is this entry.
+    ///
+    /// While no entry takes work, as when all stop one after the other, the first that lives owns it.
     pub fn owner(&mut self, subject: &str, own: OwnState) -> Option<&str> {
         self.rank(subject);
         let (listed, own_name) = (&self.listed, &self.own.name);
@@ -116,7 +124,8 @@
             Some(it) => matches!(it.heard, Heard::Lives { takes_work: true, .. }),
             None => own.takes_work,
         };
-        let owner = ranking.iter().find(takes_work)?;
+        let lives = |name: &&String| listed.get(*name).is_none_or(|it| it.heard.is_life());
+        let owner = ranking.iter().find(takes_work).or_else(|| ranking.iter().find(lives))?;
         (owner != own_name).then_some(owner.as_str())
     }
 
--- a/crates/entry/src/relay/mod.rs
+++ b/crates/entry/src/relay/mod.rs
@@ -102,7 +102,9 @@
     let serving = tokio::spawn(serve_callers(callers, relay.clone(), closing.clone()));
     signal.cancelled().await;
     registering.abort();
-    tokio::join!(stop(&relay, &closing), peers::unregister(&relay, &client));
+    stop(&relay, &closing).await;
+    // Others still leave work in progress to this one, and count it for cold upstreams, until here.
+    peers::unregister(&relay, &client).await;
     finished.cancel();
     serving.abort();
     info!("planned stop ends");
--- a/crates/entry/src/relay/peers.rs
+++ b/crates/entry/src/relay/peers.rs
@@ -57,10 +57,11 @@
 const CONFIGURATION_PATIENCE_MS: u64 = 600;
 /// Time between two attempts to write the own record, in milliseconds.
 const REGISTER_INTERVAL_MS: u64 = 500;
-/// Longest wait of a planned stop for the removal of the own record, in milliseconds.
-const UNREGISTER_LIMIT_MS: u64 = 500;
+/// Longest wait of a planned stop for the removal of the own record, in milliseconds; less than is left
+/// before the kill.
+const UNREGISTER_LIMIT_MS: u64 = 300;
 
-/// An entry that takes work.
+/// An entry that answers.
 #[derive(Clone)]
 pub(crate) struct Peer {
     /// Name of the entry.
@@ -215,6 +216,10 @@
         directory.decided_with = None;
         let entry = Known { record, asking: None, peer: None, queues: FastMap::default() };
         if let Some(replaced) = directory.known.insert(name.to_owned(), entry) {
+            // This is another run of the entry; the calls to the one before get no answer.
+            if let Some(peer) = &replaced.peer {
+                peer.lost.cancel();
+            }
             replaced.close();
         }
     }
@@ -235,13 +240,13 @@
         if stop.is_cancelled() {
             return;
         }
-        if entry.peer.is_some() != reply.takes_work {
-            info!(entry = name, takes_work = reply.takes_work; "entry heard");
-        }
-        entry.peer = reply.takes_work.then(|| peer.clone());
+        entry.peer = Some(peer.clone());
         entry.queues = reply.queues.into_iter().map(|it| (it.service.clone(), it)).collect();
-        let follows_platform = reply.list_revisions.is_some();
-        directory.hear(name, Heard::Lives { takes_work: reply.takes_work, follows_platform });
+        let (takes_work, follows_platform) = (reply.takes_work, reply.list_revisions.is_some());
+        let heard = Heard::Lives { takes_work, follows_platform };
+        if directory.hear(name, heard) {
+            info!(entry = name, takes_work, follows_platform; "entry heard");
+        }
     }
 
     fn note_lost(&self, name: &str, detail: &str, stop: &CancellationToken) {
@@ -271,21 +276,22 @@
 }
 
 impl Directory {
-    fn hear(&mut self, name: &str, heard: Heard) {
-        if self.view.hear(name, heard) != heard {
+    /// Notes what was heard of an entry; returns whether that is new.
+    fn hear(&mut self, name: &str, heard: Heard) -> bool {
+        let is_new = self.view.hear(name, heard) != heard;
+        if is_new {
             self.decided_with = None;
         }
+        is_new
     }
 }
 
 impl Known {
+    /// Stops asking the entry; calls in progress there go on.
     fn close(self) {
         if let Some(asking) = self.asking {
             asking.cancel();
         }
-        if let Some(peer) = self.peer {
-            peer.lost.cancel();
-        }
     }
 }
 
@@ -555,6 +561,8 @@
     }
 
     async fn run_stage(self, _: Context, request: StageRequest) -> StageReply {
+        // A planned stop waits for the work of others too.
+        let _in_progress = self.relay.begin_request();
         let (end, handles) = self.relay.stages.run_for_peer(&self.relay, request).await;
         StageReply { end, handles }
     }
