--- a/crates/entry/src/relay/peers.rs
+++ b/crates/entry/src/relay/peers.rs
@@ -1,65 +1,37 @@
-//! The other entries: how they are found, whether they live, and the calls to them.
+//! The other entries: whether they live, who owns shared work, and whom to ask.
 
-#[cfg(test)]
-mod tests;
+mod ask;
+mod record;
+mod serve;
 
 use std::{
-    net::SocketAddr,
     sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
 
-use futures::StreamExt;
-use hyper::Method;
 use log::{info, warn};
-use tarpc::{
-    client::Config,
-    context::{self, Context},
-    server::{BaseChannel, Channel},
-};
-use tokio::net::{TcpListener, TcpStream};
+use tarpc::context::{self, Context};
 use tokio_util::sync::CancellationToken;
-use yuccatrail_adapter::{
-    EntryRecord, StoreChange, encode_entry, entries_form, entry_collection_path, entry_path,
-};
+use yuccatrail_adapter::EntryRecord;
 use yuccatrail_core::{
-    FastMap, FastSet,
+    FastMap,
     ownership::{Candidate, EntryView, Heard, OwnState},
-    route_table::{Configuration, RouteTable},
-    upstreams::{Beliefs, ListRevisions},
-};
-use yuccatrail_platform::{Client, PlatformError, PollUpdate, Poller, PollerSettings};
-use yuccatrail_rpc::{
-    entries::{
-        EntryAddress, EntryPeer, EntryPeerClient, HelloReply, QueueState, StageReply, StageRequest,
-    },
-    transport,
 };
-use yuccatrail_runtime::accept::accept;
+use yuccatrail_rpc::entries::{EntryAddress, EntryPeerClient, HelloReply, QueueState};
 
 use crate::relay::{
-    feed::log_evacuations,
+    peers::ask::Missing,
     state::{Relay, lock},
 };
 
+pub(crate) use record::{follow_entries, register, unregister};
+pub(crate) use serve::serve;
+
 /// Shortest time between two questions to another entry, in milliseconds.
 const HELLO_INTERVAL_MS: u64 = 300;
 /// Time between two questions for each entry of the installation, in milliseconds, so that an owner,
 /// which all others ask, answers at most 200 a second.
 const HELLO_INTERVAL_PER_ENTRY_MS: u64 = 5;
-/// Time after which an unanswered question means that the entry is gone, in milliseconds; an entry
-/// short of processor time answers in a hundred.
-const HELLO_TIMEOUT_MS: u64 = 700;
-/// Time between two attempts to connect, in milliseconds.
-const RECONNECT_MS: u64 = 300;
-/// Time for which the platform is given to tell of a configuration that another entry has, in
-/// milliseconds: its answers are gathered for 250, and two seconds are the bound.
-const CONFIGURATION_PATIENCE_MS: u64 = 600;
-/// Time between two attempts to write the own record, in milliseconds.
-const REGISTER_INTERVAL_MS: u64 = 500;
-/// Longest wait of a planned stop for the removal of the own record, in milliseconds; less than is left
-/// before the kill.
-const UNREGISTER_LIMIT_MS: u64 = 300;
 
 /// An entry that answers.
 #[derive(Clone)]
@@ -103,34 +75,6 @@
     missing: Mutex<Missing>,
 }
 
-/// A configuration that another entry has and this one lacks.
-#[derive(Default)]
-struct Missing {
-    /// Its version, and the time at which it was first heard of, in milliseconds.
-    heard: Option<(u64, u64)>,
-    /// Time until which an entry is being asked for it, in milliseconds.
-    asked_until_ms: u64,
-}
-
-impl Missing {
-    /// Notes that another entry has a version; tells whether it is time to ask for it.
-    ///
-    /// A whole configuration takes a narrow link tens of milliseconds, so it is asked for only where
-    /// the platform has not told of it in time, and from one entry. An entry without any asks at once.
-    fn begin(&mut self, own: Option<u64>, offered: u64, now_ms: u64) -> bool {
-        let (_, since_ms) = match self.heard.filter(|(version, _)| own < Some(*version)) {
-            Some(heard) => heard,
-            None => *self.heard.insert((offered, now_ms)),
-        };
-        let is_patient = own.is_some() && now_ms < since_ms + CONFIGURATION_PATIENCE_MS;
-        if is_patient || now_ms < self.asked_until_ms {
-            return false;
-        }
-        self.asked_until_ms = now_ms + HELLO_TIMEOUT_MS;
-        true
-    }
-}
-
 impl Peers {
     /// Creates the directory of the entry `own`, which knows no other yet.
     pub(crate) fn new(own: Candidate) -> Self {
@@ -193,7 +137,7 @@
             let stop = CancellationToken::new();
             entry.asking = Some(stop.clone());
             let address = entry.record.peer_address;
-            tokio::spawn(maintain(relay.clone(), name.clone(), address, stop));
+            tokio::spawn(ask::maintain(relay.clone(), name.clone(), address, stop));
         }
     }
 
@@ -299,300 +243,15 @@
     OwnState { takes_work: relay.is_ready(), follows_platform: relay.follows_platform() }
 }
 
-/// Keeps a connection to an entry and asks it again and again.
-async fn maintain(relay: Arc<Relay>, name: String, address: SocketAddr, stop: CancellationToken) {
-    while !stop.is_cancelled() {
-        let detail = tokio::select! {
-            detail = converse(&relay, &name, address, &stop) => detail,
-            () = stop.cancelled() => return,
-        };
-        relay.peers.note_lost(&name, &detail, &stop);
-        tokio::time::sleep(Duration::from_millis(RECONNECT_MS)).await;
-    }
-}
-
-/// Returns why the conversation ended.
-async fn converse(
-    relay: &Arc<Relay>,
-    name: &str,
-    address: SocketAddr,
-    stop: &CancellationToken,
-) -> String {
-    let limit = Duration::from_millis(HELLO_TIMEOUT_MS);
-    let transport = match tokio::time::timeout(limit, transport::connect(address)).await {
-        Ok(Ok(transport)) => transport,
-        Ok(Err(error)) => return error.to_string(),
-        Err(_) => return "connecting timed out".to_owned(),
-    };
-    let client = EntryPeerClient::new(Config::default(), Box::pin(transport)).spawn();
-    let peer = Peer { name: name.to_owned(), client, lost: CancellationToken::new() };
-    let mut knows_entries = false;
-    loop {
-        let asked = peer.client.hello(context_for(HELLO_TIMEOUT_MS), own_address(relay));
-        match tokio::time::timeout(limit, asked).await {
-            Ok(Ok(reply)) => {
-                take_newer_configuration(relay, &peer, reply.config_version).await;
-                take_beliefs(relay, &peer, reply.list_revisions).await;
-                relay.peers.note_reply(name, reply, &peer, stop);
-                if !knows_entries {
-                    knows_entries = take_entries(relay, &peer).await;
-                }
-            }
-            Ok(Err(error)) => return error.to_string(),
-            Err(_) => return "no answer in time".to_owned(),
-        }
-        tokio::time::sleep(Duration::from_millis(relay.peers.hello_interval_ms())).await;
-    }
-}
-
-fn own_address(relay: &Relay) -> EntryAddress {
-    EntryAddress {
-        name: relay.settings.name.clone(),
-        peer_address: relay.settings.peer_listen,
-        cpu_share: relay.settings.cpu_share,
-    }
-}
-
-/// Learns of the other entries where the platform tells of none; returns whether that is done.
-async fn take_entries(relay: &Relay, peer: &Peer) -> bool {
-    if relay.upstreams().has_platform_list() {
-        return true;
-    }
-    match peer.client.entries(context_for(HELLO_TIMEOUT_MS)).await {
-        Ok(entries) => {
-            info!(entry:% = peer.name, entries = entries.len(); "entries heard from an entry");
-            for entry in entries {
-                note_address(relay, entry);
-            }
-            true
-        }
-        Err(error) => {
-            warn!(entry:% = peer.name, error:% = error; "other entries not heard");
-            false
-        }
-    }
-}
-
+/// Notes an entry that another one told of, or that asks.
 fn note_address(relay: &Relay, entry: EntryAddress) {
     let record = EntryRecord { peer_address: entry.peer_address, cpu_share: entry.cpu_share };
     relay.peers.set_record(relay, &entry.name, record);
 }
 
-/// Takes over a newer configuration from an entry that the store has told of it.
-async fn take_newer_configuration(relay: &Relay, peer: &Peer, version: Option<u64>) {
-    let own = relay.table().map(|it| it.version());
-    let Some(offered) = version.filter(|it| Some(*it) > own) else { return };
-    if !lock(&relay.peers.missing).begin(own, offered, relay.now_ms()) {
-        return;
-    }
-    match peer.client.configuration(context_for(HELLO_TIMEOUT_MS)).await {
-        Ok(Some(configuration)) => {
-            relay.adopt(RouteTable::new(Arc::unwrap_or_clone(configuration)), &peer.name);
-        }
-        Ok(None) => {}
-        Err(error) => warn!(entry:% = peer.name, error:% = error; "newer configuration not heard"),
-    }
-    lock(&relay.peers.missing).asked_until_ms = 0;
-}
-
-/// Takes over newer lists from an entry that follows the platform while this one does not.
-async fn take_beliefs(relay: &Arc<Relay>, peer: &Peer, revisions: Option<ListRevisions>) {
-    let is_newer = |it: ListRevisions| it.has_newer_than(relay.upstreams().revisions());
-    if relay.follows_platform() || !revisions.is_some_and(is_newer) {
-        return;
-    }
-    let beliefs = match peer.client.beliefs(context_for(HELLO_TIMEOUT_MS)).await {
-        Ok(Some(beliefs)) => beliefs,
-        Ok(None) => return,
-        Err(error) => {
-            warn!(entry:% = peer.name, error:% = error; "newer lists not heard");
-            return;
-        }
-    };
-    // The platform's own lists may have arrived meanwhile.
-    if relay.follows_platform() {
-        return;
-    }
-    let now_ms = relay.now_ms();
-    let mut upstreams = relay.upstreams();
-    info!(
-        entry:% = peer.name,
-        upstreams = beliefs.upstreams.len(),
-        revision = beliefs.revisions.upstreams,
-        known_revision = upstreams.revisions().upstreams;
-        "lists heard from an entry"
-    );
-    let changed = upstreams.take_over(beliefs, now_ms);
-    drop(upstreams);
-    log_evacuations(&changed);
-    relay.stages.pump_all(relay);
-}
-
 /// Returns the context of a call that is given up after a time in milliseconds.
 pub(crate) fn context_for(limit_ms: u64) -> Context {
     let mut context = context::current();
     context.deadline = Instant::now() + Duration::from_millis(limit_ms);
     context
 }
-
-/// Follows the list of entries.
-pub(crate) async fn follow_entries(relay: Arc<Relay>, client: Client, stop: CancellationToken) {
-    let settings = PollerSettings::default();
-    let (poller, mut updates) = Poller::start(client, entries_form(), settings, &stop);
-    while let Some(update) = updates.recv().await {
-        match update {
-            PollUpdate::Snapshot { items, .. } => {
-                let listed: FastSet<String> = items.iter().filter_map(present_name).collect();
-                for name in relay.peers.names().iter().filter(|it| !listed.contains(*it)) {
-                    relay.peers.remove(name);
-                }
-                take_in(&relay, items);
-            }
-            PollUpdate::Changes(changes) => take_in(&relay, changes.items),
-            PollUpdate::Unavailable(_) | PollUpdate::Available => {}
-        }
-        let mut names = relay.peers.names();
-        names.push(relay.settings.name.clone());
-        relay.upstreams().set_entries(names);
-    }
-    poller.close().await;
-}
-
-fn take_in(relay: &Relay, changes: Vec<StoreChange<EntryRecord>>) {
-    for change in changes {
-        match change {
-            StoreChange::Present { name, content } => {
-                relay.peers.set_record(relay, &name, content);
-            }
-            StoreChange::Absent { name } => relay.peers.remove(&name),
-            StoreChange::Unreadable { name, detail } => {
-                warn!(entry:% = name, detail:% = detail; "record of an entry can't be read");
-            }
-        }
-    }
-}
-
-fn present_name(change: &StoreChange<EntryRecord>) -> Option<String> {
-    match change {
-        StoreChange::Present { name, .. } => Some(name.clone()),
-        StoreChange::Absent { .. } | StoreChange::Unreadable { .. } => None,
-    }
-}
-
-/// Writes the own record, so that the other entries find this one.
-pub(crate) async fn register(relay: Arc<Relay>, client: Client) {
-    let name = &relay.settings.name;
-    let record = EntryRecord {
-        peer_address: relay.settings.peer_listen,
-        cpu_share: relay.settings.cpu_share,
-    };
-    let body = encode_entry(name, &record);
-    let mut path = entry_collection_path();
-    let mut method = Method::POST;
-    loop {
-        match client.write(name, method.clone(), &path, body.clone()).await {
-            Ok(()) => {
-                info!("own record written");
-                return;
-            }
-            Err(PlatformError::Conflict { .. } | PlatformError::AlreadyExists { .. }) => {
-                // A record of an earlier run; this run has another incarnation under the same name.
-                method = Method::PUT;
-                path = entry_path(name);
-                continue;
-            }
-            Err(error) => warn!(error:% = error; "own record can't be written yet"),
-        }
-        tokio::time::sleep(Duration::from_millis(REGISTER_INTERVAL_MS)).await;
-    }
-}
-
-/// Removes the own record, so that the other entries no longer count this one.
-pub(crate) async fn unregister(relay: &Relay, client: &Client) {
-    let name = &relay.settings.name;
-    let path = entry_path(name);
-    let removal = client.write(name, Method::DELETE, &path, bytes::Bytes::new());
-    let limit = Duration::from_millis(UNREGISTER_LIMIT_MS);
-    match tokio::time::timeout(limit, removal).await {
-        Ok(Ok(())) => info!("own record removed"),
-        Ok(Err(error)) => warn!(error:% = error; "own record stays"),
-        Err(_) => warn!("own record stays, the platform is slow"),
-    }
-}
-
-/// Answers the calls of one connection.
-#[derive(Clone)]
-struct Connection {
-    relay: Arc<Relay>,
-}
-
-impl EntryPeer for Connection {
-    async fn hello(self, _: Context, from: EntryAddress) -> HelloReply {
-        // Without the platform an entry that starts again finds the others by their questions.
-        if !self.relay.upstreams().has_platform_list() {
-            note_address(&self.relay, from);
-        }
-        let queues = self.relay.stages.states(&self.relay);
-        let config_version = self.relay.table().map(|it| it.version());
-        let revisions = self.relay.upstreams().revisions();
-        let list_revisions = self.relay.follows_platform().then_some(revisions);
-        HelloReply { takes_work: self.relay.is_ready(), config_version, list_revisions, queues }
-    }
-
-    async fn entries(self, _: Context) -> Vec<EntryAddress> {
-        let directory = lock(&self.relay.peers.directory);
-        let address = |(name, entry): (&String, &Known)| EntryAddress {
-            name: name.clone(),
-            peer_address: entry.record.peer_address,
-            cpu_share: entry.record.cpu_share,
-        };
-        directory.known.iter().map(address).collect()
-    }
-
-    async fn configuration(self, _: Context) -> Option<Arc<Configuration>> {
-        self.relay.table().map(|it| it.configuration().clone())
-    }
-
-    async fn beliefs(self, _: Context) -> Option<Beliefs> {
-        if !self.relay.follows_platform() {
-            return None;
-        }
-        self.relay.upstreams().beliefs(self.relay.now_ms())
-    }
-
-    async fn run_stage(self, _: Context, request: StageRequest) -> StageReply {
-        // A planned stop waits for the work of others too.
-        let _in_progress = self.relay.begin_request();
-        let (end, handles) = self.relay.stages.run_for_peer(&self.relay, request).await;
-        StageReply { end, handles }
-    }
-
-    async fn release(self, _: Context, handles: Vec<String>) {
-        self.relay.releases.add_own(handles);
-    }
-}
-
-/// Serves the other entries until `stop` is cancelled.
-pub(crate) async fn serve(listener: TcpListener, relay: Arc<Relay>, stop: CancellationToken) {
-    accept(&listener, &stop, |stream| {
-        tokio::spawn(serve_connection(stream, relay.clone()));
-    })
-    .await;
-}
-
-async fn serve_connection(stream: TcpStream, relay: Arc<Relay>) {
-    let transport = match transport::accept(stream).await {
-        Ok(transport) => transport,
-        Err(error) => {
-            warn!(error:% = error; "connection of another entry failed");
-            return;
-        }
-    };
-    let channel = BaseChannel::with_defaults(Box::pin(transport));
-    let responses = channel.execute(Connection { relay }.serve());
-    responses
-        .for_each(|response| async move {
-            tokio::spawn(response);
-        })
-        .await;
-}
--- /dev/null
+++ b/crates/entry/src/relay/peers/record.rs
@@ -0,0 +1,105 @@
+//! The list of entries, and the own record in it.
+
+use std::{sync::Arc, time::Duration};
+
+use hyper::Method;
+use log::{info, warn};
+use tokio_util::sync::CancellationToken;
+use yuccatrail_adapter::{
+    EntryRecord, StoreChange, encode_entry, entries_form, entry_collection_path, entry_path,
+};
+use yuccatrail_core::FastSet;
+use yuccatrail_platform::{Client, PlatformError, PollUpdate, Poller, PollerSettings};
+
+use crate::relay::state::Relay;
+
+/// Time between two attempts to write the own record, in milliseconds.
+const REGISTER_INTERVAL_MS: u64 = 500;
+/// Longest wait of a planned stop for the removal of the own record, in milliseconds; less than is left
+/// before the kill.
+const UNREGISTER_LIMIT_MS: u64 = 300;
+
+/// Follows the list of entries.
+pub(crate) async fn follow_entries(relay: Arc<Relay>, client: Client, stop: CancellationToken) {
+    let settings = PollerSettings::default();
+    let (poller, mut updates) = Poller::start(client, entries_form(), settings, &stop);
+    while let Some(update) = updates.recv().await {
+        match update {
+            PollUpdate::Snapshot { items, .. } => {
+                let listed: FastSet<String> = items.iter().filter_map(present_name).collect();
+                for name in relay.peers.names().iter().filter(|it| !listed.contains(*it)) {
+                    relay.peers.remove(name);
+                }
+                take_in(&relay, items);
+            }
+            PollUpdate::Changes(changes) => take_in(&relay, changes.items),
+            PollUpdate::Unavailable(_) | PollUpdate::Available => {}
+        }
+        let mut names = relay.peers.names();
+        names.push(relay.settings.name.clone());
+        relay.upstreams().set_entries(names);
+    }
+    poller.close().await;
+}
+
+fn take_in(relay: &Relay, changes: Vec<StoreChange<EntryRecord>>) {
+    for change in changes {
+        match change {
+            StoreChange::Present { name, content } => {
+                relay.peers.set_record(relay, &name, content);
+            }
+            StoreChange::Absent { name } => relay.peers.remove(&name),
+            StoreChange::Unreadable { name, detail } => {
+                warn!(entry:% = name, detail:% = detail; "record of an entry can't be read");
+            }
+        }
+    }
+}
+
+fn present_name(change: &StoreChange<EntryRecord>) -> Option<String> {
+    match change {
+        StoreChange::Present { name, .. } => Some(name.clone()),
+        StoreChange::Absent { .. } | StoreChange::Unreadable { .. } => None,
+    }
+}
+
+/// Writes the own record, so that the other entries find this one.
+pub(crate) async fn register(relay: Arc<Relay>, client: Client) {
+    let name = &relay.settings.name;
+    let record = EntryRecord {
+        peer_address: relay.settings.peer_listen,
+        cpu_share: relay.settings.cpu_share,
+    };
+    let body = encode_entry(name, &record);
+    let mut path = entry_collection_path();
+    let mut method = Method::POST;
+    loop {
+        match client.write(name, method.clone(), &path, body.clone()).await {
+            Ok(()) => {
+                info!("own record written");
+                return;
+            }
+            Err(PlatformError::Conflict { .. } | PlatformError::AlreadyExists { .. }) => {
+                // A record of an earlier run; this run has another incarnation under the same name.
+                method = Method::PUT;
+                path = entry_path(name);
+                continue;
+            }
+            Err(error) => warn!(error:% = error; "own record can't be written yet"),
+        }
+        tokio::time::sleep(Duration::from_millis(REGISTER_INTERVAL_MS)).await;
+    }
+}
+
+/// Removes the own record, so that the other entries no longer count this one.
+pub(crate) async fn unregister(relay: &Relay, client: &Client) {
+    let name = &relay.settings.name;
+    let path = entry_path(name);
+    let removal = client.write(name, Method::DELETE, &path, bytes::Bytes::new());
+    let limit = Duration::from_millis(UNREGISTER_LIMIT_MS);
+    match tokio::time::timeout(limit, removal).await {
+        Ok(Ok(())) => info!("own record removed"),
+        Ok(Err(error)) => warn!(error:% = error; "own record stays"),
+        Err(_) => warn!("own record stays, the platform is slow"),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/relay/peers/serve.rs
@@ -0,0 +1,100 @@
+//! Answers the calls of other entries.
+
+use std::sync::Arc;
+
+use futures::StreamExt;
+use log::warn;
+use tarpc::{
+    context::Context,
+    server::{BaseChannel, Channel},
+};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+use yuccatrail_core::{route_table::Configuration, upstreams::Beliefs};
+use yuccatrail_rpc::{
+    entries::{EntryAddress, EntryPeer, HelloReply, StageReply, StageRequest},
+    transport,
+};
+use yuccatrail_runtime::accept::accept;
+
+use crate::relay::{
+    peers::{Known, note_address},
+    state::{Relay, lock},
+};
+
+/// Answers the calls of one connection.
+#[derive(Clone)]
+struct Connection {
+    relay: Arc<Relay>,
+}
+
+impl EntryPeer for Connection {
+    async fn hello(self, _: Context, from: EntryAddress) -> HelloReply {
+        // Without the platform an entry that starts again finds the others by their questions.
+        if !self.relay.upstreams().has_platform_list() {
+            note_address(&self.relay, from);
+        }
+        let queues = self.relay.stages.states(&self.relay);
+        let config_version = self.relay.table().map(|it| it.version());
+        let revisions = self.relay.upstreams().revisions();
+        let list_revisions = self.relay.follows_platform().then_some(revisions);
+        HelloReply { takes_work: self.relay.is_ready(), config_version, list_revisions, queues }
+    }
+
+    async fn entries(self, _: Context) -> Vec<EntryAddress> {
+        let directory = lock(&self.relay.peers.directory);
+        let address = |(name, entry): (&String, &Known)| EntryAddress {
+            name: name.clone(),
+            peer_address: entry.record.peer_address,
+            cpu_share: entry.record.cpu_share,
+        };
+        directory.known.iter().map(address).collect()
+    }
+
+    async fn configuration(self, _: Context) -> Option<Arc<Configuration>> {
+        self.relay.table().map(|it| it.configuration().clone())
+    }
+
+    async fn beliefs(self, _: Context) -> Option<Beliefs> {
+        if !self.relay.follows_platform() {
+            return None;
+        }
+        self.relay.upstreams().beliefs(self.relay.now_ms())
+    }
+
+    async fn run_stage(self, _: Context, request: StageRequest) -> StageReply {
+        // A planned stop waits for the work of others too.
+        let _in_progress = self.relay.begin_request();
+        let (end, handles) = self.relay.stages.run_for_peer(&self.relay, request).await;
+        StageReply { end, handles }
+    }
+
+    async fn release(self, _: Context, handles: Vec<String>) {
+        self.relay.releases.add_own(handles);
+    }
+}
+
+/// Serves the other entries until `stop` is cancelled.
+pub(crate) async fn serve(listener: TcpListener, relay: Arc<Relay>, stop: CancellationToken) {
+    accept(&listener, &stop, |stream| {
+        tokio::spawn(serve_connection(stream, relay.clone()));
+    })
+    .await;
+}
+
+async fn serve_connection(stream: TcpStream, relay: Arc<Relay>) {
+    let transport = match transport::accept(stream).await {
+        Ok(transport) => transport,
+        Err(error) => {
+            warn!(error:% = error; "connection of another entry failed");
+            return;
+        }
+    };
+    let channel = BaseChannel::with_defaults(Box::pin(transport));
+    let responses = channel.execute(Connection { relay }.serve());
+    responses
+        .for_each(|response| async move {
+            tokio::spawn(response);
+        })
+        .await;
+}
