Relay reuses the product's detection of pauses, and other twins of the change

Read once more, without a change of behaviour meant: - core::freshness had a second detection of pauses beside drain::Freshness; it now holds one of those for each belief, and drain::Freshness tells the length of a pause, which the log line needs. A gap of exactly 1,000 ms is no longer a pause. - The clock that counts suspensions is read once for a sign of life and the question that follows it. - The three feeds share their start, refresh and end (Feed).

--- a/crates/core/src/drain/freshness.rs
+++ b/crates/core/src/drain/freshness.rs
@@ -60,15 +60,16 @@
 
     /// Notes that the process runs; called several times within the pause limit.
     ///
-    /// Returns true if the process was paused since the last tick; it then asks its peers at once.
-    pub fn tick(&mut self, now_ms: u64) -> bool {
+    /// Returns the length of the pause if the process was paused since the last tick, in
+    /// milliseconds; it then asks its peers at once.
+    pub fn tick(&mut self, now_ms: u64) -> Option<u64> {
         let gap_ms = now_ms.saturating_sub(self.last_tick_ms);
         self.last_tick_ms = self.last_tick_ms.max(now_ms);
         if gap_ms <= self.settings.pause_limit_ms || self.switch.is_off(Sabotage::PauseDetection) {
-            return false;
+            return None;
         }
         self.woke_ms = Some(now_ms);
-        true
+        Some(gap_ms)
     }
 
     /// Notes an answer after whose adoption the process holds all that the answering side holds.
--- a/crates/core/src/drain/gate.rs
+++ b/crates/core/src/drain/gate.rs
@@ -108,7 +108,7 @@
 
     /// Notes that the process runs; returns true if it was paused since the last tick.
     pub fn tick(&mut self, now_ms: u64) -> bool {
-        self.freshness.tick(now_ms)
+        self.freshness.tick(now_ms).is_some()
     }
 
     /// Notes an answer about the control state; see [`Freshness::confirm`].
--- a/crates/core/src/freshness/mod.rs
+++ b/crates/core/src/freshness/mod.rs
@@ -4,16 +4,16 @@
 //! in its sockets. It reads the lists again before it sends anything, unless the platform takes too
 //! long: old beliefs serve callers better than none.
 
-use crate::FastSet;
+use crate::drain::{Freshness, FreshnessSettings};
 
-/// Time without a sign of life of the own process that counts as a pause, in milliseconds. Rounds of
+/// Longest time without a sign of life of the own process that is no pause, in milliseconds. Rounds of
 /// housekeeping come every 25; an entry short of processor time misses some tenths of a second.
-const MIN_PAUSE_MS: u64 = 1_000;
+const PAUSE_LIMIT_MS: u64 = 1_000;
 /// Longest time for which requests wait for fresh lists, in milliseconds: two answers of a slow store.
 const HOLD_LIMIT_MS: u64 = 500;
 
 /// What is read again after a pause.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Belief {
     /// Routes, customers and services.
     Configuration,
@@ -23,51 +23,46 @@
     Evacuations,
 }
 
-const ALL: [Belief; 3] = [Belief::Configuration, Belief::Upstreams, Belief::Evacuations];
-
-/// What a sign of life of the own process showed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Pause {
-    /// Its length, in milliseconds.
-    pub length_ms: u64,
-}
+/// Number of beliefs.
+const BELIEFS: usize = 3;
 
-/// Beliefs that have not been read again since the last pause.
+/// Whether each belief has been read again since the last pause.
 #[derive(Debug)]
-pub struct Freshness {
-    last_sign_ms: u64,
-    woke_ms: u64,
-    old: FastSet<Belief>,
+pub struct BeliefFreshness {
+    /// One for each belief, in the order of their declaration.
+    each: [Freshness; BELIEFS],
 }
 
-impl Freshness {
+impl BeliefFreshness {
     /// Creates the state of a process that begins to run.
     pub fn new(now_ms: u64) -> Self {
-        Self { last_sign_ms: now_ms, woke_ms: now_ms, old: FastSet::default() }
+        let settings = FreshnessSettings {
+            pause_limit_ms: PAUSE_LIMIT_MS,
+            confirmation_grace_ms: HOLD_LIMIT_MS,
+        };
+        Self { each: [(); BELIEFS].map(|()| Freshness::new(settings, now_ms)) }
     }
 
-    /// Notes that the process runs; returns the pause that has just ended, if there was one.
+    /// Notes that the process runs; returns the length of the pause that has just ended, if there was
+    /// one, in milliseconds.
     ///
     /// `now_ms` has to count the time for which the whole instance was suspended.
-    pub fn note_sign(&mut self, now_ms: u64) -> Option<Pause> {
-        let length_ms = now_ms.saturating_sub(self.last_sign_ms);
-        self.last_sign_ms = now_ms;
-        if length_ms < MIN_PAUSE_MS {
-            return None;
+    pub fn note_sign(&mut self, now_ms: u64) -> Option<u64> {
+        let mut pause_ms = None;
+        for freshness in &mut self.each {
+            pause_ms = freshness.tick(now_ms);
         }
-        self.woke_ms = now_ms;
-        self.old.extend(ALL);
-        Some(Pause { length_ms })
+        pause_ms
     }
 
     /// Notes that a belief was read as a whole from the platform.
-    pub fn renew(&mut self, belief: Belief) {
-        self.old.remove(&belief);
+    pub fn renew(&mut self, belief: Belief, now_ms: u64) {
+        self.each[belief as usize].confirm(now_ms, 0);
     }
 
     /// Tells whether requests have to wait for fresh beliefs.
-    pub fn has_to_wait(&self, now_ms: u64) -> bool {
-        !self.old.is_empty() && now_ms < self.woke_ms + HOLD_LIMIT_MS
+    pub fn has_to_wait(&mut self, now_ms: u64) -> bool {
+        self.each.iter_mut().any(|it| !it.is_trusted(now_ms))
     }
 }
 
--- a/crates/core/src/freshness/tests.rs
+++ b/crates/core/src/freshness/tests.rs
@@ -1,8 +1,8 @@
-use crate::freshness::{Belief, Freshness, Pause};
+use crate::freshness::{Belief, BeliefFreshness};
 
 #[test]
 fn a_process_that_runs_on_never_waits() {
-    let mut freshness = Freshness::new(0);
+    let mut freshness = BeliefFreshness::new(0);
     for now_ms in (0..60_000).step_by(25) {
         assert_eq!(freshness.note_sign(now_ms), None);
         assert!(!freshness.has_to_wait(now_ms));
@@ -11,19 +11,19 @@
 
 #[test]
 fn requests_wait_until_every_belief_was_read_again() {
-    let mut freshness = Freshness::new(0);
-    assert_eq!(freshness.note_sign(3_000), Some(Pause { length_ms: 3_000 }));
+    let mut freshness = BeliefFreshness::new(0);
+    assert_eq!(freshness.note_sign(3_000), Some(3_000));
     assert_eq!(freshness.note_sign(3_001), None, "a pause is found once");
     for belief in [Belief::Upstreams, Belief::Configuration, Belief::Evacuations] {
         assert!(freshness.has_to_wait(3_100));
-        freshness.renew(belief);
+        freshness.renew(belief, 3_100);
     }
     assert!(!freshness.has_to_wait(3_100));
 }
 
 #[test]
 fn without_the_platform_they_wait_half_a_second() {
-    let mut freshness = Freshness::new(0);
+    let mut freshness = BeliefFreshness::new(0);
     freshness.note_sign(5_000);
     assert!(freshness.has_to_wait(5_499));
     assert!(!freshness.has_to_wait(5_500));
--- a/crates/core/src/ownership/view.rs
+++ b/crates/core/src/ownership/view.rs
@@ -97,22 +97,17 @@
         }
     }
 
-    /// Notes what was heard of an entry; returns what was known before.
-    pub fn hear(&mut self, name: &str, heard: Heard) -> Heard {
-        let Some(listed) = self.listed.get_mut(name) else { return Heard::Nothing };
-        std::mem::replace(&mut listed.heard, heard)
+    /// Notes what was heard of an entry; returns whether that is new.
+    pub fn hear(&mut self, name: &str, heard: Heard) -> bool {
+        let Some(listed) = self.listed.get_mut(name) else { return false };
+        std::mem::replace(&mut listed.heard, heard) != heard
     }
 
     /// Returns the number of entries, this one included.
-    pub fn len(&self) -> usize {
+    pub fn entry_count(&self) -> usize {
         self.listed.len() + 1
     }
 
-    /// Tells whether no other entry is known.
-    pub fn is_empty(&self) -> bool {
-        self.listed.is_empty()
-    }
-
     /// Returns the owner of a piece of shared work, or `None` where it is this entry.
     ///
     /// While no entry takes work, as when all stop one after the other, the first that lives owns it.
--- a/crates/core/tests/stage_load.rs
+++ b/crates/core/tests/stage_load.rs
@@ -213,7 +213,7 @@
 }
 
 fn maker_place(handle: &str) -> &str {
-    handle.split('/').next().unwrap_or_default()
+    handle.split_once('/').map_or(handle, |(place, _)| place)
 }
 
 #[test]
--- a/crates/entry/src/relay/feed.rs
+++ b/crates/entry/src/relay/feed.rs
@@ -11,26 +11,39 @@
     route_table::{Configuration, RouteTable},
     upstreams::{ListUpdate, UpstreamRecord},
 };
-use yuccatrail_platform::{Client, PollUpdate, Poller, PollerSettings};
+use yuccatrail_platform::{Client, PollForm, PollUpdate, Poller, PollerSettings};
 
 use crate::relay::state::Relay;
 
-/// Returns the next update of a kind, and lists it again after a pause of this process.
-async fn next_update<T: Send + 'static>(
-    poller: &Poller,
-    updates: &mut mpsc::Receiver<PollUpdate<T>>,
-    pauses: &mut watch::Receiver<u64>,
-) -> Option<PollUpdate<T>> {
-    loop {
-        tokio::select! {
-            biased;
-            changed = pauses.changed() => {
-                changed.ok()?;
-                poller.refresh();
+/// Updates of one kind, which is listed again after each pause of this process.
+struct Feed<T> {
+    poller: Poller,
+    updates: mpsc::Receiver<PollUpdate<T>>,
+    pauses: watch::Receiver<u64>,
+}
+
+impl<T: Send + 'static> Feed<T> {
+    fn start(relay: &Relay, client: Client, form: PollForm<T>, stop: &CancellationToken) -> Self {
+        let (poller, updates) = Poller::start(client, form, PollerSettings::default(), stop);
+        Self { poller, updates, pauses: relay.pauses() }
+    }
+
+    async fn next(&mut self) -> Option<PollUpdate<T>> {
+        loop {
+            tokio::select! {
+                biased;
+                changed = self.pauses.changed() => {
+                    changed.ok()?;
+                    self.poller.refresh();
+                }
+                update = self.updates.recv() => return update,
             }
-            update = updates.recv() => return update,
         }
     }
+
+    async fn close(self) {
+        self.poller.close().await;
+    }
 }
 
 /// Follows the configuration.
@@ -39,18 +52,17 @@
     client: Client,
     stop: CancellationToken,
 ) {
-    let settings = PollerSettings::default();
-    let (poller, mut updates) = Poller::start(client, configuration_form(), settings, &stop);
-    let mut pauses = relay.pauses();
-    while let Some(update) = next_update(&poller, &mut updates, &mut pauses).await {
-        if matches!(update, PollUpdate::Snapshot { .. }) {
-            relay.renew(Belief::Configuration);
-        }
+    let mut feed = Feed::start(&relay, client, configuration_form(), &stop);
+    while let Some(update) = feed.next().await {
+        let is_whole = matches!(update, PollUpdate::Snapshot { .. });
         for change in changes_of(update) {
             adopt(&relay, change);
         }
+        if is_whole {
+            relay.renew(Belief::Configuration);
+        }
     }
-    poller.close().await;
+    feed.close().await;
 }
 
 fn adopt(relay: &Relay, change: StoreChange<Configuration>) {
@@ -67,10 +79,8 @@
 
 /// Follows the data centres that receive no work.
 pub(crate) async fn follow_evacuations(relay: Arc<Relay>, client: Client, stop: CancellationToken) {
-    let settings = PollerSettings::default();
-    let (poller, mut updates) = Poller::start(client, evacuations_form(), settings, &stop);
-    let mut pauses = relay.pauses();
-    while let Some(update) = next_update(&poller, &mut updates, &mut pauses).await {
+    let mut feed = Feed::start(&relay, client, evacuations_form(), &stop);
+    while let Some(update) = feed.next().await {
         let now_ms = relay.now_ms();
         match update {
             PollUpdate::Snapshot { items, revision } => {
@@ -95,7 +105,7 @@
             PollUpdate::Unavailable(_) | PollUpdate::Available => {}
         }
     }
-    poller.close().await;
+    feed.close().await;
 }
 
 /// Logs the data centres that changed, each with whether it receives no work now.
@@ -112,10 +122,8 @@
 
 /// Follows the upstreams.
 pub(crate) async fn follow_upstreams(relay: Arc<Relay>, client: Client, stop: CancellationToken) {
-    let settings = PollerSettings::default();
-    let (poller, mut updates) = Poller::start(client, servers_form(), settings, &stop);
-    let mut pauses = relay.pauses();
-    while let Some(update) = next_update(&poller, &mut updates, &mut pauses).await {
+    let mut feed = Feed::start(&relay, client, servers_form(), &stop);
+    while let Some(update) = feed.next().await {
         let now_ms = relay.now_ms();
         match update {
             PollUpdate::Snapshot { items, revision } => {
@@ -142,7 +150,7 @@
         }
         relay.stages.pump_all(&relay);
     }
-    poller.close().await;
+    feed.close().await;
 }
 
 fn list_update(change: StoreChange<UpstreamRecord>) -> ListUpdate {
--- a/crates/entry/src/relay/peers.rs
+++ b/crates/entry/src/relay/peers.rs
@@ -98,18 +98,21 @@
     /// Returns the expected wait in the queue of a service at its owner, in milliseconds; none where
     /// this entry is the owner.
     pub(crate) fn wait_ms(&self, relay: &Relay, service: &str) -> Option<u64> {
-        let Owner::Other(peer) = self.owner(relay, service) else { return None };
-        let directory = lock(&self.directory);
-        directory.known.get(&peer.name)?.queues.get(service).map(|it| it.wait_ms)
+        self.queue_at_owner(relay, service)?.map(|it| it.wait_ms)
     }
 
     /// Tells whether much waits in the queue of a service at its owner; none where this entry is the
     /// owner.
     pub(crate) fn is_pressed(&self, relay: &Relay, service: &str) -> Option<bool> {
+        Some(self.queue_at_owner(relay, service)?.is_some_and(|it| it.is_pressed))
+    }
+
+    /// Returns what another entry that owns a service last told of its queue, if it told of it; none
+    /// where this entry is the owner.
+    fn queue_at_owner(&self, relay: &Relay, service: &str) -> Option<Option<QueueState>> {
         let Owner::Other(peer) = self.owner(relay, service) else { return None };
         let directory = lock(&self.directory);
-        let queue = directory.known.get(&peer.name).and_then(|it| it.queues.get(service));
-        Some(queue.is_some_and(|it| it.is_pressed))
+        Some(directory.known.get(&peer.name).and_then(|it| it.queues.get(service)).cloned())
     }
 
     /// Begins to ask the entries that have to be asked and stops asking the others.
@@ -214,7 +217,7 @@
 
     /// Returns the time between two questions to an entry, in milliseconds.
     fn hello_interval_ms(&self) -> u64 {
-        let entries = lock(&self.directory).view.len() as u64;
+        let entries = lock(&self.directory).view.entry_count() as u64;
         HELLO_INTERVAL_MS.max(entries * HELLO_INTERVAL_PER_ENTRY_MS)
     }
 }
@@ -222,7 +225,7 @@
 impl Directory {
     /// Notes what was heard of an entry; returns whether that is new.
     fn hear(&mut self, name: &str, heard: Heard) -> bool {
-        let is_new = self.view.hear(name, heard) != heard;
+        let is_new = self.view.hear(name, heard);
         if is_new {
             self.decided_with = None;
         }
--- a/crates/entry/src/relay/state.rs
+++ b/crates/entry/src/relay/state.rs
@@ -14,7 +14,7 @@
 use tokio_util::sync::CancellationToken;
 use yuccatrail_core::{
     FastMap,
-    freshness::{Belief, Freshness},
+    freshness::{Belief, BeliefFreshness},
     ownership::Candidate,
     retry_share::RetryShare,
     route_table::RouteTable,
@@ -49,7 +49,7 @@
     table: Mutex<Option<Arc<RouteTable>>>,
     upstreams: Mutex<Upstreams>,
     retries: Mutex<RetryShare>,
-    freshness: Mutex<Freshness>,
+    freshness: Mutex<BeliefFreshness>,
     /// Number of pauses of this process so far.
     pauses: watch::Sender<u64>,
     is_stopping: AtomicBool,
@@ -85,7 +85,7 @@
             table: Mutex::new(None),
             upstreams: Mutex::new(Upstreams::new(UpstreamsSettings::default(), &settings.name)),
             retries: Mutex::new(RetryShare::new(settings.bounds.retries)),
-            freshness: Mutex::new(Freshness::new(suspended_clock_ms())),
+            freshness: Mutex::new(BeliefFreshness::new(suspended_clock_ms())),
             pauses: watch::Sender::new(0),
             is_stopping: AtomicBool::new(false),
             gives_up_waiting: CancellationToken::new(),
@@ -146,13 +146,16 @@
         self.in_progress.load(Ordering::Relaxed)
     }
 
-    /// Notes that this process runs, and tells the feeds if it did not for a while.
-    pub(crate) fn note_sign_of_life(&self) {
-        let found = lock(&self.freshness).note_sign(suspended_clock_ms());
-        if let Some(pause) = found {
-            warn!(length_ms = pause.length_ms; "this process did not run, lists are read again");
+    /// Notes that this process runs, and tells the feeds if it did not for a while; returns the time
+    /// of the sign, in milliseconds.
+    pub(crate) fn note_sign_of_life(&self) -> u64 {
+        let now_ms = suspended_clock_ms();
+        let pause_ms = lock(&self.freshness).note_sign(now_ms);
+        if let Some(length_ms) = pause_ms {
+            warn!(length_ms = length_ms; "this process did not run, lists are read again");
             self.pauses.send_modify(|it| *it += 1);
         }
+        now_ms
     }
 
     /// Returns a receiver that changes with each pause of this process.
@@ -162,13 +165,13 @@
 
     /// Notes that a belief was read as a whole from the platform.
     pub(crate) fn renew(&self, belief: Belief) {
-        lock(&self.freshness).renew(belief);
+        lock(&self.freshness).renew(belief, suspended_clock_ms());
     }
 
     /// Tells whether nothing may be sent before beliefs are fresh.
     pub(crate) fn has_to_wait(&self) -> bool {
-        self.note_sign_of_life();
-        lock(&self.freshness).has_to_wait(suspended_clock_ms())
+        let now_ms = self.note_sign_of_life();
+        lock(&self.freshness).has_to_wait(now_ms)
     }
 
     /// Waits until beliefs are fresh after a pause of this process.
--- a/crates/fakes/src/stack/link.rs
+++ b/crates/fakes/src/stack/link.rs
@@ -172,7 +172,8 @@
         let read = reader.read(&mut buffer).await?;
         let now = *state.borrow_and_update();
         if now == LinkState::Silent || now == closed {
-            // Bytes, or the connection's end, are lost, so nothing may pass here any more.
+            // Bytes, or the connection's end, are lost, so nothing may pass here any more. The wait fails
+            // where the link is closed, which ends the connection too.
             let _ = state.wait_for(|it| *it != now).await;
             return Err(io::ErrorKind::ConnectionReset.into());
         }
