Agent: starts beyond the cold limit rest on a probe sent after the attempt arrived

Cause: a start beyond the cold limit needs a probe of at most 5 ms ago, and that probe may have been sent before the upstream turned cold. A burst that arrives within these 5 ms then starts as if the upstream were warm. Ruled out: calls of the warm-up that still run (the test awaits them all), a new run (nothing restarts in this test). Change: the probe has to be sent after the attempt was queued, by number, not by time. Probes that overtake each other no longer replace newer evidence. The test in agent_fuzz failed first, and the fuzz notices the mechanism switched off. The fuzz's oracle moved to a file of its own.

--- a/crates/core/src/agent/core.rs
+++ b/crates/core/src/agent/core.rs
@@ -68,6 +68,8 @@
     pub(super) attempt: AttemptId,
     pub(super) fingerprint: Digest,
     pub(super) entry: EntryKey,
+    /// Probes that had been sent when the attempt was queued.
+    pub(super) probes_sent: u64,
 }
 
 /// A call in progress at the upstream.
@@ -97,8 +99,11 @@
     /// Last probe that found the upstream as it was known.
     pub(super) evidence: Option<ProbeTicket>,
     pub(super) wants_probe: bool,
+    pub(super) probes_sent: u64,
     #[cfg(feature = "sabotage")]
     pub(super) ignores_evidence: bool,
+    #[cfg(feature = "sabotage")]
+    pub(super) ignores_arrival: bool,
     /// Time until which an entry that was asked for newer state is given to send it.
     pub(super) fetch_until_ms: u64,
 }
@@ -119,8 +124,11 @@
             changed: Vec::new(),
             evidence: None,
             wants_probe: false,
+            probes_sent: 0,
             #[cfg(feature = "sabotage")]
             ignores_evidence: false,
+            #[cfg(feature = "sabotage")]
+            ignores_arrival: false,
             fetch_until_ms: 0,
             settings,
         }
@@ -136,6 +144,7 @@
                 self.ledger = AttemptLedger::with_sabotage(self.settings.ledger, mechanism);
             }
             super::Sabotage::Evidence => self.ignores_evidence = true,
+            super::Sabotage::EvidenceAfterArrival => self.ignores_arrival = true,
         }
     }
 
@@ -365,7 +374,9 @@
         now_ms: u64,
     ) -> Result<(), Reason> {
         let pushed = self.queue.push(now_ms, entry)?;
-        let waiting = Waiting { attempt: entry.attempt, fingerprint, entry: pushed.key };
+        let probes_sent = self.probes_sent;
+        let waiting =
+            Waiting { attempt: entry.attempt, fingerprint, entry: pushed.key, probes_sent };
         self.waiting.insert(key, waiting);
         self.keys_by_entry.insert(pushed.key, key);
         if let Some(evicted) = pushed.evicted {
--- a/crates/core/src/agent/dispatch.rs
+++ b/crates/core/src/agent/dispatch.rs
@@ -1,6 +1,9 @@
 //! Way of an attempt from the queue to the upstream, or back to its entry as not run.
 
-use super::core::{AgentCore, Call, Dispatch};
+use super::{
+    core::{AgentCore, Call, Dispatch},
+    stops::ProbeTicket,
+};
 use crate::{
     attempt::{AttemptKey, DispatchCheck},
     capacity::CallEnd,
@@ -40,30 +43,50 @@
             if !self.capacity.has_room() {
                 return None;
             }
-            if self.lacks_evidence(now_ms) {
-                self.wants_probe |= self.queue.queued() > 0;
+            let Some(next) = self.pop(now_ms) else {
+                self.wants_probe |= self.rests_on_probe() && self.queue.queued() > 0;
                 return None;
-            }
-            let next = self.queue.pop(now_ms)?;
+            };
             if let Some(dispatch) = self.start(next, now_ms) {
                 return Some(dispatch);
             }
         }
     }
 
-    /// Tells whether a start beyond the cold limit lacks recent evidence of a warm upstream.
+    /// Takes the next attempt from the queue, if what is known of the upstream allows its start.
     ///
-    /// An upstream may turn cold without warning, so such a start follows a probe closely.
-    pub(super) fn lacks_evidence(&self, now_ms: u64) -> bool {
+    /// An upstream may turn cold without warning. A start beyond the cold limit therefore follows a
+    /// probe closely, and that probe was sent after the attempt had arrived: otherwise a burst right
+    /// after the turn would rest on a probe from before it.
+    fn pop(&mut self, now_ms: u64) -> Option<Next> {
+        if !self.rests_on_probe() {
+            return self.queue.pop(now_ms);
+        }
+        let probe = self.recent_evidence(now_ms)?;
         #[cfg(feature = "sabotage")]
-        if self.ignores_evidence {
-            return false;
+        if self.ignores_arrival {
+            return self.queue.pop(now_ms);
         }
-        if self.capacity.running() < self.capacity.cold_limit() {
+        let Self { queue, waiting, keys_by_entry, .. } = self;
+        queue.pop_if(now_ms, |entry| {
+            let waiting = keys_by_entry.get(&entry).and_then(|it| waiting.get(it));
+            waiting.is_none_or(|it| it.probes_sent < probe.number)
+        })
+    }
+
+    /// Tells whether the next start exceeds the cold limit, so that it needs evidence of warmth.
+    fn rests_on_probe(&self) -> bool {
+        #[cfg(feature = "sabotage")]
+        if self.ignores_evidence {
             return false;
         }
+        self.capacity.running() >= self.capacity.cold_limit()
+    }
+
+    /// Returns the last probe that found the upstream as it is known, if it is recent.
+    fn recent_evidence(&self, now_ms: u64) -> Option<ProbeTicket> {
         let epoch = self.capacity.epoch();
-        self.evidence.is_none_or(|it| it.epoch != epoch || now_ms > it.sent_ms + EVIDENCE_AGE_MS)
+        self.evidence.filter(|it| it.epoch == epoch && now_ms <= it.sent_ms + EVIDENCE_AGE_MS)
     }
 
     /// Starts an entry that was taken from the queue, unless it may not run any more.
--- a/crates/core/src/agent/probing.rs
+++ b/crates/core/src/agent/probing.rs
@@ -19,7 +19,9 @@
     /// Returns the ticket of a probe that is sent at `now_ms`.
     pub fn begin_probe(&mut self, now_ms: u64) -> ProbeTicket {
         self.wants_probe = false;
-        ProbeTicket { epoch: self.capacity.epoch(), sent_ms: now_ms }
+        self.probes_sent += 1;
+        let epoch = self.capacity.epoch();
+        ProbeTicket { epoch, sent_ms: now_ms, number: self.probes_sent }
     }
 
     /// Tells whether a probe has to be sent at once, because attempts wait for its answer.
@@ -46,7 +48,9 @@
         match result {
             ProbeResult::Answered { boot_id, warm } => {
                 self.capacity.on_probe(Probe { epoch, boot_id, warm });
-                if epoch == self.capacity.epoch() {
+                // Probes may overtake each other.
+                let is_newest = self.evidence.is_none_or(|it| it.number < ticket.number);
+                if epoch == self.capacity.epoch() && is_newest {
                     self.evidence = Some(ticket);
                 }
             }
--- a/crates/core/src/agent/settings.rs
+++ b/crates/core/src/agent/settings.rs
@@ -46,6 +46,8 @@
     Ledger(crate::sabotage::Sabotage),
     /// Starts beyond the cold limit follow a probe closely.
     Evidence,
+    /// Such starts rest also on a probe that was sent before the attempt arrived.
+    EvidenceAfterArrival,
 }
 
 impl AgentSettings {
--- a/crates/core/src/agent/stops.rs
+++ b/crates/core/src/agent/stops.rs
@@ -64,6 +64,8 @@
     pub(crate) epoch: Epoch,
     /// Time of sending, in milliseconds.
     pub(crate) sent_ms: u64,
+    /// Number of the probe among those of the agent, counted from one.
+    pub(crate) number: u64,
 }
 
 /// Recognizes stops of the upstream; each stop is counted once.
--- a/crates/core/src/queue/mod.rs
+++ b/crates/core/src/queue/mod.rs
@@ -216,10 +216,21 @@
     ///
     /// Entries that may no longer start are passed over; [`Queue::expire`] returns them.
     pub fn pop(&mut self, now_ms: u64) -> Option<Next> {
+        self.pop_if(now_ms, |_| true)
+    }
+
+    /// Takes the next entry to run among those that `is_eligible`, if there is one that may start now.
+    ///
+    /// An entry that was eligible once has to stay so.
+    pub(crate) fn pop_if(
+        &mut self,
+        now_ms: u64,
+        is_eligible: impl Fn(EntryKey) -> bool,
+    ) -> Option<Next> {
         if self.is_exclusive_running() {
             return None;
         }
-        let key = self.select(now_ms)?;
+        let key = self.select(now_ms, is_eligible)?;
         let slot = self.slots[key];
 
         // Nothing overtakes an exclusive entry whose turn it is; otherwise it might never start.
@@ -332,8 +343,9 @@
         entry.alone && self.running() > 0 && !self.ignores_alone()
     }
 
-    fn select(&self, now_ms: u64) -> Option<EntryKey> {
-        let may_start = |key: EntryKey| self.may_start(now_ms, &self.slots[key].entry);
+    fn select(&self, now_ms: u64, is_eligible: impl Fn(EntryKey) -> bool) -> Option<EntryKey> {
+        let may_start =
+            |key: EntryKey| is_eligible(key) && self.may_start(now_ms, &self.slots[key].entry);
         if let Some(held) = self.held
             && may_start(held)
         {
--- a/crates/core/tests/agent_fuzz.rs
+++ b/crates/core/tests/agent_fuzz/main.rs
@@ -1,5 +1,7 @@
 //! Fuzzes the whole agent against an oracle that knows only the promises of one upstream.
 
+mod oracle;
+
 use std::cell::Cell;
 
 use proptest::{
@@ -8,18 +10,17 @@
 };
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
 use yuccatrail_core::{
-    FastMap, FastSet,
-    agent::{
-        AgentCore, AgentSettings, CallResult, Dispatch, ProbeResult, ProbeTicket, SubmitOrder,
-    },
+    FastMap,
+    agent::{AgentCore, AgentSettings, CallResult, ProbeResult, ProbeTicket, SubmitOrder},
     attempt::{AttemptLookup, Progress},
-    capacity::WARM_COMPLETIONS,
     control::{ConfigRecord, ControlState, ControlUpdate, OperationsRecord},
     drain::{FreshnessSettings, GateSettings},
     ids::{AttemptId, Digest, Incarnation, RequestId, StageIndex},
-    outcome::{Execution, Reason, Refusal},
+    outcome::Reason,
 };
 
+use crate::oracle::{Oracle, ShownWarm};
+
 const SEED: u64 = 9_001;
 const AGENT: Incarnation = Incarnation(7);
 const RETENTION_MS: u64 = 100;
@@ -105,75 +106,16 @@
     fn apply((): (), _: &Event) {}
 }
 
-/// What the upstream saw and what the entries were told.
-#[derive(Default)]
-struct Oracle {
-    dispatched: FastSet<AttemptId>,
-    told_not_run: FastSet<AttemptId>,
-    running: Vec<Dispatch>,
-    cold_starts: Vec<Dispatch>,
-    is_warm: bool,
-    completed_since_cold: u32,
-    turned_since_probe: bool,
-    shown_warm_ms: Option<u64>,
-    is_closed: bool,
-    is_unconfirmed: bool,
-}
-
-impl Oracle {
-    fn on_dispatch(&mut self, dispatch: Dispatch, order: &SubmitOrder, now_ms: u64) {
-        assert!(self.dispatched.insert(dispatch.attempt), "dispatched twice");
-        assert!(!self.told_not_run.contains(&dispatch.attempt), "dispatched after not-run");
-        assert!(!self.is_closed, "new work after the gate closed");
-        assert!(!self.is_unconfirmed, "new work after a pause without confirmation");
-        assert!(now_ms <= order.dispatch_by_ms, "dispatched after its limit");
-        if self.running.len() >= COLD_LIMIT {
-            let shown_ms =
-                self.shown_warm_ms.expect("a start beyond the cold limit without a probe");
-            assert!(now_ms <= shown_ms + EVIDENCE_AGE_MS, "a start on an old probe");
-        }
-        self.running.push(dispatch);
-        if !self.is_warm {
-            self.cold_starts.push(dispatch);
-        }
-        let cold = self.cold_starts.iter().filter(|it| self.running.contains(it)).count();
-        assert!(self.is_warm || cold <= COLD_LIMIT, "{cold} calls in a cold start");
-        assert!(self.running.len() <= CONCURRENCY.max(COLD_LIMIT), "too many calls");
-    }
-
-    fn turn_cold(&mut self) {
-        self.is_warm = false;
-        self.turned_since_probe = true;
-        self.shown_warm_ms = None;
-        self.completed_since_cold = 0;
-        self.cold_starts.clear();
-    }
-
-    /// Enough completed calls that began in the cold start show warmth.
-    fn on_completed(&mut self, dispatch: Dispatch) {
-        if self.cold_starts.contains(&dispatch) {
-            self.completed_since_cold += 1;
-        }
-        self.is_warm |= self.completed_since_cold >= WARM_COMPLETIONS;
-    }
-
-    fn on_told(&mut self, attempt: AttemptId, lookup: &AttemptLookup) {
-        let not_run = match lookup {
-            AttemptLookup::NotRun(Refusal { execution, .. }) => *execution == Execution::NotRun,
-            _ => return,
-        };
-        assert!(not_run, "a refusal before dispatch says not-run");
-        assert!(!self.dispatched.contains(&attempt), "told not-run although dispatched");
-        self.told_not_run.insert(attempt);
-    }
-}
-
 struct Sut {
     core: AgentCore,
     control: ControlState,
     now_ms: u64,
     woke_ms: Option<u64>,
-    probe: Option<(ProbeTicket, u64)>,
+    probe: Option<(ProbeTicket, ShownWarm)>,
+    /// Events so far.
+    step: u64,
+    /// Event in which each attempt was accepted.
+    arrived_steps: FastMap<AttemptId, u64>,
     boot_id: Option<u64>,
     orders: FastMap<AttemptId, SubmitOrder>,
     submitted: Vec<AttemptId>,
@@ -206,6 +148,8 @@
             now_ms: 0,
             woke_ms: None,
             probe: None,
+            step: 0,
+            arrived_steps: FastMap::default(),
             boot_id: None,
             orders: FastMap::default(),
             submitted: Vec::new(),
@@ -214,6 +158,7 @@
     }
 
     fn apply_event(&mut self, event: Event) {
+        self.step += 1;
         match event {
             Event::Advance(ms) => self.now_ms += ms,
             Event::Pause(ms) => self.pause(ms),
@@ -267,10 +212,18 @@
         let order = order(request, customer, now_ms + dispatch_in_ms, now_ms + deadline_in_ms);
         self.orders.insert(attempt, order.clone());
         self.submitted.push(attempt);
+        self.arrived_steps.insert(attempt, self.step);
         let lookup = self.core.submit(&order, self.now_ms);
         self.oracle.on_told(attempt, &lookup);
     }
 
+    /// Submits an attempt whose limits lie far ahead.
+    fn submit_in_time(&mut self, request: u8) {
+        let (dispatch_in_ms, deadline_in_ms) = (1_000, 1_000);
+        let customer = true;
+        self.apply_event(Event::Submit { request, customer, dispatch_in_ms, deadline_in_ms });
+    }
+
     fn resubmit(&mut self, index: usize) {
         if self.submitted.is_empty() {
             return;
@@ -323,12 +276,13 @@
     }
 
     fn send_probe(&mut self) {
-        self.probe = Some((self.core.begin_probe(self.now_ms), self.now_ms));
+        let sent = ShownWarm { sent_ms: self.now_ms, sent_step: self.step };
+        self.probe = Some((self.core.begin_probe(self.now_ms), sent));
         self.oracle.turned_since_probe = false;
     }
 
     fn answer_probe(&mut self, boot_id: u64, warm: bool) {
-        let Some((ticket, sent_ms)) = self.probe.take() else { return };
+        let Some((ticket, sent)) = self.probe.take() else { return };
         let is_current = !self.oracle.turned_since_probe;
         let is_restart = self.boot_id.is_some_and(|it| it != boot_id);
         self.boot_id = Some(boot_id);
@@ -338,7 +292,7 @@
             self.oracle.turn_cold();
         } else if is_current {
             self.oracle.is_warm = true;
-            self.oracle.shown_warm_ms = Some(sent_ms);
+            self.oracle.shown_warm = Some(sent);
         }
     }
 
@@ -363,7 +317,8 @@
         }
         while let Some(dispatch) = self.core.next(self.now_ms) {
             let order = self.orders[&dispatch.attempt].clone();
-            self.oracle.on_dispatch(dispatch, &order, self.now_ms);
+            let arrived_step = self.arrived_steps[&dispatch.attempt];
+            self.oracle.on_dispatch(dispatch, &order, arrived_step, self.now_ms);
         }
     }
 
@@ -471,6 +426,7 @@
     use yuccatrail_core::{capacity, drain, sabotage};
     let mechanisms = [
         Sabotage::Evidence,
+        Sabotage::EvidenceAfterArrival,
         Sabotage::Capacity(capacity::Sabotage::IgnoreBootId),
         Sabotage::Capacity(capacity::Sabotage::IgnoreReset),
         Sabotage::Gate(drain::Sabotage::Operations),
@@ -493,3 +449,26 @@
     };
     assert_eq!(refusal.reason, Reason::WrongUpstream);
 }
+
+#[test]
+fn a_burst_waits_for_a_probe_that_was_sent_after_it_arrived() {
+    let mut sut = Sut::new();
+    sut.apply_event(Event::Confirm);
+    sut.apply_event(Event::Probe { boot_id: 0, warm: true });
+    // The limit grows beyond the cold one.
+    for request in 0..6 {
+        sut.submit_in_time(request);
+        sut.apply_event(Event::Finish { index: 0, result: 9 });
+    }
+    sut.apply_event(Event::Probe { boot_id: 0, warm: true });
+    assert!(sut.core.load().limit > COLD_LIMIT as u32);
+    // The upstream turns cold without a sign while the probe is still recent.
+    sut.apply_event(Event::Advance(EVIDENCE_AGE_MS / 2));
+    for request in 10..14 {
+        sut.submit_in_time(request);
+    }
+    assert_eq!(sut.oracle.running.len(), COLD_LIMIT);
+    assert!(sut.core.wants_probe());
+    sut.apply_event(Event::Probe { boot_id: 0, warm: false });
+    assert_eq!(sut.oracle.running.len(), COLD_LIMIT);
+}
