Relay: a configuration that the platform did not tell of makes all lists be read again

Cause, traced before: the store went silent for one entry; polls that hung at that time stay open on living connections and are never answered, so that the entry misses what changes until they end after 20 s. Change: a newer configuration heard from another entry, after the time that the platform has to tell of it, is the sign by which all polls are broken off and listed again. The list of entries is read again too, also after a pause.

--- a/crates/entry/src/relay/feed.rs
+++ b/crates/entry/src/relay/feed.rs
@@ -15,24 +15,31 @@
 
 use crate::relay::state::Relay;
 
-/// Updates of one kind, which is listed again after each pause of this process.
-struct Feed<T> {
+/// Updates of one kind, which is listed again whenever the relay distrusts its lists.
+pub(crate) struct Feed<T> {
     poller: Poller,
     updates: mpsc::Receiver<PollUpdate<T>>,
-    pauses: watch::Receiver<u64>,
+    rereads: watch::Receiver<u64>,
 }
 
 impl<T: Send + 'static> Feed<T> {
-    fn start(relay: &Relay, client: Client, form: PollForm<T>, stop: &CancellationToken) -> Self {
+    /// Starts to follow a kind until `stop` is cancelled.
+    pub(crate) fn start(
+        relay: &Relay,
+        client: Client,
+        form: PollForm<T>,
+        stop: &CancellationToken,
+    ) -> Self {
         let (poller, updates) = Poller::start(client, form, PollerSettings::default(), stop);
-        Self { poller, updates, pauses: relay.pauses() }
+        Self { poller, updates, rereads: relay.rereads() }
     }
 
-    async fn next(&mut self) -> Option<PollUpdate<T>> {
+    /// Returns the next update; none when the feed has stopped.
+    pub(crate) async fn next(&mut self) -> Option<PollUpdate<T>> {
         loop {
             tokio::select! {
                 biased;
-                changed = self.pauses.changed() => {
+                changed = self.rereads.changed() => {
                     changed.ok()?;
                     self.poller.refresh();
                 }
@@ -41,7 +48,8 @@
         }
     }
 
-    async fn close(self) {
+    /// Stops the feed and waits until its connection is closed.
+    pub(crate) async fn close(self) {
         self.poller.close().await;
     }
 }
@@ -67,7 +75,9 @@
 
 fn adopt(relay: &Relay, change: StoreChange<Configuration>) {
     match change {
-        StoreChange::Present { content, .. } => relay.adopt(RouteTable::new(content), "platform"),
+        StoreChange::Present { content, .. } => {
+            relay.adopt(RouteTable::new(content), "platform");
+        }
         StoreChange::Absent { name } => {
             warn!(object:% = name; "configuration was removed; the last one stays in force");
         }
--- a/crates/entry/src/relay/peers/ask.rs
+++ b/crates/entry/src/relay/peers/ask.rs
@@ -145,7 +145,12 @@
     }
     match peer.client.configuration(context_for(HELLO_TIMEOUT_MS)).await {
         Ok(Some(configuration)) => {
-            relay.adopt(RouteTable::new(Arc::unwrap_or_clone(configuration)), &peer.name);
+            let table = RouteTable::new(Arc::unwrap_or_clone(configuration));
+            // The platform had its time to tell of it: the polls that wait may never be answered.
+            if relay.adopt(table, &peer.name) && own.is_some() {
+                warn!(entry:% = peer.name; "platform did not tell of a configuration, lists are read again");
+                relay.read_lists_again();
+            }
         }
         Ok(None) => {}
         Err(error) => warn!(entry:% = peer.name, error:% = error; "newer configuration not heard"),
--- a/crates/entry/src/relay/peers/record.rs
+++ b/crates/entry/src/relay/peers/record.rs
@@ -9,9 +9,9 @@
     EntryRecord, StoreChange, encode_entry, entries_form, entry_collection_path, entry_path,
 };
 use yuccatrail_core::FastSet;
-use yuccatrail_platform::{Client, PlatformError, PollUpdate, Poller, PollerSettings};
+use yuccatrail_platform::{Client, PlatformError, PollUpdate};
 
-use crate::relay::state::Relay;
+use crate::relay::{feed::Feed, state::Relay};
 
 /// Time between two attempts to write the own record, in milliseconds.
 const REGISTER_INTERVAL_MS: u64 = 500;
@@ -21,9 +21,8 @@
 
 /// Follows the list of entries.
 pub(crate) async fn follow_entries(relay: Arc<Relay>, client: Client, stop: CancellationToken) {
-    let settings = PollerSettings::default();
-    let (poller, mut updates) = Poller::start(client, entries_form(), settings, &stop);
-    while let Some(update) = updates.recv().await {
+    let mut feed = Feed::start(&relay, client, entries_form(), &stop);
+    while let Some(update) = feed.next().await {
         match update {
             PollUpdate::Snapshot { items, .. } => {
                 let listed: FastSet<String> = items.iter().filter_map(present_name).collect();
@@ -39,7 +38,7 @@
         names.push(relay.settings.name.clone());
         relay.upstreams().set_entries(names);
     }
-    poller.close().await;
+    feed.close().await;
 }
 
 fn take_in(relay: &Relay, changes: Vec<StoreChange<EntryRecord>>) {
--- a/crates/entry/src/relay/state.rs
+++ b/crates/entry/src/relay/state.rs
@@ -50,8 +50,8 @@
     upstreams: Mutex<Upstreams>,
     retries: Mutex<RetryShare>,
     freshness: Mutex<BeliefFreshness>,
-    /// Number of pauses of this process so far.
-    pauses: watch::Sender<u64>,
+    /// Number of times that all lists had to be read again.
+    rereads: watch::Sender<u64>,
     is_stopping: AtomicBool,
     /// Cancelled when a planned stop gives up what no upstream has received.
     gives_up_waiting: CancellationToken,
@@ -86,7 +86,7 @@
             upstreams: Mutex::new(Upstreams::new(UpstreamsSettings::default(), &settings.name)),
             retries: Mutex::new(RetryShare::new(settings.bounds.retries)),
             freshness: Mutex::new(BeliefFreshness::new(suspended_clock_ms())),
-            pauses: watch::Sender::new(0),
+            rereads: watch::Sender::new(0),
             is_stopping: AtomicBool::new(false),
             gives_up_waiting: CancellationToken::new(),
             follows_platform: AtomicBool::new(true),
@@ -105,11 +105,11 @@
         lock(&self.table).clone()
     }
 
-    /// Puts a configuration in force unless it is older than the one that is.
-    pub(crate) fn adopt(&self, table: RouteTable, source: &str) {
+    /// Puts a configuration in force unless it is older than the one that is; returns whether it did.
+    pub(crate) fn adopt(&self, table: RouteTable, source: &str) -> bool {
         let mut current = lock(&self.table);
         if current.as_ref().is_some_and(|it| it.version() >= table.version()) {
-            return;
+            return false;
         }
         info!(version = table.version(), source = source; "configuration in force");
         let mut cold_starts = FastMap::default();
@@ -123,6 +123,7 @@
         self.peers.note_change();
         self.upstreams().set_cold_starts(cold_starts);
         *current = Some(Arc::new(table));
+        true
     }
 
     /// Locks the upstreams; the guard must not be held across a wait.
@@ -153,14 +154,19 @@
         let pause_ms = lock(&self.freshness).note_sign(now_ms);
         if let Some(length_ms) = pause_ms {
             warn!(length_ms = length_ms; "this process did not run, lists are read again");
-            self.pauses.send_modify(|it| *it += 1);
+            self.read_lists_again();
         }
         now_ms
     }
 
-    /// Returns a receiver that changes with each pause of this process.
-    pub(crate) fn pauses(&self) -> watch::Receiver<u64> {
-        self.pauses.subscribe()
+    /// Makes the feeds break off their polls and read their lists again.
+    pub(crate) fn read_lists_again(&self) {
+        self.rereads.send_modify(|it| *it += 1);
+    }
+
+    /// Returns a receiver that changes each time that the lists have to be read again.
+    pub(crate) fn rereads(&self) -> watch::Receiver<u64> {
+        self.rereads.subscribe()
     }
 
     /// Notes that a belief was read as a whole from the platform.
