--- a/crates/entry/src/relay/feed.rs
+++ b/crates/entry/src/relay/feed.rs
@@ -13,13 +13,13 @@
 };
 use yuccatrail_platform::{Client, PollForm, PollUpdate, Poller, PollerSettings};
 
-use crate::relay::state::Relay;
+use crate::relay::state::{ListTrust, Relay};
 
 /// Updates of one kind, which is listed again whenever the relay distrusts its lists.
 pub(crate) struct Feed<T> {
     poller: Poller,
     updates: mpsc::Receiver<PollUpdate<T>>,
-    rereads: watch::Receiver<u64>,
+    list_trust: watch::Receiver<ListTrust>,
 }
 
 impl<T: Send + 'static> Feed<T> {
@@ -31,7 +31,7 @@
         stop: &CancellationToken,
     ) -> Self {
         let (poller, updates) = Poller::start(client, form, PollerSettings::default(), stop);
-        Self { poller, updates, rereads: relay.rereads() }
+        Self { poller, updates, list_trust: relay.list_trust() }
     }
 
     /// Returns the next update; none when the feed has stopped.
@@ -39,8 +39,10 @@
         loop {
             tokio::select! {
                 biased;
-                changed = self.rereads.changed() => {
+                changed = self.list_trust.changed() => {
                     changed.ok()?;
+                    let is_silent = self.list_trust.borrow_and_update().is_platform_silent;
+                    self.poller.set_patient(is_silent);
                     self.poller.refresh();
                 }
                 update = self.updates.recv() => return update,
--- a/crates/entry/src/relay/state.rs
+++ b/crates/entry/src/relay/state.rs
@@ -50,8 +50,8 @@
     upstreams: Mutex<Upstreams>,
     retries: Mutex<RetryShare>,
     freshness: Mutex<BeliefFreshness>,
-    /// Number of times that all lists had to be read again.
-    rereads: watch::Sender<u64>,
+    /// How far the lists can be trusted.
+    list_trust: watch::Sender<ListTrust>,
     is_stopping: AtomicBool,
     /// Cancelled when a planned stop gives up what no upstream has received.
     gives_up_waiting: CancellationToken,
@@ -60,6 +60,15 @@
     in_progress: AtomicUsize,
 }
 
+/// How far the lists of the platform can be trusted.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ListTrust {
+    /// Number of times that all lists had to be read again.
+    rereads: u64,
+    /// Whether the platform left the last check unanswered.
+    pub(crate) is_platform_silent: bool,
+}
+
 /// Counts a request for as long as it is in progress.
 pub(crate) struct InProgress {
     relay: Arc<Relay>,
@@ -86,7 +95,7 @@
             upstreams: Mutex::new(Upstreams::new(UpstreamsSettings::default(), &settings.name)),
             retries: Mutex::new(RetryShare::new(settings.bounds.retries)),
             freshness: Mutex::new(BeliefFreshness::new(suspended_clock_ms())),
-            rereads: watch::Sender::new(0),
+            list_trust: watch::Sender::new(ListTrust::default()),
             is_stopping: AtomicBool::new(false),
             gives_up_waiting: CancellationToken::new(),
             follows_platform: AtomicBool::new(true),
@@ -161,12 +170,20 @@
 
     /// Makes the feeds break off their polls and read their lists again.
     pub(crate) fn read_lists_again(&self) {
-        self.rereads.send_modify(|it| *it += 1);
+        self.list_trust.send_modify(|it| it.rereads += 1);
+    }
+
+    /// Notes whether the platform answers checks; the feeds don't press one that does not.
+    pub(crate) fn set_platform_silent(&self, is_silent: bool) {
+        self.list_trust.send_if_modified(|it| {
+            let was_silent = std::mem::replace(&mut it.is_platform_silent, is_silent);
+            was_silent != is_silent
+        });
     }
 
     /// Returns a receiver that changes each time that the lists have to be read again.
-    pub(crate) fn rereads(&self) -> watch::Receiver<u64> {
-        self.rereads.subscribe()
+    pub(crate) fn list_trust(&self) -> watch::Receiver<ListTrust> {
+        self.list_trust.subscribe()
     }
 
     /// Notes that a belief was read as a whole from the platform.
