Relay: a request that crashed three upstreams is refused at all entries

Change: an answer that breaks off at an address that refuses connections right after is a strike against the request; three strikes refuse it as not run. Completions before and after clear it. Entries exchange strikes with their questions. Ruled out: strikes for every broken answer (upstreams lose answers without a crash), running suspects alone (an entry does not see the others' requests at an upstream).

--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -40,11 +40,13 @@
 //! retention period, without completing in between as far as the refusing process has heard.
 //! A request that stops upstreams only now and then is cleared whenever it completes.
 
+mod crashes;
 mod registry;
 mod strike;
 mod suspects;
 
 pub use self::{
+    crashes::{CRASHES, CrashSabotage, CrashWatch, RequestHash},
     registry::{Admission, Quarantine, QuarantineLimits},
     strike::Strike,
     suspects::{SuspectTracker, alone_upstream},
--- /dev/null
+++ b/crates/entry/src/relay/crashes.rs
@@ -0,0 +1,115 @@
+//! Requests that crash the upstreams running them, as this entry and the others have seen it.
+
+use std::{
+    hash::{Hash, Hasher},
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use log::info;
+use rustc_hash::FxHasher;
+use tokio::net::TcpStream;
+use yuccatrail_core::{
+    ids::{Digest, Incarnation},
+    quarantine::{CrashWatch, RequestHash, Strike},
+    upstreams::UpstreamRecord,
+};
+
+use crate::{
+    caller::service::fingerprint,
+    relay::{
+        request::CallerRequest,
+        state::{Relay, lock},
+    },
+};
+
+/// Longest time to find out whether an upstream still listens, in milliseconds.
+const CHECK_LIMIT_MS: u64 = 300;
+
+/// The crash watch of this entry.
+#[derive(Debug, Default)]
+pub(crate) struct Crashes {
+    watch: Mutex<CrashWatch>,
+}
+
+impl Crashes {
+    /// Tells whether a request must not run any more.
+    pub(crate) fn is_refused(&self, request: &CallerRequest, now_ms: u64) -> bool {
+        let watch = lock(&self.watch);
+        !watch.is_empty() && watch.is_refused(digest(request), now_ms)
+    }
+
+    /// Notes that a request got its whole answer from an upstream.
+    pub(crate) fn note_completed(&self, request: &CallerRequest, now_ms: u64) {
+        lock(&self.watch).on_complete(hash(request), || digest(request), now_ms);
+    }
+
+    /// Returns the strikes to pass on to other entries.
+    pub(crate) fn recent(&self, now_ms: u64) -> Vec<Strike> {
+        lock(&self.watch).recent(now_ms)
+    }
+
+    /// Takes in strikes that another entry passed on.
+    pub(crate) fn merge(&self, strikes: &[Strike], now_ms: u64) {
+        if !strikes.is_empty() {
+            lock(&self.watch).merge(strikes, now_ms);
+        }
+    }
+
+    /// Forgets what no longer counts.
+    pub(crate) fn expire(&self, now_ms: u64) {
+        lock(&self.watch).expire(now_ms);
+    }
+}
+
+/// Finds out whether an upstream that lost an answer has crashed, and holds that against the request.
+pub(crate) fn note_loss(
+    relay: &Arc<Relay>,
+    request: &Arc<CallerRequest>,
+    upstream: &UpstreamRecord,
+) {
+    let (relay, request, upstream) = (relay.clone(), request.clone(), upstream.clone());
+    tokio::spawn(async move {
+        if !has_crashed(upstream.address).await {
+            return;
+        }
+        let now_ms = relay.now_ms();
+        let run = run_of(&upstream);
+        let counts =
+            lock(&relay.crashes.watch).on_crash(run, digest(&request), hash(&request), now_ms);
+        info!(id:% = request.id, upstream:% = upstream.id, counts = counts; "upstream crashed while it ran the request");
+    });
+}
+
+/// Tells whether nothing listens at the address; a process that lives accepts connections, also where
+/// it lost an answer.
+async fn has_crashed(address: SocketAddr) -> bool {
+    let limit = Duration::from_millis(CHECK_LIMIT_MS);
+    match tokio::time::timeout(limit, TcpStream::connect(address)).await {
+        Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
+        // An upstream that can't be reached may live.
+        Ok(Ok(_)) | Err(_) => false,
+    }
+}
+
+/// Names the run of an upstream alike at all entries.
+fn run_of(upstream: &UpstreamRecord) -> Incarnation {
+    let mut hasher = FxHasher::default();
+    (&upstream.id, upstream.started_unix_ms).hash(&mut hasher);
+    Incarnation(hasher.finish())
+}
+
+fn hash(request: &CallerRequest) -> RequestHash {
+    let mut hasher = FxHasher::default();
+    request.admission.customer.hash(&mut hasher);
+    request.target().hash(&mut hasher);
+    request.body().hash(&mut hasher);
+    RequestHash(hasher.finish())
+}
+
+fn digest(request: &CallerRequest) -> Digest {
+    let customer = request.admission.customer.as_deref().unwrap_or_default();
+    fingerprint(customer, request.method().as_str(), request.target(), request.body())
+}
--- a/crates/entry/src/relay/mod.rs
+++ b/crates/entry/src/relay/mod.rs
@@ -1,6 +1,7 @@
 //! The `relay` subcommand: an entry in front of upstreams that have no agents.
 
 mod attempt;
+mod crashes;
 mod feed;
 mod metrics;
 mod model;
@@ -148,6 +149,7 @@
         relay.note_sign_of_life();
         let now_ms = relay.now_ms();
         relay.upstreams().expire(now_ms);
+        relay.crashes.expire(now_ms);
         relay.peers.decide_whom_to_ask(&relay);
         relay.stages.tick(&relay);
         relay.releases.send_all(&relay);
--- a/crates/entry/src/relay/peers/ask.rs
+++ b/crates/entry/src/relay/peers/ask.rs
@@ -91,11 +91,13 @@
     let peer = Peer { name: name.to_owned(), client, lost: CancellationToken::new() };
     let mut knows_entries = false;
     loop {
-        let asked = peer.client.hello(context_for(HELLO_TIMEOUT_MS), own_address(relay));
+        let strikes = relay.crashes.recent(relay.now_ms());
+        let asked = peer.client.hello(context_for(HELLO_TIMEOUT_MS), own_address(relay), strikes);
         match tokio::time::timeout(limit, asked).await {
             Ok(Ok(reply)) => {
                 take_newer_configuration(relay, &peer, reply.config_version).await;
                 take_beliefs(relay, &peer, reply.list_revisions).await;
+                relay.crashes.merge(&reply.strikes, relay.now_ms());
                 relay.peers.note_reply(name, reply, &peer, stop);
                 if !knows_entries {
                     knows_entries = take_entries(relay, &peer).await;
--- a/crates/entry/src/relay/peers/serve.rs
+++ b/crates/entry/src/relay/peers/serve.rs
@@ -10,7 +10,7 @@
 };
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
-use yuccatrail_core::{route_table::Configuration, upstreams::Beliefs};
+use yuccatrail_core::{quarantine::Strike, route_table::Configuration, upstreams::Beliefs};
 use yuccatrail_rpc::{
     entries::{EntryAddress, EntryPeer, HelloReply, StageReply, StageRequest},
     transport,
@@ -29,7 +29,9 @@
 }
 
 impl EntryPeer for Connection {
-    async fn hello(self, _: Context, from: EntryAddress) -> HelloReply {
+    async fn hello(self, _: Context, from: EntryAddress, strikes: Vec<Strike>) -> HelloReply {
+        let now_ms = self.relay.now_ms();
+        self.relay.crashes.merge(&strikes, now_ms);
         // Without the platform an entry that starts again finds the others by their questions.
         if !self.relay.upstreams().has_platform_list() {
             note_address(&self.relay, from);
@@ -38,7 +40,9 @@
         let config_version = self.relay.table().map(|it| it.version());
         let revisions = self.relay.upstreams().revisions();
         let list_revisions = self.relay.follows_platform().then_some(revisions);
-        HelloReply { takes_work: self.relay.is_ready(), config_version, list_revisions, queues }
+        let strikes = self.relay.crashes.recent(now_ms);
+        let takes_work = self.relay.is_ready();
+        HelloReply { takes_work, config_version, list_revisions, queues, strikes }
     }
 
     async fn entries(self, _: Context) -> Vec<EntryAddress> {
--- a/crates/entry/src/relay/plain.rs
+++ b/crates/entry/src/relay/plain.rs
@@ -11,6 +11,7 @@
 
 use crate::relay::{
     attempt::{Attempt, AttemptError, check_signature},
+    crashes::note_loss,
     metrics::ServiceLabels,
     request::{AnswerBody, CallerRequest, Refusal},
     sabotage::Mechanism,
@@ -41,7 +42,7 @@
 /// Serves a call of a plain service.
 pub(crate) async fn serve(
     relay: &Arc<Relay>,
-    request: &CallerRequest,
+    request: &Arc<CallerRequest>,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let route = &request.admission.route;
     let is_sent_once = !Mechanism::SendOnce.is_off();
@@ -67,7 +68,10 @@
                 attempt.finish(&answer);
                 arrivals += 1;
                 match result {
-                    Tried::Answer(response) => return Ok(response),
+                    Tried::Answer(response) => {
+                        relay.crashes.note_completed(request, relay.now_ms());
+                        return Ok(response);
+                    }
                     Tried::Failure(response) => {
                         runs += 1;
                         failure = Some(response);
@@ -82,6 +86,9 @@
                     error:% = error;
                     "attempt failed"
                 );
+                if matches!(error, AttemptError::Lost(_)) {
+                    note_loss(relay, request, &attempt.record);
+                }
                 attempt.fail();
                 if request.remaining_ms(relay.now_ms()) == 0 {
                     return Err(Refusal::timed_out("time_over"));
--- a/crates/entry/src/relay/request.rs
+++ b/crates/entry/src/relay/request.rs
@@ -35,6 +35,9 @@
 /// Wait that is proposed to callers while the entry lacks a configuration, in milliseconds: about
 /// the time of a start.
 const NO_CONFIGURATION_RETRY_MS: u64 = 500;
+/// Wait that is proposed for a request that crashes its upstreams, in milliseconds: half of the time for
+/// which that is held against it.
+const CRASHING_RETRY_MS: u64 = 60_000;
 /// Deadline of a request that states none, in milliseconds, unless its route has a shorter time-out.
 const DEFAULT_DEADLINE_MS: u64 = 60_000;
 
@@ -103,6 +106,21 @@
         self.arrived_ms + self.admission.route.aim_ms
     }
 
+    /// Returns the method.
+    pub(crate) fn method(&self) -> &Method {
+        &self.method
+    }
+
+    /// Returns path and query as the caller sent them.
+    pub(crate) fn target(&self) -> &str {
+        self.uri.path_and_query().map_or("/", |it| it.as_str())
+    }
+
+    /// Returns the whole body.
+    pub(crate) fn body(&self) -> &Bytes {
+        &self.body
+    }
+
     /// Sends the request and keeps account of whether an upstream may have run it.
     pub(crate) async fn send(
         &self,
@@ -231,6 +249,9 @@
         body,
         sent: AtomicUsize::new(0),
     });
+    if relay.crashes.is_refused(&request, arrived_ms) {
+        return request.refuse(&relay, &Refusal::busy("crashes_upstreams", CRASHING_RETRY_MS));
+    }
     serve(&relay, &request, in_progress).await
 }
 
--- a/crates/entry/src/relay/state.rs
+++ b/crates/entry/src/relay/state.rs
@@ -23,8 +23,8 @@
 use yuccatrail_runtime::clock::Clock;
 
 use crate::relay::{
-    metrics::RelayMetrics, peers::Peers, pool::Pool, release::Releases, settings::RelaySettings,
-    stages::StageQueues,
+    crashes::Crashes, metrics::RelayMetrics, peers::Peers, pool::Pool, release::Releases,
+    settings::RelaySettings, stages::StageQueues,
 };
 
 /// Time between two looks whether beliefs are fresh; lists take some milliseconds.
@@ -44,6 +44,8 @@
     pub(crate) peers: Peers,
     /// Results that nobody needs any more.
     pub(crate) releases: Releases,
+    /// Requests that crash upstreams.
+    pub(crate) crashes: Crashes,
     /// Counters and histograms.
     pub(crate) metrics: RelayMetrics,
     table: Mutex<Option<Arc<RouteTable>>>,
@@ -90,6 +92,7 @@
             stages: StageQueues::default(),
             peers: Peers::new(own),
             releases: Releases::default(),
+            crashes: Crashes::default(),
             metrics: RelayMetrics::new(),
             table: Mutex::new(None),
             upstreams: Mutex::new(Upstreams::new(UpstreamsSettings::default(), &settings.name)),
--- a/crates/entry/src/relay/stream.rs
+++ b/crates/entry/src/relay/stream.rs
@@ -23,6 +23,7 @@
 
 use crate::relay::{
     attempt::{Attempt, AttemptError, check_signature},
+    crashes::note_loss,
     model::wanted,
     plain::take_retry,
     release::HeldResults,
@@ -151,6 +152,7 @@
                 break;
             }
             self.tried.push(attempt.key);
+            let upstream = attempt.record.clone();
             match self.try_open(attempt).await {
                 Ok(Tried::Open(open)) => {
                     self.runs += 1;
@@ -163,6 +165,9 @@
                 Ok(Tried::Lost) => (self.runs, arrivals) = (self.runs + 1, arrivals + 1),
                 Err(error) => {
                     warn!(id:% = request.id, error:% = error; "attempt failed");
+                    if matches!(error, AttemptError::Lost(_)) {
+                        note_loss(&relay, &request, &upstream);
+                    }
                     if !matches!(error, AttemptError::Unreachable(_)) {
                         (self.runs, arrivals) = (self.runs + 1, arrivals + 1);
                     }
@@ -289,6 +294,7 @@
                 detail = detail;
                 "stream broke"
             );
+            note_loss(&self.call.relay, &request, &source.attempt.record);
             source.attempt.fail();
         }
         if !request.admission.route.is_resumable {
@@ -318,6 +324,8 @@
         if let Some(source) = self.source.take() {
             source.attempt.finish(&source.answer);
         }
+        let relay = &self.call.relay;
+        relay.crashes.note_completed(&self.call.request, relay.now_ms());
         self.log_end("complete");
     }
 
--- a/crates/rpc/src/entries.rs
+++ b/crates/rpc/src/entries.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use yuccatrail_core::{
     batching::{GroupEnd, StageWork},
+    quarantine::Strike,
     route_table::Configuration,
     upstreams::{Beliefs, ListRevisions},
 };
@@ -31,6 +32,8 @@
     pub list_revisions: Option<ListRevisions>,
     /// Queues of the stage services.
     pub queues: Vec<QueueState>,
+    /// Strikes against requests that crash upstreams.
+    pub strikes: Vec<Strike>,
 }
 
 /// State of the queue of one stage service.
@@ -65,8 +68,9 @@
 /// Calls that an entry answers to another.
 #[tarpc::service]
 pub trait EntryPeer {
-    /// Tells whether the entry takes work; `from` is the entry that asks.
-    async fn hello(from: EntryAddress) -> HelloReply;
+    /// Tells whether the entry takes work; `from` is the entry that asks, `strikes` are those that it
+    /// knows.
+    async fn hello(from: EntryAddress, strikes: Vec<Strike>) -> HelloReply;
     /// Returns the entries that this one knows.
     async fn entries() -> Vec<EntryAddress>;
     /// Returns the configuration in force; none before the first.
