Relay: stage work that won't be reached in time is given up at once

Late work goes last, waits until its deadline has passed (198 refusals 'stage_late' after 4 s and more), and its inputs take up room all the while. Work with a call in progress stays.

--- a/crates/core/src/batching/batcher.rs
+++ b/crates/core/src/batching/batcher.rs
@@ -208,8 +208,8 @@
         first_free_ms + queue_ms + self.duration_ms(pieces.min(batch))
     }
 
-    /// Removes the groups that can't meet their deadlines.
-    pub fn expire(&mut self, now_ms: u64) -> Settled {
+    /// Removes the groups that can't meet their deadlines with `engines` upstreams in use.
+    pub fn expire(&mut self, engines: usize, now_ms: u64) -> Settled {
         let shortest_ms = self.duration_ms(1);
         let mut settled = Settled::default();
         let is_hopeless = |it: &Group| {
@@ -218,9 +218,8 @@
         };
         let late: Vec<GroupKey> =
             self.groups.iter().filter(|(_, it)| is_hopeless(it)).map(|(key, _)| key).collect();
-        for key in late {
-            settled.unused.extend(self.cancel(key));
-            settled.ended.push((key, GroupEnd::Late, Vec::new()));
+        for key in late.into_iter().chain(self.unreachable(engines, now_ms)) {
+            self.end(key, GroupEnd::Late, &mut settled);
         }
         settled
     }
@@ -340,8 +339,8 @@
         self.duration_ms(self.service.batch.max(1)) * LOADED_FACTOR
     }
 
-    /// Returns the pieces that wait, those that go first first.
-    fn queue(&self, now_ms: u64) -> Vec<(GroupKey, usize)> {
+    /// Returns the groups that wait, those that go first first.
+    pub(super) fn order(&self, now_ms: u64) -> Vec<(Place, GroupKey)> {
         let call_ms = self.duration_ms(1);
         let mut places: Vec<(Place, GroupKey)> = self
             .groups
@@ -350,8 +349,13 @@
             .map(|(key, it)| (it.work.place(it.is_untouched(), now_ms, call_ms), key))
             .collect();
         places.sort_unstable();
+        places
+    }
+
+    /// Returns the pieces that wait, those that go first first.
+    fn queue(&self, now_ms: u64) -> Vec<(GroupKey, usize)> {
         let mut queue = Vec::new();
-        for (_, key) in places {
+        for (_, key) in self.order(now_ms) {
             let Some(group) = self.groups.get(key) else { continue };
             queue.extend(group.waiting.iter().map(|it| (key, *it)));
         }
--- a/crates/core/src/batching/mod.rs
+++ b/crates/core/src/batching/mod.rs
@@ -11,6 +11,7 @@
 mod fill;
 mod inputs;
 mod order;
+mod unreachable;
 
 pub use batcher::{
     Batcher, CallKey, CallOrder, CallResult, GroupEnd, GroupKey, PieceResult, Settled,
--- a/crates/core/src/batching/tests.rs
+++ b/crates/core/src/batching/tests.rs
@@ -118,8 +118,8 @@
 fn work_that_cannot_meet_its_deadline_is_given_back_at_once() {
     let mut batcher = Batcher::new(SERVICE);
     let group = batcher.submit(work(1, 100, 1_000));
-    assert_eq!(batcher.expire(783).ended, []);
-    assert_eq!(batcher.expire(784).ended, [(group, GroupEnd::Late, Vec::new())]);
+    assert_eq!(batcher.expire(1, 783).ended, []);
+    assert_eq!(batcher.expire(1, 784).ended, [(group, GroupEnd::Late, Vec::new())]);
     assert_eq!(batcher.waiting(), 0);
 }
 
@@ -320,7 +320,7 @@
         while now_ms < 70_000 {
             now_ms += 40;
             batcher.requeue_overdue(now_ms);
-            let mut settled = vec![batcher.expire(now_ms)];
+            let mut settled = vec![batcher.expire(engines.len(), now_ms)];
             while let Some(order) = batcher.next_call(&engines, now_ms) {
                 prop_assert!(order.pieces.len() <= SERVICE.batch);
                 prop_assert!(calls.iter().all(|it| it.engine != order.engine));
@@ -347,3 +347,18 @@
         prop_assert!(open.is_empty());
     }
 }
+
+#[test]
+fn work_that_is_too_far_back_is_given_up_at_once() {
+    let engines = engines(1);
+    let mut batcher = Batcher::new(SERVICE);
+    let late: Vec<_> = (0..5).map(|it| batcher.submit(work(10, 100, 1_000 + it))).collect();
+    let running = batcher.next_call(&engines, 0).unwrap();
+    assert_eq!(running.pieces[0].0, late[0]);
+    // A round takes 370 ms, of which 296 are certain.
+    let ended: Vec<_> = batcher.expire(1, 0).ended.into_iter().map(|it| (it.0, it.1)).collect();
+    assert_eq!(ended, [(late[4], GroupEnd::Late)]);
+    assert_eq!(batcher.expire(2, 0).ended, [], "two upstreams reach all of it");
+    // What a call has begun stays.
+    assert!(batcher.work(late[0]).is_some());
+}
--- a/crates/entry/src/relay/stages.rs
+++ b/crates/entry/src/relay/stages.rs
@@ -225,9 +225,10 @@
     /// Gives up hopeless work, repeats overdue calls and starts what can start.
     pub(crate) fn tick(&self, relay: &Arc<Relay>) {
         let now_ms = relay.now_ms();
-        for queue in lock(&self.queues).values_mut() {
+        for (service, queue) in lock(&self.queues).iter_mut() {
+            let engines = usable_engines(relay, service, now_ms).len();
             queue.batcher.requeue_overdue(now_ms);
-            let settled = queue.batcher.expire(now_ms);
+            let settled = queue.batcher.expire(engines, now_ms);
             queue.deliver(relay, settled);
             let upstreams = relay.upstreams();
             queue.batcher.keep_engines(|it| upstreams.get(it).is_some());
