Relay: fewer checks while the store is away, lists read once on its return

Change: a failed check is followed by the next after 800 ms; two failures in a row are an outage, whose end is read once.

--- a/crates/platform/src/suspicion.rs
+++ b/crates/platform/src/suspicion.rs
@@ -7,9 +7,12 @@
 /// always noticed, and is below the three seconds after which a platform counts as stable again.
 const CHECK_INTERVAL_MS: u64 = 1_000;
 
-/// Time between a check that failed and the next, in milliseconds; a fifth of the two seconds in which
-/// changes have to be in force after the platform's return.
-const FAILED_INTERVAL_MS: u64 = 400;
+/// Time between a check that failed and the next, in milliseconds; less than half of the two seconds in
+/// which changes have to be in force after the platform's return. Each failed check costs a whole call.
+const FAILED_INTERVAL_MS: u64 = 800;
+
+/// Checks in a row without an answer that show an outage rather than answers lost now and then.
+const OUTAGE_CHECKS: u32 = 2;
 
 /// Time after a failed check in which other answers may be lost while checks succeed, in milliseconds:
 /// three checks in a row have to be answered.
@@ -29,29 +32,28 @@
 pub struct PollSuspicion {
     /// Time of the last failed check, in milliseconds, until the alert after it is over.
     failed_ms: Option<u64>,
-    /// Whether the last check was answered.
-    is_answered: bool,
+    /// Checks in a row that failed.
+    failures: u32,
 }
 
 impl PollSuspicion {
     /// Takes the outcome of a check at a time in milliseconds.
     ///
-    /// Polls are broken off at the first failure, so that the pollers notice it, at the first answer
-    /// after one, and once more when the platform has answered for a while.
+    /// Polls are broken off at the first failure, so that the pollers notice it, and at the first answer
+    /// after one. Unless that was the end of an outage, other answers may be lost still, and polls are
+    /// broken off once more when the platform has answered for a while.
     pub fn on_check(&mut self, is_answered: bool, now_ms: u64) -> CheckOutcome {
-        let was_answered = std::mem::replace(&mut self.is_answered, is_answered);
         if !is_answered {
+            self.failures += 1;
             let is_first = self.failed_ms.replace(now_ms).is_none();
             return CheckOutcome { breaks_polls: is_first, next_check_ms: FAILED_INTERVAL_MS };
         }
-        let Some(failed_ms) = self.failed_ms else {
-            return CheckOutcome { breaks_polls: false, next_check_ms: CHECK_INTERVAL_MS };
-        };
-        let is_over = now_ms >= failed_ms + ALERT_MS;
-        if is_over {
+        let failures = std::mem::take(&mut self.failures);
+        let is_over = self.failed_ms.is_some_and(|it| now_ms >= it + ALERT_MS);
+        if is_over || failures >= OUTAGE_CHECKS {
             self.failed_ms = None;
         }
-        CheckOutcome { breaks_polls: is_over || !was_answered, next_check_ms: CHECK_INTERVAL_MS }
+        CheckOutcome { breaks_polls: is_over || failures > 0, next_check_ms: CHECK_INTERVAL_MS }
     }
 }
 
