--- a/crates/entry/src/relay/mod.rs
+++ b/crates/entry/src/relay/mod.rs
@@ -7,6 +7,7 @@
 mod model;
 mod peers;
 mod plain;
+mod platform_check;
 mod pool;
 mod release;
 mod request;
@@ -86,7 +87,7 @@
     tokio::spawn(feed::follow_upstreams(relay.clone(), client.clone(), finished.clone()));
     tokio::spawn(feed::follow_evacuations(relay.clone(), client.clone(), finished.clone()));
     tokio::spawn(peers::follow_entries(relay.clone(), client.clone(), finished.clone()));
-    tokio::spawn(peers::check_platform(relay.clone(), client.clone(), finished.clone()));
+    tokio::spawn(platform_check::check(relay.clone(), client.clone(), finished.clone()));
     tokio::spawn(peers::serve(peers, relay.clone(), finished.clone()));
     let registering = tokio::spawn(peers::register(relay.clone(), client.clone()));
     tokio::spawn(keep_house(relay.clone(), finished.clone()));
--- a/crates/entry/src/relay/peers.rs
+++ b/crates/entry/src/relay/peers.rs
@@ -24,7 +24,7 @@
     state::{Relay, lock},
 };
 
-pub(crate) use record::{check_platform, follow_entries, register, unregister};
+pub(crate) use record::{follow_entries, register, unregister};
 pub(crate) use serve::serve;
 
 /// Shortest time between two questions to another entry, in milliseconds.
--- a/crates/entry/src/relay/peers/record.rs
+++ b/crates/entry/src/relay/peers/record.rs
@@ -1,4 +1,4 @@
-//! The list of entries, the own record in it, and the check whether the platform answers.
+//! The list of entries, and the own record in it.
 
 use std::{sync::Arc, time::Duration};
 
@@ -6,11 +6,10 @@
 use log::{info, warn};
 use tokio_util::sync::CancellationToken;
 use yuccatrail_adapter::{
-    EntryRecord, StoreChange, encode_entry, entries_form, entry_check_path, entry_collection_path,
-    entry_path,
+    EntryRecord, StoreChange, encode_entry, entries_form, entry_collection_path, entry_path,
 };
 use yuccatrail_core::FastSet;
-use yuccatrail_platform::{CallKind, Client, PlatformError, PollSuspicion, PollUpdate};
+use yuccatrail_platform::{Client, PlatformError, PollUpdate};
 
 use crate::relay::{feed::Feed, state::Relay};
 
@@ -91,34 +90,6 @@
     }
 }
 
-/// Reads the own record again and again, and lists again where an answer does not come.
-///
-/// Polls that wait can't tell a platform without changes from one whose answers are lost.
-pub(crate) async fn check_platform(relay: Arc<Relay>, client: Client, stop: CancellationToken) {
-    let name = &relay.settings.name;
-    let path = entry_check_path(name);
-    let mut suspicion = PollSuspicion::default();
-    while !stop.is_cancelled() {
-        let failure = match client.read(CallKind::Read, name, &path, 0).await {
-            Err(error @ PlatformError::Unavailable { .. }) => Some(error),
-            // An answer is an answer, whatever it says of the record.
-            Ok(_) | Err(_) => None,
-        };
-        let outcome = suspicion.on_check(failure.is_none(), relay.now_ms());
-        relay.set_platform_silent(failure.is_some());
-        if outcome.breaks_polls {
-            match failure {
-                Some(error) => {
-                    warn!(error:% = error; "platform did not answer a check, lists are read again")
-                }
-                None => info!("platform answers again, lists are read again"),
-            }
-            relay.read_lists_again();
-        }
-        tokio::time::sleep(Duration::from_millis(outcome.next_check_ms)).await;
-    }
-}
-
 /// Removes the own record, so that the other entries no longer count this one.
 pub(crate) async fn unregister(relay: &Relay, client: &Client) {
     let name = &relay.settings.name;
