Agent fuzz: the shared harness instead of its own runner

The file had a state machine, a thread-local switch and a runner of its own beside core/tests/harness, which does the same.

--- a/crates/core/tests/agent_fuzz/main.rs
+++ b/crates/core/tests/agent_fuzz/main.rs
@@ -1,14 +1,11 @@
 //! Fuzzes the whole agent against an oracle that knows only the promises of one upstream.
 
+#[path = "../harness/mod.rs"]
+mod harness;
 mod oracle;
 
-use std::cell::Cell;
-
-use proptest::{
-    prelude::*,
-    test_runner::{Config, RngSeed, TestRunner},
-};
-use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+use harness::{Run, assert_holds};
+use proptest::prelude::*;
 use yuccatrail_core::{
     FastMap,
     agent::{AgentCore, AgentSettings, CallResult, ProbeResult, ProbeTicket, SubmitOrder},
@@ -21,7 +18,7 @@
 
 use crate::oracle::{Oracle, ShownWarm};
 
-const SEED: u64 = 9_001;
+const RUN: Run = Run { seed: 9_001, cases: 256, steps: 300 };
 const AGENT: Incarnation = Incarnation(7);
 const RETENTION_MS: u64 = 100;
 const EVIDENCE_AGE_MS: u64 = 5;
@@ -89,23 +86,6 @@
     ]
 }
 
-struct Events;
-
-impl ReferenceStateMachine for Events {
-    type State = ();
-    type Transition = Event;
-
-    fn init_state() -> BoxedStrategy<()> {
-        Just(()).boxed()
-    }
-
-    fn transitions((): &()) -> BoxedStrategy<Event> {
-        event().boxed()
-    }
-
-    fn apply((): (), _: &Event) {}
-}
-
 struct Sut {
     core: AgentCore,
     control: ControlState,
@@ -123,7 +103,7 @@
 }
 
 impl Sut {
-    fn new() -> Self {
+    fn start() -> Self {
         let gate = GateSettings {
             upstream: "u".to_owned(),
             data_centre: "north".to_owned(),
@@ -369,55 +349,41 @@
     AttemptId { request, stage: StageIndex(0), number: 0, entry: Incarnation(1) }
 }
 
-impl StateMachineTest for Sut {
-    type SystemUnderTest = Self;
-    type Reference = Events;
+impl harness::World for Sut {
+    type Off = Sabotage;
+    type Step = Event;
 
-    fn init_test((): &()) -> Self {
-        #[cfg_attr(not(feature = "sabotage"), expect(unused_mut))]
-        let mut sut = Self::new();
-        #[cfg(feature = "sabotage")]
-        if let Some(sabotage) = SABOTAGE.get() {
-            sut.core.sabotage(sabotage);
-        }
+    fn new(off: Option<Sabotage>) -> Self {
+        let mut sut = Self::start();
+        harness::sabotage!(sut.core, off);
         sut
     }
 
-    fn apply(mut sut: Self, (): &(), event: Event) -> Self {
-        sut.apply_event(event);
-        sut
+    fn step() -> BoxedStrategy<Event> {
+        event().boxed()
+    }
+
+    fn apply(&mut self, event: Event) {
+        self.apply_event(event);
     }
 
-    fn teardown(sut: Self, _: ()) {
-        sut.settle();
+    /// Each event is checked as it is applied.
+    fn check(&self) {}
+
+    fn finish(self) {
+        self.settle();
     }
 }
 
 #[cfg(feature = "sabotage")]
 use yuccatrail_core::agent::Sabotage;
 #[cfg(not(feature = "sabotage"))]
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 enum Sabotage {}
 
-thread_local! {
-    static SABOTAGE: Cell<Option<Sabotage>> = const { Cell::new(None) };
-}
-
-fn run(sabotage: Option<Sabotage>) -> Result<(), String> {
-    SABOTAGE.set(sabotage);
-    let config =
-        Config { rng_seed: RngSeed::Fixed(SEED), failure_persistence: None, ..Config::default() };
-    let strategy = Events::sequential_strategy(1..300);
-    let result = TestRunner::new(config.clone()).run(&strategy, |(state, events, seen)| {
-        Sut::test_sequential(config.clone(), state, events, seen);
-        Ok(())
-    });
-    result.map_err(|it| it.to_string())
-}
-
 #[test]
 fn the_agent_keeps_its_promises() {
-    run(None).unwrap();
+    assert_holds::<Sut>(RUN);
 }
 
 #[cfg(feature = "sabotage")]
@@ -436,13 +402,13 @@
         Sabotage::Ledger(sabotage::Sabotage::UnknownAfterEviction),
     ];
     for sabotage in mechanisms {
-        assert!(run(Some(sabotage)).is_err(), "{sabotage:?} went unnoticed");
+        harness::assert_caught::<Sut>(RUN, sabotage);
     }
 }
 
 #[test]
 fn an_attempt_for_another_pool_is_refused() {
-    let mut sut = Sut::new();
+    let mut sut = Sut::start();
     let order = SubmitOrder { pool: "rerankers".to_owned(), ..order(1, false, 1_000, 1_000) };
     let AttemptLookup::NotRun(refusal) = sut.core.submit(&order, 0) else {
         panic!("accepted for another pool");
@@ -452,7 +418,7 @@
 
 #[test]
 fn a_burst_waits_for_a_probe_that_was_sent_after_it_arrived() {
-    let mut sut = Sut::new();
+    let mut sut = Sut::start();
     sut.apply_event(Event::Confirm);
     sut.apply_event(Event::Probe { boot_id: 0, warm: true });
     // The limit grows beyond the cold one.
