--- a/crates/entry/src/relay/crashes.rs
+++ b/crates/entry/src/relay/crashes.rs
@@ -110,6 +110,7 @@
 }
 
 fn digest(request: &CallerRequest) -> Digest {
+    // Requests of routes without a key belong to no customer.
     let customer = request.admission.customer.as_deref().unwrap_or_default();
     fingerprint(customer, request.method().as_str(), request.target(), request.body())
 }
--- a/crates/entry/src/relay/stages.rs
+++ b/crates/entry/src/relay/stages.rs
@@ -226,8 +226,11 @@
     pub(crate) fn tick(&self, relay: &Arc<Relay>) {
         let now_ms = relay.now_ms();
         for (service, queue) in lock(&self.queues).iter_mut() {
-            let engines = usable_engines(relay, service, now_ms).len();
             queue.batcher.requeue_overdue(now_ms);
+            let engines = match queue.batcher.waiting() {
+                0 => 0,
+                _ => usable_engines(relay, service, now_ms).len(),
+            };
             let settled = queue.batcher.expire(engines, now_ms);
             queue.deliver(relay, settled);
             let upstreams = relay.upstreams();
