--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod quarantine;
 pub mod queue;
 pub mod retry_share;
+pub mod revision;
 pub mod route_table;
 pub mod routing;
 pub mod sabotage;
--- a/crates/core/src/ownership/mod.rs
+++ b/crates/core/src/ownership/mod.rs
@@ -5,10 +5,12 @@
 //! entry owned. While the views of two entries differ, two entries may own the same work; callers have
 //! to tolerate that.
 
+mod listed_entries;
 mod view;
 
 use crate::upstreams::rendezvous_weight;
 
+pub use listed_entries::ListedEntries;
 pub use view::{EntryView, OwnState, PeerState};
 
 /// Fraction of the largest CPU share below which an entry ranks after the stronger ones, since a weak
--- a/crates/core/src/switch.rs
+++ b/crates/core/src/switch.rs
@@ -9,9 +9,8 @@
     kind: std::marker::PhantomData<T>,
 }
 
-impl<T: Copy + PartialEq> MechanismSwitch<T> {
-    /// Creates a switch with every mechanism enabled.
-    pub(crate) fn new() -> Self {
+impl<T> Default for MechanismSwitch<T> {
+    fn default() -> Self {
         Self {
             #[cfg(feature = "sabotage")]
             disabled: None,
@@ -19,6 +18,13 @@
             kind: std::marker::PhantomData,
         }
     }
+}
+
+impl<T: Copy + PartialEq> MechanismSwitch<T> {
+    /// Creates a switch with every mechanism enabled.
+    pub(crate) fn new() -> Self {
+        Self::default()
+    }
 
     /// Disables `mechanism`; only one can be disabled at a time.
     #[cfg(feature = "sabotage")]
--- a/crates/core/src/upstreams/directory.rs
+++ b/crates/core/src/upstreams/directory.rs
@@ -6,7 +6,12 @@
 
 use crate::{
     FastMap, FastSet,
-    upstreams::{CallEnd, ColdLimit, ListRevisions, Load, Upstream, UpstreamKey, UpstreamRecord},
+    revision::Revision,
+    switch::MechanismSwitch,
+    upstreams::{
+        CallEnd, ColdLimit, Departures, Evacuations, ListRevisions, Load, Rest, RestRequest,
+        Upstream, UpstreamKey, UpstreamRecord,
+    },
 };
 
 /// Settings of [`Upstreams`].
@@ -51,8 +56,6 @@
         /// Identifier of the upstream.
         id: String,
     },
-    /// The platform is available again after an outage.
-    PlatformRecovered,
 }
 
 /// Upstreams of all services.
@@ -62,7 +65,8 @@
     pub(crate) all: SlotMap<UpstreamKey, Upstream>,
     by_id: FastMap<String, UpstreamKey>,
     pub(crate) by_service: FastMap<Arc<str>, Vec<UpstreamKey>>,
-    evacuated: FastSet<String>,
+    pub(crate) evacuations: Evacuations,
+    pub(crate) departures: Departures,
     /// For each service, the time for which an upstream is cold after its start, in milliseconds, and
     /// the requests a second that a cold upstream tolerates; 0 if it needs no limit.
     cold_starts: FastMap<Arc<str>, (u64, f64)>,
@@ -75,7 +79,34 @@
     has_list: bool,
     /// Whether a list has been received from the platform itself.
     has_platform_list: bool,
-    revisions: ListRevisions,
+    pub(crate) revisions: ListRevisions,
+    /// Whether a list of evacuated data centres has been received.
+    pub(crate) has_evacuations: bool,
+    pub(crate) mechanisms: MechanismSwitch<RestoreSabotage>,
+}
+
+/// Where a record was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RecordSource {
+    /// In a list of the platform.
+    PlatformList,
+    /// In the list of another entry.
+    PeerList,
+    /// In a change that the platform reported.
+    PlatformChange,
+}
+
+/// Mechanism that a test disables to show that its oracle detects the fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RestoreSabotage {
+    /// Updates from before a restore of the platform are applied.
+    EraOrder,
+    /// Upstreams that have left are used again when a restored platform lists them.
+    Departures,
+    /// An upstream that announces in a response that it leaves is used further.
+    Announcements,
+    /// Evacuations follow a restored list at once.
+    HeldEvacuations,
 }
 
 impl Upstreams {
@@ -89,6 +120,12 @@
         }
     }
 
+    /// Disables one mechanism.
+    #[cfg(feature = "sabotage")]
+    pub fn sabotage(&mut self, sabotage: RestoreSabotage) {
+        self.mechanisms.disable(sabotage);
+    }
+
     /// Tells whether a list has been received, from the platform or from another entry.
     pub fn has_list(&self) -> bool {
         self.has_list
@@ -109,16 +146,6 @@
         self.revisions
     }
 
-    /// Sets the revision of the list of upstreams in use.
-    pub fn set_upstreams_revision(&mut self, revision: u64) {
-        self.revisions.upstreams = revision;
-    }
-
-    /// Sets the revision of the list of evacuated data centres in use.
-    pub fn set_evacuations_revision(&mut self, revision: u64) {
-        self.revisions.evacuations = revision;
-    }
-
     /// Returns an upstream, unless it has been removed.
     pub fn get(&self, key: UpstreamKey) -> Option<&Upstream> {
         self.all.get(key)
@@ -178,67 +205,85 @@
         self.entries.len()
     }
 
-    /// Applies an update of the list of upstreams.
-    pub fn update(&mut self, update: ListUpdate, now_ms: u64) {
+    /// Applies an update that brings the list of upstreams to a revision of the platform.
+    ///
+    /// An update from before a restore of the platform that is already known changes nothing.
+    pub fn update(&mut self, update: ListUpdate, revision: Revision, now_ms: u64) {
+        let known = self.revisions.upstreams;
+        if revision.era < known.era && !self.mechanisms.is_disabled(RestoreSabotage::EraOrder) {
+            return;
+        }
+        self.revisions.upstreams = revision;
+        if self.has_list && known.era < revision.era {
+            // The copy from which the platform was restored may lack upstreams, which are listed again
+            // as after an outage.
+            self.begin_removal_grace(now_ms);
+        }
         match update {
             ListUpdate::Snapshot(records) => {
                 self.has_platform_list = true;
-                self.replace_all(records, now_ms);
+                self.replace_all(records, RecordSource::PlatformList, now_ms);
             }
-            ListUpdate::FromPeer(records) => self.replace_all(records, now_ms),
-            ListUpdate::Listed(record) => self.upsert(record, now_ms, self.has_list),
-            ListUpdate::Unlisted { id } => self.unlist(&id, now_ms),
-            ListUpdate::PlatformRecovered => {
-                self.removal_grace_until_ms = now_ms + self.settings.removal_grace_ms;
+            ListUpdate::FromPeer(records) => {
+                self.replace_all(records, RecordSource::PeerList, now_ms);
             }
+            ListUpdate::Listed(record) => {
+                self.upsert(record, RecordSource::PlatformChange, self.has_list, now_ms);
+            }
+            ListUpdate::Unlisted { id } => self.unlist(&id, now_ms),
         }
     }
 
-    /// Removes upstreams that are still missing from the list after the grace period.
-    pub fn expire(&mut self, now_ms: u64) {
+    /// Records that the platform has made no further change up to a revision.
+    pub fn confirm(&mut self, revision: Revision) {
+        self.revisions.upstreams = self.revisions.upstreams.max(revision);
+    }
+
+    /// Keeps upstreams that are missing from the list for the grace period, since the platform lists
+    /// them again after an outage.
+    pub fn begin_removal_grace(&mut self, now_ms: u64) {
+        self.removal_grace_until_ms = now_ms + self.settings.removal_grace_ms;
+    }
+
+    /// Removes upstreams that are still missing from the list after the grace period; returns the data
+    /// centres whose evacuation changed, each with whether it is evacuated now.
+    pub fn expire(&mut self, now_ms: u64) -> Vec<(String, bool)> {
+        self.departures.expire(now_ms);
+        let changed = self.evacuations.expire(now_ms);
         let is_due = |it: &Upstream| it.remove_at_ms.is_some_and(|at_ms| at_ms <= now_ms);
         let due: Vec<UpstreamKey> =
             self.all.iter().filter(|(_, it)| is_due(it)).map(|(key, _)| key).collect();
         for key in due {
-            self.remove(key);
+            self.remove(key, now_ms);
         }
+        changed
     }
 
-    /// Sets whether a data centre is evacuated, so that it receives no work; returns whether that
-    /// changed.
-    ///
-    /// After an evacuation its upstreams are treated as cold, since they may have restarted before their
-    /// records say so.
-    pub fn set_evacuated(&mut self, data_centre: &str, is_evacuated: bool, now_ms: u64) -> bool {
-        if is_evacuated {
-            return self.evacuated.insert(data_centre.to_owned());
-        }
-        if !self.evacuated.remove(data_centre) {
-            return false;
-        }
-        for upstream in self.all.values_mut() {
-            if upstream.record.data_centre.as_ref() != data_centre {
-                continue;
+    /// Treats the upstreams of data centres that are no longer evacuated as cold, since they may have
+    /// restarted before their records say so.
+    pub(crate) fn mark_returned_cold(&mut self, changed: &[(String, bool)], now_ms: u64) {
+        for (data_centre, _) in changed.iter().filter(|(_, is_evacuated)| !is_evacuated) {
+            for upstream in self.all.values_mut() {
+                if upstream.record.data_centre.as_ref() != data_centre {
+                    continue;
+                }
+                let (cold_start_ms, _) = cold_start(&self.cold_starts, &upstream.record.service);
+                upstream.cold_until_ms = upstream.cold_until_ms.max(now_ms + cold_start_ms);
             }
-            let (cold_start_ms, _) = cold_start(&self.cold_starts, &upstream.record.service);
-            upstream.cold_until_ms = upstream.cold_until_ms.max(now_ms + cold_start_ms);
         }
-        true
-    }
-
-    /// Returns the data centres that receive no work.
-    pub fn evacuated(&self) -> &FastSet<String> {
-        &self.evacuated
     }
 
     /// Tells whether a call may be sent to an upstream now.
     pub fn is_usable(&self, key: UpstreamKey, now_ms: u64) -> bool {
         let Some(upstream) = self.all.get(key) else { return false };
         let record = &upstream.record;
-        if record.is_draining || upstream.is_down(now_ms) {
+        if upstream.leaves() || upstream.is_down(now_ms) {
             return false;
         }
-        if self.evacuated.contains(record.data_centre.as_ref()) {
+        if upstream.in_flight >= upstream.rest.max_in_flight(record.slots, now_ms) {
+            return false;
+        }
+        if self.evacuations.contains(record.data_centre.as_ref()) {
             return false;
         }
         if !upstream.is_cold(now_ms) {
@@ -294,7 +339,8 @@
                     upstream.cold_until_ms = upstream.down_until_ms + cold_start_ms;
                 }
             }
-            CallEnd::Cancelled => {}
+            // The rest itself keeps calls away.
+            CallEnd::Rests | CallEnd::Cancelled => {}
         }
     }
 
@@ -312,6 +358,39 @@
         }
     }
 
+    /// Records that an upstream stated in a response that it leaves; returns whether that was unknown.
+    pub fn observe_leaving(&mut self, key: UpstreamKey, now_ms: u64) -> bool {
+        let Some(upstream) = self.all.get_mut(key) else { return false };
+        if self.mechanisms.is_disabled(RestoreSabotage::Announcements) {
+            return false;
+        }
+        upstream.is_leaving = true;
+        self.departures.announce(&upstream.record, now_ms)
+    }
+
+    /// Records that an upstream wants no calls for a time in seconds, which may be any number.
+    pub fn observe_rest(
+        &mut self,
+        key: UpstreamKey,
+        seconds: f64,
+        now_ms: u64,
+    ) -> Option<RestRequest> {
+        Some(self.all.get_mut(key)?.rest.extend(seconds, now_ms))
+    }
+
+    /// Returns the time until the first upstream of a service that rests takes calls again, in
+    /// milliseconds; none if one takes calls now, or none of them rests.
+    pub fn earliest_return_ms(&self, service: &str, now_ms: u64) -> Option<u64> {
+        if self.of_service(service).any(|(key, _)| self.is_usable(key, now_ms)) {
+            return None;
+        }
+        let resting = self.of_service(service).filter(|(_, it)| {
+            let is_out = self.evacuations.contains(it.record.data_centre.as_ref());
+            it.is_resting(now_ms) && !it.leaves() && !is_out
+        });
+        resting.map(|(_, it)| it.rest.remaining_ms(now_ms)).min()
+    }
+
     fn cold_limit(&self, upstream: &Upstream) -> Option<ColdLimit> {
         let (_, per_s) = cold_start(&self.cold_starts, &upstream.record.service);
         if per_s <= 0.0 {
@@ -321,7 +400,7 @@
         Some(ColdLimit { per_s, entries: self.entries.len(), rank })
     }
 
-    fn replace_all(&mut self, records: Vec<UpstreamRecord>, now_ms: u64) {
+    fn replace_all(&mut self, records: Vec<UpstreamRecord>, source: RecordSource, now_ms: u64) {
         let listed: FastSet<String> = records.iter().map(|it| it.id.clone()).collect();
         let missing: Vec<String> =
             self.by_id.keys().filter(|it| !listed.contains(*it)).cloned().collect();
@@ -331,13 +410,22 @@
         let has_earlier_list = self.has_list;
         self.has_list = true;
         for record in records {
-            self.upsert(record, now_ms, has_earlier_list);
+            self.upsert(record, source, has_earlier_list, now_ms);
         }
     }
 
     /// Adds or updates an upstream; one that appears after the first list has just started, so it is
     /// treated as cold.
-    fn upsert(&mut self, record: UpstreamRecord, now_ms: u64, has_earlier_list: bool) {
+    fn upsert(
+        &mut self,
+        record: UpstreamRecord,
+        source: RecordSource,
+        has_earlier_list: bool,
+        now_ms: u64,
+    ) {
+        let era = self.revisions.upstreams.era;
+        // Another entry also sends upstreams that it keeps although the platform does not list them.
+        let listed_in = (source != RecordSource::PeerList).then_some(era);
         let known = self.by_id.get(&record.id).copied();
         if let Some(key) = known
             && let Some(upstream) = self.all.get_mut(key)
@@ -345,11 +433,26 @@
             let is_same_incarnation = upstream.record.started_unix_ms == record.started_unix_ms
                 && upstream.record.address == record.address
                 && upstream.record.service == record.service;
+            // A platform that was restored may list an earlier incarnation again.
+            if source != RecordSource::PlatformChange
+                && upstream.listed_era < era
+                && record.started_unix_ms < upstream.record.started_unix_ms
+            {
+                self.unlist(&record.id, now_ms);
+                return;
+            }
             if is_same_incarnation {
                 upstream.remove_at_ms = None;
-                if record.sequence < upstream.record.sequence {
+                // An upstream that drains does not come back, so a record of the same number is older.
+                let is_older = record.sequence < upstream.record.sequence
+                    || record.sequence == upstream.record.sequence && upstream.record.is_draining;
+                if is_older {
                     return;
                 }
+                upstream.listed_era = era;
+                let is_outdated = self.departures.is_outdated(&record, listed_in, now_ms);
+                upstream.is_leaving =
+                    is_outdated && !self.mechanisms.is_disabled(RestoreSabotage::Departures);
                 if record.cold_remaining_ms > 0 {
                     upstream.cold_until_ms =
                         upstream.cold_until_ms.max(now_ms + record.cold_remaining_ms);
@@ -357,9 +460,14 @@
                 upstream.record = record;
                 return;
             }
-            self.remove(key);
+            self.remove(key, now_ms);
         }
         let mut upstream = Upstream::new(record);
+        upstream.listed_era = era;
+        upstream.rest = Rest::until(self.departures.rest_until_ms(&upstream.record));
+        let is_outdated = self.departures.is_outdated(&upstream.record, listed_in, now_ms);
+        upstream.is_leaving =
+            is_outdated && !self.mechanisms.is_disabled(RestoreSabotage::Departures);
         let mut cold_ms = upstream.record.cold_remaining_ms;
         if has_earlier_list {
             cold_ms = cold_ms.max(cold_start(&self.cold_starts, &upstream.record.service).0);
@@ -377,15 +485,17 @@
     fn unlist(&mut self, id: &str, now_ms: u64) {
         let Some(key) = self.by_id.get(id).copied() else { return };
         let Some(upstream) = self.all.get_mut(key) else { return };
-        if now_ms < self.removal_grace_until_ms && !upstream.record.is_draining {
+        if now_ms < self.removal_grace_until_ms && !upstream.leaves() {
             upstream.remove_at_ms = Some(self.removal_grace_until_ms);
             return;
         }
-        self.remove(key);
+        self.remove(key, now_ms);
     }
 
-    fn remove(&mut self, key: UpstreamKey) {
+    fn remove(&mut self, key: UpstreamKey, now_ms: u64) {
         let Some(upstream) = self.all.remove(key) else { return };
+        let (record, rest_until_ms) = (&upstream.record, upstream.rest.until_ms());
+        self.departures.unlist(record, self.revisions.upstreams.era, rest_until_ms, now_ms);
         self.by_id.remove(&upstream.record.id);
         if let Some(keys) = self.by_service.get_mut(&upstream.record.service) {
             keys.retain(|it| *it != key);
--- a/crates/core/src/upstreams/mod.rs
+++ b/crates/core/src/upstreams/mod.rs
@@ -5,18 +5,27 @@
 //! and latency lower its preference. Several entries share the limits of an upstream without
 //! coordinating each request: every entry keeps to its share.
 
-mod platform_lists;
 mod choose;
 mod cold;
+mod departure;
 mod directory;
+mod evacuation;
+mod platform_lists;
 mod record;
+mod rest;
 
 pub use choose::{Affinity, SelectionCriteria};
 pub use cold::{ColdLimit, ColdShare};
+pub(crate) use departure::Departures;
+pub use departure::LeavingUpstream;
 pub(crate) use directory::rendezvous_weight;
-pub use directory::{ListUpdate, Upstreams, UpstreamsSettings};
-pub use platform_lists::{ListRevisions, PlatformLists};
+pub use directory::{ListUpdate, RestoreSabotage, Upstreams, UpstreamsSettings};
+pub(crate) use evacuation::Evacuations;
+pub use evacuation::{Evacuation, HeldEvacuation};
+pub use platform_lists::{ListCorrections, ListRevisions, PlatformLists};
 pub use record::{CallEnd, Load, Upstream, UpstreamKey, UpstreamRecord};
+pub(crate) use rest::Rest;
+pub use rest::RestRequest;
 
 #[cfg(test)]
 mod tests;
--- a/crates/core/src/upstreams/platform_lists.rs
+++ b/crates/core/src/upstreams/platform_lists.rs
@@ -1,19 +1,26 @@
 //! Exchange of the platform's lists among entries.
 //!
 //! An entry that cannot follow the platform adopts newer lists from one that does. Revisions come
-//! from the platform and rise with every change, so an older list never replaces a newer one.
+//! from the platform and rise with every change and every restore, so an older list never replaces a
+//! newer one.
 
 use serde::{Deserialize, Serialize};
 
-use crate::upstreams::{ListUpdate, UpstreamRecord, Upstreams};
+use crate::{
+    revision::Revision,
+    upstreams::{
+        Evacuation, HeldEvacuation, LeavingUpstream, ListUpdate, RestoreSabotage, UpstreamRecord,
+        Upstreams,
+    },
+};
 
 /// Revisions of the platform's lists that are in use; each rises with every change.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListRevisions {
     /// Revision of the list of upstreams.
-    pub upstreams: u64,
+    pub upstreams: Revision,
     /// Revision of the list of data centres that receive no work.
-    pub evacuations: u64,
+    pub evacuations: Revision,
 }
 
 impl ListRevisions {
@@ -31,9 +38,20 @@
     /// Records of the upstreams, each with the remaining time for which it is treated as cold.
     pub upstreams: Vec<UpstreamRecord>,
     /// Data centres that receive no work.
-    pub evacuated: Vec<String>,
+    pub evacuated: Vec<Evacuation>,
     /// Names of the entries that share the limits of the upstreams.
     pub entries: Vec<String>,
+    /// What the entry knows beyond the platform's lists.
+    pub corrections: ListCorrections,
+}
+
+/// What an entry knows beyond the platform's lists.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListCorrections {
+    /// Upstreams that leave although the platform may list them as ready.
+    pub leaving: Vec<LeavingUpstream>,
+    /// Evacuations that a restored platform has lost.
+    pub held_evacuations: Vec<HeldEvacuation>,
 }
 
 impl Upstreams {
@@ -50,8 +68,9 @@
         Some(PlatformLists {
             revisions: self.revisions(),
             upstreams: records.collect(),
-            evacuated: self.evacuated().iter().cloned().collect(),
+            evacuated: self.evacuations.to_send(),
             entries: self.known_entries()?.to_vec(),
+            corrections: self.corrections(now_ms),
         })
     }
 
@@ -65,33 +84,109 @@
         let mut changed = Vec::new();
         self.set_entries(lists.entries);
         if lists.revisions.evacuations > known.evacuations {
-            changed = self.replace_evacuated(lists.evacuated, now_ms);
-            self.set_evacuations_revision(lists.revisions.evacuations);
+            changed = self.replace_evacuated(&lists.evacuated, lists.revisions.evacuations, now_ms);
         }
         if lists.revisions.upstreams > known.upstreams {
-            self.update(ListUpdate::FromPeer(lists.upstreams), now_ms);
-            self.set_upstreams_revision(lists.revisions.upstreams);
+            let revision = lists.revisions.upstreams;
+            self.update(ListUpdate::FromPeer(lists.upstreams), revision, now_ms);
         }
+        changed.extend(self.merge_corrections(&lists.corrections, now_ms));
         changed
     }
 
-    /// Sets the data centres that receive no work; returns those that changed, each with whether it is
-    /// evacuated now.
+    /// Applies a change of one data centre that the platform made at a revision; `evacuated_at` is the
+    /// number of the revision that evacuated it, none if it is in service. Returns whether it changed.
+    pub fn set_evacuated(
+        &mut self,
+        data_centre: &str,
+        evacuated_at: Option<u64>,
+        revision: Revision,
+        now_ms: u64,
+    ) -> bool {
+        if self.is_from_earlier_era(revision) {
+            return false;
+        }
+        self.revisions.evacuations = revision;
+        let has_changed = self.evacuations.set(data_centre, evacuated_at);
+        if has_changed {
+            self.mark_returned_cold(&[(data_centre.to_owned(), evacuated_at.is_some())], now_ms);
+        }
+        has_changed
+    }
+
+    /// Sets the data centres that receive no work, as listed at a revision of the platform; returns
+    /// those that changed, each with whether it is evacuated now.
     pub fn replace_evacuated(
         &mut self,
-        data_centres: Vec<String>,
+        listed: &[Evacuation],
+        revision: Revision,
         now_ms: u64,
     ) -> Vec<(String, bool)> {
-        let returned =
-            self.evacuated().iter().filter(|it| !data_centres.contains(it)).cloned().collect();
-        let mut changed = Vec::new();
-        for (names, is_evacuated) in [(returned, false), (data_centres, true)] {
-            for name in names {
-                if self.set_evacuated(&name, is_evacuated, now_ms) {
-                    changed.push((name, is_evacuated));
-                }
-            }
+        let known = self.revisions.evacuations;
+        if self.is_from_earlier_era(revision) {
+            return Vec::new();
+        }
+        self.revisions.evacuations = revision;
+        let is_restored = self.has_evacuations
+            && known.era < revision.era
+            && !self.mechanisms.is_disabled(RestoreSabotage::HeldEvacuations);
+        self.has_evacuations = true;
+        let changed = self.evacuations.replace(listed, is_restored, now_ms);
+        self.mark_returned_cold(&changed, now_ms);
+        changed
+    }
+
+    /// Records that the platform has made no further change up to a revision; returns the data centres
+    /// that changed because differences after a restore are confirmed by that, each with whether it is
+    /// evacuated now.
+    pub fn confirm_evacuations(&mut self, revision: Revision, now_ms: u64) -> Vec<(String, bool)> {
+        if self.is_from_earlier_era(revision) {
+            return Vec::new();
         }
+        self.revisions.evacuations = revision;
+        let changed = self.evacuations.confirm(now_ms);
+        self.mark_returned_cold(&changed, now_ms);
         changed
     }
+
+    fn is_from_earlier_era(&self, revision: Revision) -> bool {
+        revision.era < self.revisions.evacuations.era
+            && !self.mechanisms.is_disabled(RestoreSabotage::EraOrder)
+    }
+
+    /// Returns the data centres that receive no work.
+    pub fn evacuated(&self) -> Vec<Evacuation> {
+        self.evacuations.all().collect()
+    }
+
+    /// Returns what other entries may not know: upstreams that leave, and evacuations that a restored
+    /// platform has lost.
+    pub fn corrections(&self, now_ms: u64) -> ListCorrections {
+        ListCorrections {
+            leaving: self.departures.recent(now_ms),
+            held_evacuations: self.evacuations.held(now_ms),
+        }
+    }
+
+    /// Merges what another entry knows; returns the data centres that changed, each with whether it is
+    /// evacuated now.
+    pub fn merge_corrections(
+        &mut self,
+        corrections: &ListCorrections,
+        now_ms: u64,
+    ) -> Vec<(String, bool)> {
+        for leaving in &corrections.leaving {
+            if !self.departures.merge(leaving, now_ms) {
+                continue;
+            }
+            let upstream = self.all.values_mut().find(|it| it.record.id == leaving.id);
+            if let Some(upstream) = upstream
+                && upstream.record.started_unix_ms == leaving.started_unix_ms
+                && upstream.record.sequence <= leaving.outdated_sequence
+            {
+                upstream.is_leaving = true;
+            }
+        }
+        self.evacuations.adopt_held(&corrections.held_evacuations, now_ms)
+    }
 }
--- a/crates/core/src/upstreams/record.rs
+++ b/crates/core/src/upstreams/record.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
 
-use crate::upstreams::ColdShare;
+use crate::upstreams::{ColdShare, Rest};
 
 new_key_type! {
     /// Identifies one incarnation of an upstream; a restarted upstream gets a new key.
@@ -59,6 +59,8 @@
     },
     /// The upstream stated that it did not run the request, because it is at capacity.
     Shed,
+    /// The upstream did not run the request and wants none for a while.
+    Rests,
     /// Another upstream uses the address now.
     Replaced,
     /// No connection could be opened.
@@ -97,6 +99,12 @@
     /// Time at which an upstream that is missing from the list after a platform outage is removed,
     /// unless it is listed again, in milliseconds.
     pub(crate) remove_at_ms: Option<u64>,
+    /// Era of the platform in which the record was listed.
+    pub(crate) listed_era: u64,
+    /// Whether this incarnation leaves although its record does not say so.
+    pub(crate) is_leaving: bool,
+    /// Rest that the upstream asked for.
+    pub(crate) rest: Rest,
 }
 
 impl Upstream {
@@ -115,6 +123,9 @@
             entry_rank: usize::MAX,
             cold_share: ColdShare::new(),
             remove_at_ms: None,
+            listed_era: 0,
+            is_leaving: false,
+            rest: Rest::default(),
         }
     }
 
@@ -123,6 +134,16 @@
         now_ms < self.cold_until_ms
     }
 
+    /// Tells whether the upstream has announced that it leaves.
+    pub fn leaves(&self) -> bool {
+        self.record.is_draining || self.is_leaving
+    }
+
+    /// Tells whether the upstream receives no calls because it asked for a rest.
+    pub fn is_resting(&self, now_ms: u64) -> bool {
+        self.rest.remaining_ms(now_ms) > 0
+    }
+
     /// Tells whether the upstream receives no calls after a failed connection.
     pub fn is_down(&self, now_ms: u64) -> bool {
         now_ms < self.down_until_ms
--- a/crates/core/src/upstreams/tests.rs
+++ b/crates/core/src/upstreams/tests.rs
@@ -4,8 +4,9 @@
 
 use crate::{
     FastMap,
+    revision::Revision,
     upstreams::{
-        Affinity, CallEnd, ListRevisions, ListUpdate, PlatformLists, SelectionCriteria,
+        Affinity, CallEnd, Evacuation, ListRevisions, ListUpdate, PlatformLists, SelectionCriteria,
         UpstreamRecord, Upstreams, UpstreamsSettings,
     },
 };
@@ -31,10 +32,14 @@
     cold.insert("s".into(), (3_000, 4.0));
     upstreams.set_cold_starts(cold);
     upstreams.set_entries(Vec::new());
-    upstreams.update(ListUpdate::Snapshot(records), 0);
+    upstreams.update(ListUpdate::Snapshot(records), revision(1), 0);
     upstreams
 }
 
+fn revision(number: u64) -> Revision {
+    Revision::new(0, number)
+}
+
 fn chosen(upstreams: &Upstreams, now_ms: u64) -> Option<String> {
     let criteria = SelectionCriteria { service: "s", ..SelectionCriteria::default() };
     let key = upstreams.choose(&criteria, now_ms)?;
@@ -46,18 +51,18 @@
     let mut upstreams = upstreams(vec![record("a", "x")]);
     assert_eq!(chosen(&upstreams, 1).as_deref(), Some("a"));
     let draining = UpstreamRecord { is_draining: true, ..record("a", "x") };
-    upstreams.update(ListUpdate::Listed(draining), 2);
+    upstreams.update(ListUpdate::Listed(draining), revision(1), 2);
     assert_eq!(chosen(&upstreams, 2), None);
-    upstreams.update(ListUpdate::Listed(record("a", "x")), 3);
-    upstreams.update(ListUpdate::Unlisted { id: "a".to_owned() }, 4);
+    upstreams.update(ListUpdate::Listed(record("a", "x")), revision(1), 3);
+    upstreams.update(ListUpdate::Unlisted { id: "a".to_owned() }, revision(1), 4);
     assert_eq!(chosen(&upstreams, 4), None);
     assert!(upstreams.is_empty());
 }
 
 /// Returns upstreams that hold the platform's list at a revision.
-fn at_revision(records: Vec<UpstreamRecord>, revision: u64) -> Upstreams {
-    let mut upstreams = upstreams(records);
-    upstreams.set_upstreams_revision(revision);
+fn at_revision(records: Vec<UpstreamRecord>, number: u64) -> Upstreams {
+    let mut upstreams = upstreams(Vec::new());
+    upstreams.update(ListUpdate::Snapshot(records), revision(number), 0);
     upstreams
 }
 
@@ -82,14 +87,12 @@
 #[test]
 fn the_evacuation_of_a_data_centre_and_its_end_are_passed_on() {
     let mut sender = at_revision(vec![record("a", "x"), record("b", "y")], 1);
-    sender.set_evacuated("x", true, 0);
-    sender.set_evacuations_revision(2);
+    sender.set_evacuated("x", Some(2), revision(2), 0);
     let mut receiver = Upstreams::new(UpstreamsSettings::default(), "entry-2");
     let evacuated = [("x".to_owned(), true)];
     assert_eq!(receiver.adopt_newer(sender.platform_lists(0).unwrap(), 0), evacuated);
     assert_eq!(chosen(&receiver, 1).as_deref(), Some("b"));
-    sender.set_evacuated("x", false, 10);
-    sender.set_evacuations_revision(3);
+    sender.set_evacuated("x", None, revision(3), 10);
     let returned = [("x".to_owned(), false)];
     assert_eq!(receiver.adopt_newer(sender.platform_lists(10).unwrap(), 10), returned);
     assert!(receiver.evacuated().is_empty());
@@ -98,7 +101,7 @@
 #[test]
 fn the_remaining_cold_time_of_an_upstream_is_passed_on() {
     let mut sender = at_revision(vec![], 1);
-    sender.update(ListUpdate::Listed(record("a", "x")), 1_000);
+    sender.update(ListUpdate::Listed(record("a", "x")), revision(1), 1_000);
     let lists = sender.platform_lists(1_500).unwrap();
     assert_eq!(lists.upstreams[0].cold_remaining_ms, 2_500, "it has just started");
     let mut receiver = Upstreams::new(UpstreamsSettings::default(), "entry-2");
@@ -134,7 +137,7 @@
 /// Returns the lists of an entry: identifiers of its upstreams, and evacuated data centres.
 fn lists_of(entry: &Upstreams) -> (BTreeSet<String>, BTreeSet<String>) {
     let upstreams = entry.of_service("s").map(|(_, it)| it.record.id.clone()).collect();
-    (upstreams, entry.evacuated().iter().cloned().collect())
+    (upstreams, entry.evacuated().into_iter().map(|it| it.data_centre).collect())
 }
 
 /// Runs steps and checks that each entry holds exactly the platform's lists at its revisions, and that
@@ -171,11 +174,12 @@
                 let entry = &mut entries[number];
                 entry.set_entries(Vec::new());
                 let records = listed.iter().map(|it| record(it, "x")).collect();
-                entry.update(ListUpdate::Snapshot(records), 0);
-                let evacuated: Vec<String> = evacuated.iter().cloned().collect();
-                entry.replace_evacuated(evacuated, 0);
-                entry.set_upstreams_revision(revision);
-                entry.set_evacuations_revision(revision);
+                let at = Revision::new(0, revision);
+                entry.update(ListUpdate::Snapshot(records), at, 0);
+                let evacuation =
+                    |it: &String| Evacuation { data_centre: it.clone(), changed_at: 1 };
+                let evacuated: Vec<Evacuation> = evacuated.iter().map(evacuation).collect();
+                entry.replace_evacuated(&evacuated, at, 0);
             }
             Step::Send(from, to) => {
                 if let Some(lists) = entries[from].platform_lists(0) {
@@ -189,8 +193,8 @@
             let now = entry.revisions();
             prop_assert!(!before.has_newer_than(now), "{before:?} became {now:?}");
             let expected = (
-                lists[now.upstreams as usize].clone(),
-                evacuated_lists[now.evacuations as usize].clone(),
+                lists[now.upstreams.number as usize].clone(),
+                evacuated_lists[now.evacuations.number as usize].clone(),
             );
             prop_assert_eq!(lists_of(entry), expected);
         }
@@ -221,10 +225,8 @@
 #[test]
 fn the_check_detects_an_older_list_that_replaces_a_newer_one() {
     let adopt_any = |entry: &mut Upstreams, lists: PlatformLists| {
-        entry.replace_evacuated(lists.evacuated, 0);
-        entry.set_evacuations_revision(lists.revisions.evacuations);
-        entry.update(ListUpdate::FromPeer(lists.upstreams), 0);
-        entry.set_upstreams_revision(lists.revisions.upstreams);
+        entry.replace_evacuated(&lists.evacuated, lists.revisions.evacuations, 0);
+        entry.update(ListUpdate::FromPeer(lists.upstreams), lists.revisions.upstreams, 0);
     };
     let steps = [Step::Read(0), Step::Toggle(1), Step::Read(1), Step::Send(0, 1)];
     assert!(run_steps(&steps, adopt_any).is_err());
@@ -234,8 +236,8 @@
 #[test]
 fn an_upstream_missing_from_the_list_after_an_outage_is_kept_for_the_grace_period() {
     let mut upstreams = upstreams(vec![record("a", "x")]);
-    upstreams.update(ListUpdate::PlatformRecovered, 10_000);
-    upstreams.update(ListUpdate::Snapshot(vec![]), 10_000);
+    upstreams.begin_removal_grace(10_000);
+    upstreams.update(ListUpdate::Snapshot(vec![]), revision(1), 10_000);
     assert_eq!(chosen(&upstreams, 10_000).as_deref(), Some("a"));
     upstreams.expire(11_999);
     assert_eq!(chosen(&upstreams, 11_999).as_deref(), Some("a"));
@@ -247,19 +249,19 @@
 fn a_draining_upstream_missing_after_an_outage_is_removed_at_once() {
     let draining = UpstreamRecord { is_draining: true, ..record("a", "x") };
     let mut upstreams = upstreams(vec![draining]);
-    upstreams.update(ListUpdate::PlatformRecovered, 10_000);
-    upstreams.update(ListUpdate::Unlisted { id: "a".to_owned() }, 10_001);
+    upstreams.begin_removal_grace(10_000);
+    upstreams.update(ListUpdate::Unlisted { id: "a".to_owned() }, revision(1), 10_001);
     assert!(upstreams.is_empty());
 }
 
 #[test]
 fn upstreams_of_an_evacuated_data_centre_are_not_chosen_and_are_cold_afterwards() {
     let mut upstreams = upstreams(vec![record("a", "x"), record("b", "y")]);
-    upstreams.set_evacuated("x", true, 1);
+    upstreams.set_evacuated("x", Some(1), revision(1), 1);
     assert_eq!(chosen(&upstreams, 1).as_deref(), Some("b"));
-    upstreams.set_evacuated("y", true, 1);
+    upstreams.set_evacuated("y", Some(1), revision(1), 1);
     assert_eq!(chosen(&upstreams, 1), None);
-    upstreams.set_evacuated("x", false, 2);
+    upstreams.set_evacuated("x", None, revision(2), 2);
     let key = upstreams.of_service("s").find(|(_, it)| it.record.id == "a").unwrap().0;
     assert!(upstreams.get(key).unwrap().is_cold(2));
     assert!(!upstreams.get(key).unwrap().is_cold(3_002));
@@ -271,7 +273,7 @@
     let key = upstreams.of_service("s").next().unwrap().0;
     assert!(upstreams.begin(key, 5));
     let restarted = UpstreamRecord { started_unix_ms: Some(2), ..record("a", "x") };
-    upstreams.update(ListUpdate::Listed(restarted), 6);
+    upstreams.update(ListUpdate::Listed(restarted), revision(1), 6);
     upstreams.end(key, CallEnd::Failed, 7);
     let (new_key, upstream) = upstreams.of_service("s").next().unwrap();
     assert_ne!(new_key, key);
@@ -327,7 +329,7 @@
     let records: Vec<_> = (0..6).map(|it| record(&format!("u{it}"), "x")).collect();
     let mut first = upstreams(records.clone());
     let mut second = Upstreams::new(UpstreamsSettings::default(), "entry-2");
-    second.update(ListUpdate::Snapshot(records.into_iter().rev().collect()), 0);
+    second.update(ListUpdate::Snapshot(records.into_iter().rev().collect()), revision(1), 0);
     let affinity = Affinity { prefix: "p".to_owned() };
     let criteria = SelectionCriteria {
         service: "s",
@@ -350,7 +352,7 @@
     cold.insert("s".into(), (3_000, 4.0));
     upstreams.set_cold_starts(cold);
     let record = UpstreamRecord { cold_remaining_ms: 60_000, ..record("a", "x") };
-    upstreams.update(ListUpdate::Snapshot(vec![record]), 0);
+    upstreams.update(ListUpdate::Snapshot(vec![record]), revision(1), 0);
     assert_eq!(chosen(&upstreams, 1), None);
     upstreams.set_entries(vec!["entry-2".to_owned()]);
     assert!(chosen(&upstreams, 1).is_some());
@@ -385,7 +387,7 @@
             known_names.remove(unknown[index] % entries);
             upstreams.set_entries(known_names);
             let record = UpstreamRecord { cold_remaining_ms: 60_000, ..record("a", "x") };
-            upstreams.update(ListUpdate::Snapshot(vec![record]), 0);
+            upstreams.update(ListUpdate::Snapshot(vec![record]), revision(1), 0);
             let key = upstreams.of_service("s").next().map(|(key, _)| key);
             all.push((upstreams, key.expect("a listed upstream")));
         }
--- a/crates/entry/src/relay/attempt.rs
+++ b/crates/entry/src/relay/attempt.rs
@@ -6,8 +6,9 @@
 use derive_more::{Display, Error};
 use http_body_util::{BodyExt, Full};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming};
+use log::{info, warn};
 use yuccatrail_adapter::{ResponseMeta, decode_response_meta, system_headers};
-use yuccatrail_core::upstreams::{CallEnd, UpstreamKey, UpstreamRecord};
+use yuccatrail_core::upstreams::{CallEnd, RestRequest, UpstreamKey, UpstreamRecord};
 
 use crate::relay::{
     pool::{Connection, SendError},
@@ -119,7 +120,11 @@
             return Err(AttemptError::Damaged("it belongs to another request".to_owned()));
         }
         if meta.is_not_run {
-            self.end(if meta.is_replaced { CallEnd::Replaced } else { CallEnd::Shed });
+            self.end(match (meta.is_replaced, meta.requested_rest_s) {
+                (true, _) => CallEnd::Replaced,
+                (false, Some(_)) => CallEnd::Rests,
+                (false, None) => CallEnd::Shed,
+            });
         }
         Ok((response, meta))
     }
@@ -195,6 +200,14 @@
         if let Some(remaining_ms) = meta.cold_remaining_ms {
             upstreams.observe_cold(self.key, remaining_ms, now_ms);
         }
+        if meta.is_leaving && upstreams.observe_leaving(self.key, now_ms) {
+            info!(upstream:% = self.record.id; "upstream leaves, according to its response");
+        }
+        if let Some(seconds) = meta.requested_rest_s
+            && let Some(request) = upstreams.observe_rest(self.key, seconds, now_ms)
+        {
+            log_rest(&self.record, seconds, request);
+        }
     }
 
     fn end(&mut self, end: CallEnd) {
@@ -207,6 +220,17 @@
     }
 }
 
+fn log_rest(upstream: &UpstreamRecord, seconds: f64, request: RestRequest) {
+    match request {
+        RestRequest::Stated => {
+            info!(upstream:% = upstream.id, seconds = seconds; "upstream wants no calls for a while");
+        }
+        RestRequest::Shortened | RestRequest::Replaced => {
+            warn!(upstream:% = upstream.id, seconds = seconds, request:% = request; "upstream wants no calls for a time that is out of range");
+        }
+    }
+}
+
 /// Checks that a successful response is the unmodified one of the upstream.
 pub(crate) fn check_seal(status: StatusCode, meta: &ResponseMeta) -> Result<(), AttemptError> {
     if status.is_success() && (!meta.is_sealed || meta.has_content_encoding) {
--- a/crates/entry/src/relay/feed.rs
+++ b/crates/entry/src/relay/feed.rs
@@ -11,7 +11,7 @@
 use yuccatrail_core::{
     freshness::PlatformData,
     route_table::{Configuration, RouteTable},
-    upstreams::{ListUpdate, UpstreamRecord},
+    upstreams::{Evacuation, ListUpdate, UpstreamRecord},
 };
 use yuccatrail_platform::{Client, PollProtocol, PollUpdate, Poller, PollerSettings};
 
@@ -98,24 +98,22 @@
         let now_ms = relay.now_ms();
         match update {
             PollUpdate::Snapshot { items, revision } => {
-                let listed =
-                    items.iter().filter(|it| is_out(it)).map(|it| object_name(it).to_owned());
-                let mut upstreams = relay.upstreams();
-                let changed = upstreams.replace_evacuated(listed.collect(), now_ms);
-                upstreams.set_evacuations_revision(revision);
-                drop(upstreams);
+                let listed: Vec<Evacuation> = items.iter().filter_map(evacuation_of).collect();
+                let changed = relay.upstreams().replace_evacuated(&listed, revision, now_ms);
                 log_evacuations(&changed);
                 relay.mark_fresh(PlatformData::Evacuations);
             }
-            PollUpdate::Changes(changes) => {
+            PollUpdate::Changes { items, revision } => {
                 let mut upstreams = relay.upstreams();
-                for change in &changes.items {
-                    let (name, is_out) = (object_name(change), is_out(change));
-                    if upstreams.set_evacuated(name, is_out, now_ms) {
-                        log_evacuations(&[(name.to_owned(), is_out)]);
+                for change in &items {
+                    let name = object_name(change);
+                    let evacuated_at = evacuation_of(change).map(|it| it.changed_at);
+                    if upstreams.set_evacuated(name, evacuated_at, revision, now_ms) {
+                        log_evacuations(&[(name.to_owned(), evacuated_at.is_some())]);
                     }
                 }
-                upstreams.set_evacuations_revision(changes.revision);
+                let changed = upstreams.confirm_evacuations(revision, now_ms);
+                log_evacuations(&changed);
             }
             PollUpdate::Unavailable(_) | PollUpdate::Available => {}
         }
@@ -130,9 +128,14 @@
     }
 }
 
-/// Tells whether an object of the list evacuates a data centre; an unreadable one does too.
-fn is_out(change: &StoreChange<()>) -> bool {
-    !matches!(change, StoreChange::Absent { .. })
+/// Returns the evacuation that an object of the list stands for; an unreadable one does too.
+fn evacuation_of(change: &StoreChange<()>) -> Option<Evacuation> {
+    let changed_at = match change {
+        StoreChange::Present { changed_at, .. } => *changed_at,
+        StoreChange::Unreadable { .. } => 0,
+        StoreChange::Absent { .. } => return None,
+    };
+    Some(Evacuation { data_centre: object_name(change).to_owned(), changed_at })
 }
 
 /// Follows the list of upstreams.
@@ -142,24 +145,21 @@
         let now_ms = relay.now_ms();
         match update {
             PollUpdate::Snapshot { items, revision } => {
-                info!(upstreams = items.len(), revision = revision; "upstreams listed");
+                info!(upstreams = items.len(), revision:% = revision; "upstreams listed");
                 let records = items.into_iter().filter_map(record_of).collect();
-                let mut upstreams = relay.upstreams();
-                upstreams.update(ListUpdate::Snapshot(records), now_ms);
-                upstreams.set_upstreams_revision(revision);
-                drop(upstreams);
+                relay.upstreams().update(ListUpdate::Snapshot(records), revision, now_ms);
                 relay.mark_fresh(PlatformData::Upstreams);
             }
-            PollUpdate::Changes(changes) => {
-                for change in changes.items {
+            PollUpdate::Changes { items, revision } => {
+                for change in items {
                     let update = list_update(change);
-                    relay.upstreams().update(update, now_ms);
+                    relay.upstreams().update(update, revision, now_ms);
                 }
-                relay.upstreams().set_upstreams_revision(changes.revision);
+                relay.upstreams().confirm(revision);
             }
             PollUpdate::Available => {
                 relay.set_follows_platform(true);
-                relay.upstreams().update(ListUpdate::PlatformRecovered, now_ms);
+                relay.upstreams().begin_removal_grace(now_ms);
             }
             PollUpdate::Unavailable(_) => relay.set_follows_platform(false),
         }
@@ -205,7 +205,7 @@
 fn changes_of<T>(update: PollUpdate<StoreChange<T>>) -> Vec<StoreChange<T>> {
     match update {
         PollUpdate::Snapshot { items, .. } => items,
-        PollUpdate::Changes(changes) => changes.items,
+        PollUpdate::Changes { items, .. } => items,
         PollUpdate::Unavailable(_) | PollUpdate::Available => Vec::new(),
     }
 }
--- a/crates/entry/src/relay/mod.rs
+++ b/crates/entry/src/relay/mod.rs
@@ -74,6 +74,7 @@
         address: settings.platform,
         request_timeout_ms: STORE_TIMEOUT_MS,
         budget: BudgetSettings { watches_per_second: 50.0, ..BudgetSettings::default() },
+        era_header: Some(yuccatrail_adapter::era_header()),
         ..ClientSettings::default()
     });
     let relay = Relay::new(settings);
@@ -152,7 +153,8 @@
         interval.tick().await;
         relay.detect_pause();
         let now_ms = relay.now_ms();
-        relay.upstreams().expire(now_ms);
+        let changed = relay.upstreams().expire(now_ms);
+        feed::log_evacuations(&changed);
         relay.crashes.expire(now_ms);
         relay.peers.update_polled_entries(&relay);
         relay.stages.tick(&relay);
--- a/crates/entry/src/relay/peers.rs
+++ b/crates/entry/src/relay/peers.rs
@@ -11,6 +11,7 @@
 
 use log::{info, warn};
 use tarpc::context::{self, Context};
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use yuccatrail_adapter::EntryRecord;
 use yuccatrail_core::{
@@ -76,6 +77,8 @@
 pub(crate) struct Peers {
     directory: Mutex<Directory>,
     missing_configuration: Mutex<MissingConfiguration>,
+    /// Notified when the platform does not list this entry.
+    unregistered: Notify,
 }
 
 impl Peers {
@@ -83,7 +86,11 @@
     pub(crate) fn new(own: Candidate) -> Self {
         let view = EntryView::new(own);
         let directory = Directory { view, known: FastMap::default(), polled_for: None };
-        Self { directory: Mutex::new(directory), missing_configuration: Mutex::default() }
+        Self {
+            directory: Mutex::new(directory),
+            missing_configuration: Mutex::default(),
+            unregistered: Notify::new(),
+        }
     }
 
     /// Returns the owner of a stage service.
@@ -213,6 +220,16 @@
         directory.set_state(name, PeerState::Lost);
     }
 
+    /// Makes this entry write its record again.
+    fn register_again(&self) {
+        self.unregistered.notify_waiters();
+    }
+
+    /// Waits until the platform does not list this entry.
+    async fn until_unregistered(&self) {
+        self.unregistered.notified().await;
+    }
+
     /// Returns the names of all other entries.
     fn names(&self) -> Vec<String> {
         lock(&self.directory).known.keys().cloned().collect()
--- a/crates/entry/src/relay/peers/hello.rs
+++ b/crates/entry/src/relay/peers/hello.rs
@@ -94,12 +94,15 @@
     let mut has_entries = false;
     loop {
         let strikes = relay.crashes.recent(relay.now_ms());
-        let hello = peer.client.hello(context_for(HELLO_TIMEOUT_MS), own_address(relay), strikes);
+        let corrections = relay.upstreams().corrections(relay.now_ms());
+        let context = context_for(HELLO_TIMEOUT_MS);
+        let hello = peer.client.hello(context, own_address(relay), strikes, corrections);
         match tokio::time::timeout(limit, hello).await {
             Ok(Ok(reply)) => {
                 fetch_newer_configuration(relay, &peer, reply.config_version).await;
                 fetch_newer_lists(relay, &peer, reply.list_revisions).await;
                 relay.crashes.merge(&reply.strikes, relay.now_ms());
+                relay.merge_corrections(&reply.corrections);
                 relay.peers.record_reply(name, reply, &peer, stop);
                 if !has_entries {
                     has_entries = fetch_entries(relay, &peer).await;
@@ -187,8 +190,8 @@
     info!(
         entry:% = peer.name,
         upstreams = lists.upstreams.len(),
-        revision = lists.revisions.upstreams,
-        known_revision = upstreams.revisions().upstreams;
+        revision:% = lists.revisions.upstreams,
+        known_revision:% = upstreams.revisions().upstreams;
         "fetched lists from another entry"
     );
     let changed = upstreams.adopt_newer(lists, now_ms);
--- a/crates/entry/src/relay/peers/record.rs
+++ b/crates/entry/src/relay/peers/record.rs
@@ -8,13 +8,17 @@
 use yuccatrail_adapter::{
     EntryRecord, StoreChange, encode_entry, entries_protocol, entry_collection_path, entry_path,
 };
-use yuccatrail_core::FastSet;
+use yuccatrail_core::{FastSet, ownership::ListedEntries};
 use yuccatrail_platform::{Client, PlatformError, PollUpdate};
 
 use crate::relay::{feed::Feed, state::Relay};
 
 /// Delay between attempts to write this entry's record, in milliseconds.
 const REGISTER_INTERVAL_MS: u64 = 500;
+/// Longest delay before this entry's record is written again, in milliseconds.
+const MAX_REWRITE_DELAY_MS: u64 = 2_000;
+/// Interval at which entries that a restored list lacks are checked.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 /// Timeout for removing this entry's record during a graceful shutdown, in milliseconds; less than
 /// the time left before the kill.
 const UNREGISTER_LIMIT_MS: u64 = 300;
@@ -22,17 +26,17 @@
 /// Follows the list of entries.
 pub(crate) async fn follow_entries(relay: Arc<Relay>, client: Client, stop: CancellationToken) {
     let mut feed = Feed::start(&relay, client, entries_protocol(), &stop);
-    while let Some(update) = feed.next().await {
-        match update {
-            PollUpdate::Snapshot { items, .. } => {
-                let listed: FastSet<String> = items.iter().filter_map(present_name).collect();
-                for name in relay.peers.names().iter().filter(|it| !listed.contains(*it)) {
-                    relay.peers.remove(name);
-                }
-                apply_changes(&relay, items);
-            }
-            PollUpdate::Changes(changes) => apply_changes(&relay, changes.items),
-            PollUpdate::Unavailable(_) | PollUpdate::Available => {}
+    let mut listed = ListedEntries::default();
+    loop {
+        let removed = tokio::select! {
+            update = feed.next() => match update {
+                Some(update) => apply_update(&relay, &mut listed, update),
+                None => break,
+            },
+            () = tokio::time::sleep(EXPIRY_INTERVAL) => listed.take_expired(relay.now_ms()),
+        };
+        for name in &removed {
+            relay.peers.remove(name);
         }
         let mut names = relay.peers.names();
         names.push(relay.settings.name.clone());
@@ -41,13 +45,45 @@
     feed.close().await;
 }
 
-fn apply_changes(relay: &Relay, changes: Vec<StoreChange<EntryRecord>>) {
+/// Applies an update of the list; returns the entries that are no longer listed.
+fn apply_update(
+    relay: &Relay,
+    listed: &mut ListedEntries,
+    update: PollUpdate<StoreChange<EntryRecord>>,
+) -> Vec<String> {
+    match update {
+        PollUpdate::Snapshot { items, revision } => {
+            let names: FastSet<String> = items.iter().filter_map(present_name).collect();
+            if !names.contains(&relay.settings.name) {
+                relay.peers.register_again();
+            }
+            let removed = listed.replace(names, revision, relay.now_ms());
+            apply_changes(relay, listed, items);
+            removed
+        }
+        PollUpdate::Changes { items, .. } => {
+            apply_changes(relay, listed, items);
+            Vec::new()
+        }
+        PollUpdate::Unavailable(_) | PollUpdate::Available => Vec::new(),
+    }
+}
+
+fn apply_changes(
+    relay: &Relay,
+    listed: &mut ListedEntries,
+    changes: Vec<StoreChange<EntryRecord>>,
+) {
     for change in changes {
         match change {
-            StoreChange::Present { name, content } => {
+            StoreChange::Present { name, content, .. } => {
+                listed.add(&name);
                 relay.peers.set_record(relay, &name, content);
             }
-            StoreChange::Absent { name } => relay.peers.remove(&name),
+            StoreChange::Absent { name } => {
+                listed.remove(&name);
+                relay.peers.remove(&name);
+            }
             StoreChange::Unreadable { name, detail } => {
                 warn!(entry:% = name, detail:% = detail; "record of an entry can't be read");
             }
@@ -62,8 +98,22 @@
     }
 }
 
-/// Writes this entry's record, so that the other entries find it; retries until that succeeds.
+/// Keeps this entry's record in the platform, so that the other entries find it.
+///
+/// A platform that was restored from a copy may have lost it; the entries write theirs again at
+/// different times.
 pub(crate) async fn register(relay: Arc<Relay>, client: Client) {
+    loop {
+        write_record(&relay, &client).await;
+        relay.peers.until_unregistered().await;
+        let delay_ms = rand::random_range(0..MAX_REWRITE_DELAY_MS);
+        info!(delay_ms = delay_ms; "platform does not list this entry, registering again");
+        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+    }
+}
+
+/// Writes this entry's record; retries until that succeeds.
+async fn write_record(relay: &Relay, client: &Client) {
     let name = &relay.settings.name;
     let record = EntryRecord {
         peer_address: relay.settings.peer_listen,
--- a/crates/entry/src/relay/peers/serve.rs
+++ b/crates/entry/src/relay/peers/serve.rs
@@ -10,7 +10,11 @@
 };
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
-use yuccatrail_core::{quarantine::Strike, route_table::Configuration, upstreams::PlatformLists};
+use yuccatrail_core::{
+    quarantine::Strike,
+    route_table::Configuration,
+    upstreams::{ListCorrections, PlatformLists},
+};
 use yuccatrail_rpc::{
     entries::{EntryAddress, EntryPeer, HelloReply, StageReply, StageRequest},
     transport,
@@ -29,9 +33,16 @@
 }
 
 impl EntryPeer for Connection {
-    async fn hello(self, _: Context, from: EntryAddress, strikes: Vec<Strike>) -> HelloReply {
+    async fn hello(
+        self,
+        _: Context,
+        from: EntryAddress,
+        strikes: Vec<Strike>,
+        corrections: ListCorrections,
+    ) -> HelloReply {
         let now_ms = self.relay.now_ms();
         self.relay.crashes.merge(&strikes, now_ms);
+        self.relay.merge_corrections(&corrections);
         // Without the platform, a restarted entry finds the others by their hellos.
         if !self.relay.upstreams().has_platform_list() {
             record_address(&self.relay, from);
@@ -42,7 +53,8 @@
         let list_revisions = self.relay.follows_platform().then_some(revisions);
         let strikes = self.relay.crashes.recent(now_ms);
         let takes_work = self.relay.is_ready();
-        HelloReply { takes_work, config_version, list_revisions, queues, strikes }
+        let corrections = self.relay.upstreams().corrections(now_ms);
+        HelloReply { takes_work, config_version, list_revisions, queues, strikes, corrections }
     }
 
     async fn entries(self, _: Context) -> Vec<EntryAddress> {
--- a/crates/entry/src/relay/plain.rs
+++ b/crates/entry/src/relay/plain.rs
@@ -13,7 +13,7 @@
     attempt::{Attempt, AttemptError, check_seal},
     crashes::check_for_crash,
     metrics::ServiceLabels,
-    request::{CallerRequest, Refusal, ResponseBody},
+    request::{CallerRequest, Refusal, ResponseBody, no_upstream_refusal},
     sabotage::Mechanism,
     state::Relay,
 };
@@ -103,8 +103,7 @@
     if let Some(response) = failure {
         return Ok(response);
     }
-    let reason = if tried.is_empty() { "no_upstream" } else { "upstreams_failed" };
-    Err(Refusal::busy(reason, BUSY_RETRY_MS))
+    Err(no_upstream_refusal(relay, &request.service, !tried.is_empty(), BUSY_RETRY_MS))
 }
 
 fn log_choice(relay: &Relay, request: &CallerRequest, attempt: &Attempt, number: usize) {
--- a/crates/entry/src/relay/release.rs
+++ b/crates/entry/src/relay/release.rs
@@ -91,6 +91,12 @@
         for (holder, handles) in delegated {
             // Results do not outlive the upstream that holds them.
             let Some(key) = relay.upstreams().at_address(holder) else { continue };
+            let is_resting =
+                relay.upstreams().get(key).is_some_and(|it| it.is_resting(relay.now_ms()));
+            if is_resting {
+                self.add_delegated(handles);
+                continue;
+            }
             tokio::spawn(release(relay.clone(), key, handles));
         }
     }
--- a/crates/entry/src/relay/stages.rs
+++ b/crates/entry/src/relay/stages.rs
@@ -212,9 +212,11 @@
     ) -> Option<f64> {
         let now_ms = relay.now_ms();
         let available = available_upstreams(relay, service, now_ms).len();
+        let rest_ms = relay.upstreams().earliest_return_ms(service, now_ms).unwrap_or(0);
         let queues = lock(&self.queues);
         let batcher = &queues.get(service)?.batcher;
-        Some(batcher.estimate_ms(pieces, soft_deadline_ms, available, now_ms))
+        let work_ms = batcher.estimate_ms(pieces, soft_deadline_ms, available, now_ms);
+        Some(rest_ms as f64 + work_ms)
     }
 
     /// Returns the configured duration of a call with this many pieces, in milliseconds.
--- a/crates/entry/src/relay/state.rs
+++ b/crates/entry/src/relay/state.rs
@@ -18,13 +18,13 @@
     ownership::Candidate,
     retry_share::RetryShare,
     route_table::RouteTable,
-    upstreams::{Upstreams, UpstreamsSettings},
+    upstreams::{ListCorrections, Upstreams, UpstreamsSettings},
 };
 use yuccatrail_runtime::clock::Clock;
 
 use crate::relay::{
-    crashes::RequestCrashes, metrics::RelayMetrics, peers::Peers, pool::ConnectionPool,
-    release::ResultReleases, settings::RelaySettings, stages::StageQueues,
+    crashes::RequestCrashes, feed::log_evacuations, metrics::RelayMetrics, peers::Peers,
+    pool::ConnectionPool, release::ResultReleases, settings::RelaySettings, stages::StageQueues,
 };
 
 /// Interval at which waiting requests check for fresh lists; reading the lists takes a few
@@ -144,6 +144,13 @@
         lock(&self.upstreams)
     }
 
+    /// Merges what another entry knows beyond the platform's lists.
+    pub(crate) fn merge_corrections(&self, corrections: &ListCorrections) {
+        let now_ms = self.now_ms();
+        let changed = self.upstreams().merge_corrections(corrections, now_ms);
+        log_evacuations(&changed);
+    }
+
     /// Locks the retry share; the guard must not be held across an await.
     pub(crate) fn retries(&self) -> MutexGuard<'_, RetryShare> {
         lock(&self.retries)
--- a/crates/entry/src/relay/stream.rs
+++ b/crates/entry/src/relay/stream.rs
@@ -27,7 +27,7 @@
     model::selection_criteria,
     plain::take_retry,
     release::HeldResults,
-    request::{CallerRequest, Refusal, ResponseAborted, ResponseBody},
+    request::{CallerRequest, Refusal, ResponseAborted, ResponseBody, no_upstream_refusal},
     sabotage::Mechanism,
     state::{InProgressGuard, Relay},
 };
@@ -174,8 +174,9 @@
                 }
             }
         }
-        let reason = if self.tried.is_empty() { "no_upstream" } else { "upstreams_failed" };
-        Err(OpenError::Refused(Refusal::busy(reason, BUSY_RETRY_MS)))
+        let has_tried = !self.tried.is_empty();
+        let refusal = no_upstream_refusal(&relay, &request.service, has_tried, BUSY_RETRY_MS);
+        Err(OpenError::Refused(refusal))
     }
 
     fn begin_next_attempt(&self) -> Option<Attempt> {
--- a/crates/entry/src/run/claim.rs
+++ b/crates/entry/src/run/claim.rs
@@ -268,6 +268,7 @@
         PlatformError::AnswerLost { .. } => ClaimEvent::WriteLost,
         PlatformError::Unavailable { .. }
         | PlatformError::Gone { .. }
+        | PlatformError::Restored { .. }
         | PlatformError::TooLarge { .. }
         | PlatformError::Invalid { .. } => {
             warn!(error:% = error; "writing the claim failed");
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -13,11 +13,12 @@
     rt::{TokioExecutor, TokioTimer},
 };
 use serde::{Serialize, de::DeserializeOwned};
+use tokio::sync::watch;
 
 use crate::{
     API_VERSION, CallBudget, CallCounts, CallKind, ClientSettings, Kind, MAX_VALUE_BYTES, Object,
     ObjectList, PlatformError, ResourceVersion, Watch,
-    response::{BufferedResponse, CallContext},
+    response::{self, BufferedResponse, CallContext},
     wire::{
         DeleteOptions, Envelope, ListEnvelope, Metadata, Preconditions, collection_path,
         object_path,
@@ -47,6 +48,17 @@
     settings: ClientSettings,
     http: legacy::Client<HttpConnector, Full<Bytes>>,
     budget: CallBudget,
+    /// Highest era that a response has stated.
+    era: watch::Sender<u64>,
+}
+
+/// Body of a response, and the era of the platform in which it was sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReadReply {
+    /// Number of times that the platform had been restored from a copy.
+    pub era: u64,
+    /// Undecoded body.
+    pub body: Bytes,
 }
 
 impl Client {
@@ -63,7 +75,8 @@
             .pool_idle_timeout(Duration::from_millis(POOL_IDLE_TIMEOUT_MS))
             .build(connector);
         let budget = CallBudget::new(settings.budget, Instant::now());
-        Self { inner: Arc::new(Inner { settings, http, budget }) }
+        let era = watch::Sender::new(0);
+        Self { inner: Arc::new(Inner { settings, http, budget, era }) }
     }
 
     /// Returns the settings of the client.
@@ -76,6 +89,20 @@
         self.inner.budget.counts()
     }
 
+    /// Returns a receiver of the highest era that a response has stated.
+    pub fn era(&self) -> watch::Receiver<u64> {
+        self.inner.era.subscribe()
+    }
+
+    /// Records an era of the platform, for instance one that another process has seen.
+    pub fn observe_era(&self, era: u64) {
+        self.inner.era.send_if_modified(|it| {
+            let is_newer = *it < era;
+            *it = (*it).max(era);
+            is_newer
+        });
+    }
+
     /// Reads one object; returns `None` if it does not exist.
     ///
     /// # Errors
@@ -219,7 +246,7 @@
             if response.status() == StatusCode::OK {
                 return Ok(response);
             }
-            BufferedResponse::read(&context, response).await?.check(&context)?;
+            BufferedResponse::read(&context, response, None).await?.check(&context)?;
             Err(context.invalid("the response to a watch is not a stream".to_owned()))
         };
         let response = self.within_timeout(&context, opened).await?;
@@ -228,26 +255,27 @@
         Ok(Watch::new(context, response.into_body(), end))
     }
 
-    /// Reads `path`, whatever its format, and returns the undecoded body of the response.
+    /// Reads `path`, whatever its format, and returns the undecoded body of the response and its era.
     ///
     /// `object` names the object in errors. `wait_ms` is the time for which the platform may delay
     /// the response, in milliseconds, as in a long poll.
     ///
     /// # Errors
     ///
-    /// Returns `Gone` when the platform no longer has the requested changes, and `Unavailable` when
-    /// it does not respond.
+    /// Returns `Gone` when the platform no longer has the requested changes, `Restored` when the
+    /// response was sent before a restore that this client knows of, and `Unavailable` when the
+    /// platform does not respond.
     pub async fn read(
         &self,
         call_kind: CallKind,
         object: &str,
         path: &str,
         wait_ms: u64,
-    ) -> Result<Bytes, PlatformError> {
+    ) -> Result<ReadReply, PlatformError> {
         let context = CallContext::new(call_kind, object.to_owned());
         let buffered = async {
             let response = self.send(&context, Method::GET, path, Bytes::new()).await?;
-            BufferedResponse::read(&context, response).await
+            self.read_response(&context, response).await
         };
         let timeout_ms = self.inner.settings.request_timeout_ms + wait_ms;
         self.wait_for_budget(&context).await?;
@@ -257,7 +285,8 @@
         };
         let response = response?;
         response.check(&context)?;
-        Ok(response.into_body())
+        let era = self.check_era(&context, &response)?;
+        Ok(ReadReply { era, body: response.into_body() })
     }
 
     /// Writes `body`, whatever its format, to `path`; `object` names the object in errors.
@@ -275,7 +304,11 @@
     ) -> Result<(), PlatformError> {
         let context = CallContext::new(CallKind::Write, object.to_owned());
         let response = self.call(&context, method, path, body).await?;
-        response.check(&context)
+        response.check(&context)?;
+        // A restore has undone a write that was acknowledged before it.
+        self.check_era(&context, &response)
+            .map(|_| ())
+            .map_err(|error| context.response_lost(error.to_string()))
     }
 
     /// Makes one call and reads the complete response.
@@ -288,7 +321,7 @@
     ) -> Result<BufferedResponse, PlatformError> {
         let buffered = async {
             let response = self.send(context, method, path, body).await?;
-            BufferedResponse::read(context, response).await
+            self.read_response(context, response).await
         };
         self.within_timeout(context, buffered).await
     }
@@ -324,6 +357,22 @@
         Ok(())
     }
 
+    /// Returns the era of a response, or an error if the platform has been restored since.
+    fn check_era(
+        &self,
+        context: &CallContext,
+        response: &BufferedResponse,
+    ) -> Result<u64, PlatformError> {
+        let known = *self.inner.era.borrow();
+        match response.era() {
+            Some(era) if era < known => {
+                Err(PlatformError::Restored { object: context.object.clone() })
+            }
+            Some(era) => Ok(era),
+            None => Ok(known),
+        }
+    }
+
     /// Sends a request and returns the response once its head has been received.
     async fn send(
         &self,
@@ -338,7 +387,23 @@
             .header(CONTENT_TYPE, "application/json")
             .body(Full::new(body))
             .map_err(|error| context.invalid(error.to_string()))?;
-        self.inner.http.request(request).await.map_err(|it| context.http_client_error(&it))
+        let response = self.inner.http.request(request).await;
+        let response = response.map_err(|it| context.http_client_error(&it))?;
+        if let Some(era) = self.inner.settings.era_header.as_ref()
+            && let Some(era) = response::era(response.headers(), era)
+        {
+            self.observe_era(era);
+        }
+        Ok(response)
+    }
+
+    /// Reads a response to its end.
+    async fn read_response(
+        &self,
+        context: &CallContext,
+        response: Response<Incoming>,
+    ) -> Result<BufferedResponse, PlatformError> {
+        BufferedResponse::read(context, response, self.inner.settings.era_header.as_ref()).await
     }
 
     /// Encodes an object and checks the size of the result.
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -45,6 +45,13 @@
         /// Collection that was watched.
         object: String,
     },
+    /// The response is older than a restore of the platform that this client knows of, or the restore
+    /// happened between the parts of a result; the call has to be repeated.
+    #[display("{object}: the platform was restored meanwhile")]
+    Restored {
+        /// Object or collection that was called.
+        object: String,
+    },
     /// The value exceeds the platform's limit and was not sent.
     #[display("{object}: value of {size_bytes} bytes exceeds the limit of {limit_bytes} bytes")]
     TooLarge {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -19,12 +19,10 @@
 
 pub use backoff::{Backoff, BackoffSettings};
 pub use budget::{CallBudget, CallCounts, CallKind, TokenBucket};
-pub use client::Client;
+pub use client::{Client, ReadReply};
 pub use error::PlatformError;
 pub use object::{CURRENT, Kind, Object, ObjectList, ResourceVersion};
-pub use poll::{
-    Changes, Decode, ListPage, PollProtocol, PollUpdate, Poller, PollerSettings, Revision,
-};
+pub use poll::{ChangesPage, Decode, ListPage, PollProtocol, PollUpdate, Poller, PollerSettings};
 pub use poll_watchdog::{CheckOutcome, PollWatchdog};
 pub use settings::{BudgetSettings, ClientSettings};
 pub use watch::{Watch, WatchEvent};
--- a/crates/platform/src/poll.rs
+++ b/crates/platform/src/poll.rs
@@ -17,30 +17,28 @@
     task::JoinHandle,
 };
 use tokio_util::sync::CancellationToken;
+use yuccatrail_core::revision::Revision;
 
 use crate::{Backoff, BackoffSettings, CallKind, Client, PlatformError};
 
-/// Revision of the platform's store, which increases with each change.
-pub type Revision = u64;
-
 /// One page of a list.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ListPage<T> {
     /// Objects of the page.
     pub items: Vec<T>,
-    /// Revision of the store when the page was read.
-    pub revision: Revision,
+    /// Number of the store's revision when the page was read.
+    pub revision_number: u64,
     /// Name after which the next page begins; `None` for the last page.
     pub next: Option<String>,
 }
 
 /// Response to a long poll: the changes since the requested revision.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Changes<T> {
+pub struct ChangesPage<T> {
     /// The changes in the order in which they were made; may be empty.
     pub items: Vec<T>,
-    /// Revision from which the next poll continues.
-    pub revision: Revision,
+    /// Number of the store's revision from which the next poll continues.
+    pub revision_number: u64,
 }
 
 /// Decodes a body, or returns a description of what is wrong with it.
@@ -53,13 +51,13 @@
     pub kind: &'static str,
     /// Returns the path of the list page that begins after the name `after`, or of the first page.
     pub list_path: fn(kind: &str, after: Option<&str>) -> String,
-    /// Returns the path of a long poll for the changes after revision `from`, which the platform
-    /// holds open for up to `wait_ms` milliseconds while there are none.
-    pub poll_path: fn(kind: &str, from: Revision, wait_ms: u64) -> String,
+    /// Returns the path of a long poll for the changes after the revision with the number `from`,
+    /// which the platform holds open for up to `wait_ms` milliseconds while there are none.
+    pub poll_path: fn(kind: &str, from: u64, wait_ms: u64) -> String,
     /// Decodes a list page.
     pub decode_list: Decode<ListPage<T>>,
     /// Decodes the response to a long poll.
-    pub decode_changes: Decode<Changes<T>>,
+    pub decode_changes: Decode<ChangesPage<T>>,
 }
 
 /// Settings of a [`Poller`].
@@ -106,8 +104,13 @@
         /// Revision of the store when the first page of the list was read.
         revision: Revision,
     },
-    /// Changes in the order in which they were made.
-    Changes(Changes<T>),
+    /// Changes since the last update.
+    Changes {
+        /// The changes in the order in which they were made; may be empty.
+        items: Vec<T>,
+        /// Revision up to which all changes have been delivered.
+        revision: Revision,
+    },
     /// The platform cannot be reached; updates may be missing until it is available again.
     Unavailable(PlatformError),
     /// The platform can be reached again; the updates that follow cover everything since.
@@ -195,9 +198,17 @@
 
 impl<T: Send + 'static> PollTask<T> {
     async fn run(mut self, refresh: &Notify) {
+        let mut era = self.client.era();
         loop {
+            let own = self.revision;
             let result = tokio::select! {
                 result = self.list_or_poll() => result,
+                // A pending poll would miss the changes that the restore has undone.
+                Ok(newest) = era.wait_for(|it| own.is_some_and(|own| own.era < *it)) => {
+                    info!(kind = self.protocol.kind, era = *newest; "platform was restored, listing again");
+                    self.revision = None;
+                    continue;
+                }
                 () = refresh.notified() => {
                     self.revision = None;
                     self.backoff.reset();
@@ -229,11 +240,15 @@
         let mut first_revision = None;
         loop {
             let path = (self.protocol.list_path)(self.protocol.kind, after.as_deref());
-            let body = self.client.read(CallKind::Read, self.protocol.kind, &path, 0).await?;
-            let page = (self.protocol.decode_list)(&body).map_err(|it| self.invalid(it))?;
+            let reply = self.client.read(CallKind::Read, self.protocol.kind, &path, 0).await?;
+            let page = (self.protocol.decode_list)(&reply.body).map_err(|it| self.invalid(it))?;
             items.extend(page.items);
+            let read_at = Revision::new(reply.era, page.revision_number);
             // Polling from the revision of the first page also delivers changes made between pages.
-            let revision = *first_revision.get_or_insert(page.revision);
+            let revision = *first_revision.get_or_insert(read_at);
+            if revision.era != reply.era {
+                return Err(self.restored());
+            }
             match page.next {
                 Some(name) => after = Some(name),
                 None => return Ok(PollUpdate::Snapshot { items, revision }),
@@ -243,10 +258,14 @@
 
     async fn poll(&mut self, revision: Revision) -> Result<PollUpdate<T>, PlatformError> {
         let wait_ms = self.settings.wait_ms;
-        let path = (self.protocol.poll_path)(self.protocol.kind, revision, wait_ms);
-        let body = self.client.read(CallKind::Watch, self.protocol.kind, &path, wait_ms).await?;
-        let changes = (self.protocol.decode_changes)(&body).map_err(|it| self.invalid(it))?;
-        Ok(PollUpdate::Changes(changes))
+        let path = (self.protocol.poll_path)(self.protocol.kind, revision.number, wait_ms);
+        let reply = self.client.read(CallKind::Watch, self.protocol.kind, &path, wait_ms).await?;
+        if revision.era != reply.era {
+            return Err(self.restored());
+        }
+        let page = (self.protocol.decode_changes)(&reply.body).map_err(|it| self.invalid(it))?;
+        let revision = Revision::new(reply.era, page.revision_number);
+        Ok(PollUpdate::Changes { items: page.items, revision })
     }
 
     async fn deliver(&mut self, update: PollUpdate<T>) -> Result<(), ConsumerGone> {
@@ -257,11 +276,12 @@
             self.is_available = true;
         }
         match &update {
-            PollUpdate::Snapshot { revision, .. } => self.revision = Some(*revision),
-            PollUpdate::Changes(changes) => self.revision = Some(changes.revision),
+            PollUpdate::Snapshot { revision, .. } | PollUpdate::Changes { revision, .. } => {
+                self.revision = Some(*revision);
+            }
             PollUpdate::Unavailable(_) | PollUpdate::Available => {}
         }
-        let has_changes = matches!(&update, PollUpdate::Changes(it) if !it.items.is_empty());
+        let has_changes = matches!(&update, PollUpdate::Changes { items, .. } if !items.is_empty());
         self.send(update).await?;
         if has_changes {
             tokio::time::sleep(Duration::from_millis(self.settings.coalesce_ms)).await;
@@ -279,6 +299,11 @@
             info!(kind = self.protocol.kind; "revision is too old, listing again");
             return Ok(());
         }
+        if matches!(error, PlatformError::Restored { .. }) {
+            info!(kind = self.protocol.kind; "response from before a restore of the platform, listing again");
+            tokio::time::sleep(self.backoff.fail(None, rand::random())).await;
+            return Ok(());
+        }
         let retry_after_ms = match &error {
             PlatformError::Unavailable { retry_after_ms, .. } => *retry_after_ms,
             _ => None,
@@ -296,6 +321,10 @@
         Ok(())
     }
 
+    fn restored(&self) -> PlatformError {
+        PlatformError::Restored { object: self.protocol.kind.to_owned() }
+    }
+
     fn invalid(&self, detail: String) -> PlatformError {
         PlatformError::Invalid { object: self.protocol.kind.to_owned(), detail }
     }
--- a/crates/platform/src/response.rs
+++ b/crates/platform/src/response.rs
@@ -7,7 +7,7 @@
 use hyper::{
     Response, StatusCode,
     body::Incoming,
-    header::{HeaderMap, RETRY_AFTER},
+    header::{HeaderMap, HeaderName, RETRY_AFTER},
 };
 use hyper_util::client::legacy;
 use serde::{Serialize, de::DeserializeOwned};
@@ -74,6 +74,7 @@
 pub(crate) struct BufferedResponse {
     status: StatusCode,
     retry_after_ms: Option<u64>,
+    era: Option<u64>,
     body: Bytes,
 }
 
@@ -82,16 +83,23 @@
     pub(crate) async fn read(
         context: &CallContext,
         response: Response<Incoming>,
+        era_header: Option<&HeaderName>,
     ) -> Result<Self, PlatformError> {
         let status = response.status();
         let retry_after_ms = retry_after_ms(response.headers());
+        let era = era_header.and_then(|it| era(response.headers(), it));
         let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await;
         match body {
-            Ok(body) => Ok(Self { status, retry_after_ms, body: body.to_bytes() }),
+            Ok(body) => Ok(Self { status, retry_after_ms, era, body: body.to_bytes() }),
             Err(error) => Err(context.response_lost(format!("response truncated: {error}"))),
         }
     }
 
+    /// Returns the era that the response states.
+    pub(crate) fn era(&self) -> Option<u64> {
+        self.era
+    }
+
     /// Tells whether the API reports that the object does not exist.
     ///
     /// A 404 without the reason `NotFound` does not come from the API itself.
@@ -165,6 +173,11 @@
     (seconds.is_finite() && seconds >= 0.0).then_some((seconds * 1_000.0) as u64)
 }
 
+/// Returns the era of the platform that a response states in the header `name`.
+pub(crate) fn era(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.trim().parse().ok()
+}
+
 /// Returns the messages of an error and of all its causes.
 fn error_chain(error: &legacy::Error) -> String {
     let mut text = error.to_string();
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -2,6 +2,8 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
+use hyper::header::HeaderName;
+
 /// Settings of a [`Client`](crate::Client).
 #[derive(Clone, Debug, PartialEq)]
 pub struct ClientSettings {
@@ -17,6 +19,9 @@
     pub watch_timeout_s: u64,
     /// Rate limits of calls.
     pub budget: BudgetSettings,
+    /// Response header with the number of times that the platform was restored from a copy; `None`
+    /// if the platform does not state it.
+    pub era_header: Option<HeaderName>,
 }
 
 impl Default for ClientSettings {
@@ -28,6 +33,7 @@
             connect_timeout_ms: 500,
             watch_timeout_s: 30,
             budget: BudgetSettings::default(),
+            era_header: None,
         }
     }
 }
--- a/crates/rpc/src/entries.rs
+++ b/crates/rpc/src/entries.rs
@@ -7,7 +7,7 @@
     batching::{GroupOutcome, StageWork},
     quarantine::Strike,
     route_table::Configuration,
-    upstreams::{ListRevisions, PlatformLists},
+    upstreams::{ListCorrections, ListRevisions, PlatformLists},
 };
 
 /// Name, address and capacity of an entry.
@@ -35,6 +35,8 @@
     pub queues: Vec<QueueState>,
     /// Strikes against requests during which an upstream crashed.
     pub strikes: Vec<Strike>,
+    /// What the entry knows beyond the platform's lists.
+    pub corrections: ListCorrections,
 }
 
 /// Queue of one stage service.
@@ -70,9 +72,13 @@
 /// Calls that an entry accepts from other entries.
 #[tarpc::service]
 pub trait EntryPeer {
-    /// Returns the state of the entry; `from` is the calling entry and `strikes` are those that it
-    /// knows of.
-    async fn hello(from: EntryAddress, strikes: Vec<Strike>) -> HelloReply;
+    /// Returns the state of the entry; `from` is the calling entry, `strikes` and `corrections` are
+    /// those that it knows of.
+    async fn hello(
+        from: EntryAddress,
+        strikes: Vec<Strike>,
+        corrections: ListCorrections,
+    ) -> HelloReply;
     /// Returns the entries that this entry knows of.
     async fn entries() -> Vec<EntryAddress>;
     /// Returns the active configuration; `None` until the entry has received one.
