--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod outcome;
 pub mod ownership;
 pub mod placement;
+pub mod platform_updates;
 pub mod quarantine;
 pub mod queue;
 pub mod retry_share;
--- a/crates/core/src/ownership/mod.rs
+++ b/crates/core/src/ownership/mod.rs
@@ -6,11 +6,19 @@
 //! to tolerate that.
 
 mod listed_entries;
+mod readers;
+mod reading_role;
 mod view;
 
+use std::{net::SocketAddr, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
 use crate::upstreams::rendezvous_weight;
 
 pub use listed_entries::ListedEntries;
+pub use readers::ReaderPlan;
+pub use reading_role::{ReadingRole, RoleDecision, RoleInputs};
 pub use view::{EntryView, OwnState, PeerState};
 
 /// Fraction of the largest CPU share below which an entry ranks after the stronger ones, since a weak
@@ -24,6 +32,32 @@
     pub name: String,
     /// Share of a CPU core that it may use.
     pub cpu_share: f64,
+    /// Data centre that it runs in.
+    pub data_centre: Arc<str>,
+}
+
+/// Name, address and capacity of an entry.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EntryAddress {
+    /// Name of the entry.
+    pub name: String,
+    /// Address on which the entry accepts calls of other entries.
+    pub peer_address: SocketAddr,
+    /// CPU limit of the entry, in cores.
+    pub cpu_share: f64,
+    /// Data centre that the entry runs in.
+    pub data_centre: Arc<str>,
+}
+
+impl EntryAddress {
+    /// Returns the entry as a candidate for shared work.
+    pub fn candidate(&self) -> Candidate {
+        Candidate {
+            name: self.name.clone(),
+            cpu_share: self.cpu_share,
+            data_centre: self.data_centre.clone(),
+        }
+    }
 }
 
 /// Returns the entries in their order for the work named `subject`: first the strong ones, then the
--- a/crates/core/src/ownership/view.rs
+++ b/crates/core/src/ownership/view.rs
@@ -57,19 +57,20 @@
     pub follows_platform: bool,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct ListedEntry {
+#[derive(Clone, Debug)]
+pub(super) struct ListedEntry {
     cpu_share: f64,
-    state: PeerState,
+    pub(super) data_centre: Arc<str>,
+    pub(super) state: PeerState,
 }
 
 /// All entries as listed and polled by one of them.
 #[derive(Debug)]
 pub struct EntryView {
-    own: Candidate,
-    listed: FastMap<String, ListedEntry>,
+    pub(super) own: Candidate,
+    pub(super) listed: FastMap<String, ListedEntry>,
     /// Names of all entries in their order for each shared work; computed when first needed.
-    rankings: FastMap<Arc<str>, Vec<String>>,
+    pub(super) rankings: FastMap<Arc<str>, Vec<String>>,
     /// Names of the other entries in ring order, beginning after this one; computed when first needed.
     ring: Option<Vec<String>>,
 }
@@ -85,7 +86,11 @@
         if entry.name == self.own.name {
             return;
         }
-        let listed = ListedEntry { cpu_share: entry.cpu_share, state: PeerState::Unknown };
+        let listed = ListedEntry {
+            cpu_share: entry.cpu_share,
+            data_centre: entry.data_centre,
+            state: PeerState::Unknown,
+        };
         self.listed.insert(entry.name, listed);
         self.clear_orders();
     }
@@ -146,6 +151,7 @@
             }
         }
         self.add_neighbours(&mut polled, own);
+        polled.extend(self.reader_plan(own).watched);
         polled
     }
 
@@ -172,14 +178,15 @@
         }
     }
 
-    fn rank(&mut self, subject: &str) {
+    pub(super) fn rank(&mut self, subject: &str) {
         if self.rankings.contains_key(subject) {
             return;
         }
-        let others = self
-            .listed
-            .iter()
-            .map(|(name, it)| Candidate { name: name.clone(), cpu_share: it.cpu_share });
+        let others = self.listed.iter().map(|(name, it)| Candidate {
+            name: name.clone(),
+            cpu_share: it.cpu_share,
+            data_centre: it.data_centre.clone(),
+        });
         let mut all: Vec<Candidate> = others.collect();
         all.push(self.own.clone());
         let names = ranked(subject, all).into_iter().map(|it| it.name).collect();
--- a/crates/core/src/upstreams/directory.rs
+++ b/crates/core/src/upstreams/directory.rs
@@ -136,6 +136,11 @@
         self.has_platform_list
     }
 
+    /// Tells whether the other entries are known.
+    pub fn has_entries(&self) -> bool {
+        self.has_entries
+    }
+
     /// Returns the names of all entries, which share the limits; none before they are known.
     pub(crate) fn known_entries(&self) -> Option<&[String]> {
         self.has_entries.then_some(self.entries.as_slice())
--- a/crates/core/src/upstreams/platform_lists.rs
+++ b/crates/core/src/upstreams/platform_lists.rs
@@ -61,10 +61,7 @@
         if !self.has_platform_list() {
             return None;
         }
-        let records = self.all.values().map(|it| UpstreamRecord {
-            cold_remaining_ms: it.cold_until_ms.saturating_sub(now_ms),
-            ..it.record.clone()
-        });
+        let records = self.all.values().map(|it| it.record_at(now_ms));
         Some(PlatformLists {
             revisions: self.revisions(),
             upstreams: records.collect(),
@@ -159,6 +156,12 @@
         self.evacuations.all().collect()
     }
 
+    /// Returns the upstreams that the platform lists, for entries that follow this one.
+    pub fn listed_records(&self, now_ms: u64) -> Vec<UpstreamRecord> {
+        let listed = self.all.values().filter(|it| it.remove_at_ms.is_none());
+        listed.map(|it| it.record_at(now_ms)).collect()
+    }
+
     /// Returns what other entries may not know: upstreams that leave, and evacuations that a restored
     /// platform has lost.
     pub fn corrections(&self, now_ms: u64) -> ListCorrections {
--- a/crates/core/src/upstreams/record.rs
+++ b/crates/core/src/upstreams/record.rs
@@ -129,6 +129,14 @@
         }
     }
 
+    /// Returns the record with the remaining time for which the upstream is treated as cold.
+    pub(crate) fn record_at(&self, now_ms: u64) -> UpstreamRecord {
+        UpstreamRecord {
+            cold_remaining_ms: self.cold_until_ms.saturating_sub(now_ms),
+            ..self.record.clone()
+        }
+    }
+
     /// Tells whether the upstream is treated as cold.
     pub fn is_cold(&self, now_ms: u64) -> bool {
         now_ms < self.cold_until_ms
