Read the platform at a few entries of each data centre; the others follow them

The others ask one of them for the updates since their last question. A reader that is lost, paused or rejected by the platform is replaced by the next one; an entry whose sources respond but do not follow the platform checks it before it reads.

--- a/crates/core/src/freshness/mod.rs
+++ b/crates/core/src/freshness/mod.rs
@@ -24,6 +24,11 @@
     Evacuations,
 }
 
+impl PlatformData {
+    /// All kinds.
+    pub const ALL: [Self; KINDS] = [Self::Configuration, Self::Upstreams, Self::Evacuations];
+}
+
 /// Number of kinds of platform data.
 const KINDS: usize = 3;
 
--- a/crates/core/src/ownership/listed_entries.rs
+++ b/crates/core/src/ownership/listed_entries.rs
@@ -47,6 +47,11 @@
         missing
     }
 
+    /// Tells whether the platform lists an entry.
+    pub fn is_listed(&self, name: &str) -> bool {
+        self.names.contains(name) && !self.lacking.contains_key(name)
+    }
+
     /// Adds an entry that was listed.
     pub fn add(&mut self, name: &str) {
         self.lacking.remove(name);
--- a/crates/core/src/ownership/view.rs
+++ b/crates/core/src/ownership/view.rs
@@ -108,6 +108,12 @@
         std::mem::replace(&mut listed.state, state) != state
     }
 
+    /// Tells whether an entry followed the platform when it last responded.
+    pub fn follows_platform(&self, name: &str) -> bool {
+        let state = self.listed.get(name).map(|it| it.state);
+        matches!(state, Some(PeerState::Alive { follows_platform: true, .. }))
+    }
+
     /// Returns the number of entries, this one included.
     pub fn entry_count(&self) -> usize {
         self.listed.len() + 1
--- a/crates/core/src/upstreams/platform_lists.rs
+++ b/crates/core/src/upstreams/platform_lists.rs
@@ -162,6 +162,11 @@
         listed.map(|it| it.record_at(now_ms)).collect()
     }
 
+    /// Returns the evacuations that the platform lists, for entries that follow this one.
+    pub fn listed_evacuations(&self) -> Vec<Evacuation> {
+        self.evacuations.to_send()
+    }
+
     /// Returns what other entries may not know: upstreams that leave, and evacuations that a restored
     /// platform has lost.
     pub fn corrections(&self, now_ms: u64) -> ListCorrections {
--- a/crates/entry/src/relay/feed.rs
+++ b/crates/entry/src/relay/feed.rs
@@ -1,73 +1,103 @@
-//! Keeps the configuration and the lists up to date from the platform's object store.
+//! Reads the configuration and the lists from the platform's object store.
 
 use std::sync::Arc;
 
-use log::{info, warn};
+use log::warn;
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 use yuccatrail_adapter::{
-    StoreChange, configuration_protocol, evacuations_protocol, servers_protocol,
+    EntryRecord, StoreChange, configuration_protocol, entries_protocol, evacuations_protocol,
+    servers_protocol,
 };
 use yuccatrail_core::{
     freshness::PlatformData,
+    ownership::{EntryAddress, ReadingRole},
+    platform_updates::{EntryChange, EvacuationChange, PlatformUpdate, UpstreamChange},
     route_table::{Configuration, RouteTable},
-    upstreams::{Evacuation, ListUpdate, UpstreamRecord},
+    upstreams::{Evacuation, UpstreamRecord},
 };
 use yuccatrail_platform::{Client, PollProtocol, PollUpdate, Poller, PollerSettings};
 
-use crate::relay::state::{Relay, RelistSignal};
+use crate::relay::{
+    reading::{reads_entries, reads_lists},
+    state::{Relay, RelistSignal},
+};
 
-/// Updates of one kind of object, which is listed again on each relist signal.
-pub(crate) struct Feed<T> {
+/// Updates of one kind of object, which is read while the role of this entry asks for it and listed
+/// again on each relist signal.
+struct Feed<T> {
     poller: Poller,
     updates: mpsc::Receiver<PollUpdate<T>>,
     relist_signal: watch::Receiver<RelistSignal>,
+    is_active: fn(ReadingRole) -> bool,
+    /// Signal that the poller knows of.
+    known_signal: RelistSignal,
 }
 
 impl<T: Send + 'static> Feed<T> {
     /// Starts to follow a kind of object until `stop` is cancelled.
-    pub(crate) fn start(
+    fn start(
         relay: &Relay,
         client: Client,
         protocol: PollProtocol<T>,
+        is_active: fn(ReadingRole) -> bool,
         stop: &CancellationToken,
     ) -> Self {
-        let (poller, updates) = Poller::start(client, protocol, PollerSettings::default(), stop);
-        Self { poller, updates, relist_signal: relay.relist_signal() }
+        let mut relist_signal = relay.relist_signal();
+        let known_signal = *relist_signal.borrow_and_update();
+        let settings = PollerSettings {
+            starts_paused: !is_active(known_signal.role),
+            ..PollerSettings::default()
+        };
+        let (poller, updates) = Poller::start(client, protocol, settings, stop);
+        Self { poller, updates, relist_signal, is_active, known_signal }
     }
 
     /// Returns the next update; none when the feed has stopped.
-    pub(crate) async fn next(&mut self) -> Option<PollUpdate<T>> {
+    async fn next(&mut self) -> Option<PollUpdate<T>> {
         loop {
             tokio::select! {
                 biased;
                 changed = self.relist_signal.changed() => {
                     changed.ok()?;
-                    let is_unresponsive = self.relist_signal.borrow_and_update().is_platform_unresponsive;
-                    self.poller.set_slow_retry(is_unresponsive);
-                    self.poller.refresh();
+                    self.apply_signal();
                 }
                 update = self.updates.recv() => return update,
             }
         }
     }
 
+    fn apply_signal(&mut self) {
+        let signal = *self.relist_signal.borrow_and_update();
+        self.poller.set_paused(!(self.is_active)(signal.role));
+        self.poller.set_slow_retry(signal.is_platform_unresponsive);
+        let known = std::mem::replace(&mut self.known_signal, signal);
+        let is_role_change = RelistSignal { role: signal.role, ..known } == signal;
+        if !is_role_change {
+            self.poller.refresh();
+        }
+    }
+
     /// Stops the feed and waits until its connection is closed.
-    pub(crate) async fn close(self) {
+    async fn close(self) {
         self.poller.close().await;
     }
 }
 
-/// Follows the configuration and activates newer versions.
+/// Reads the configuration and activates newer versions.
 pub(crate) async fn follow_configuration(
     relay: Arc<Relay>,
     client: Client,
     stop: CancellationToken,
 ) {
-    let mut feed = Feed::start(&relay, client, configuration_protocol(), &stop);
+    let mut feed = Feed::start(&relay, client, configuration_protocol(), reads_lists, &stop);
     while let Some(update) = feed.next().await {
-        let is_snapshot = matches!(update, PollUpdate::Snapshot { .. });
-        for change in changes_of(update) {
+        let (items, is_snapshot) = match update {
+            PollUpdate::Snapshot { items, .. } => (items, true),
+            PollUpdate::Changes { items, .. } => (items, false),
+            PollUpdate::Unavailable(_) | PollUpdate::Available => continue,
+        };
+        for change in items {
             apply_configuration(&relay, change);
         }
         if is_snapshot {
@@ -91,29 +121,23 @@
     }
 }
 
-/// Follows the list of evacuated data centres, which receive no requests.
+/// Reads the list of evacuated data centres, which receive no requests.
 pub(crate) async fn follow_evacuations(relay: Arc<Relay>, client: Client, stop: CancellationToken) {
-    let mut feed = Feed::start(&relay, client, evacuations_protocol(), &stop);
+    let mut feed = Feed::start(&relay, client, evacuations_protocol(), reads_lists, &stop);
     while let Some(update) = feed.next().await {
-        let now_ms = relay.now_ms();
         match update {
             PollUpdate::Snapshot { items, revision } => {
-                let listed: Vec<Evacuation> = items.iter().filter_map(evacuation_of).collect();
-                let changed = relay.upstreams().replace_evacuated(&listed, revision, now_ms);
-                log_evacuations(&changed);
+                let listed = items.iter().filter_map(|change| {
+                    let (data_centre, changed_at) = evacuation_change(change);
+                    Some(Evacuation { data_centre, changed_at: changed_at? })
+                });
+                let listed = listed.collect();
+                relay.apply_update(PlatformUpdate::Evacuations { revision, listed });
                 relay.mark_fresh(PlatformData::Evacuations);
             }
             PollUpdate::Changes { items, revision } => {
-                let mut upstreams = relay.upstreams();
-                for change in &items {
-                    let name = object_name(change);
-                    let evacuated_at = evacuation_of(change).map(|it| it.changed_at);
-                    if upstreams.set_evacuated(name, evacuated_at, revision, now_ms) {
-                        log_evacuations(&[(name.to_owned(), evacuated_at.is_some())]);
-                    }
-                }
-                let changed = upstreams.confirm_evacuations(revision, now_ms);
-                log_evacuations(&changed);
+                let changes = items.iter().map(evacuation_change).collect();
+                relay.apply_update(PlatformUpdate::EvacuationChanges { revision, changes });
             }
             PollUpdate::Unavailable(_) | PollUpdate::Available => {}
         }
@@ -121,95 +145,101 @@
     feed.close().await;
 }
 
-/// Logs data centres whose state changed, each with whether it is evacuated now.
-pub(crate) fn log_evacuations(changed: &[(String, bool)]) {
-    for (data_centre, is_out) in changed {
-        info!(data_centre = data_centre, is_out = *is_out; "evacuation of data centre changed");
-    }
-}
-
-/// Returns the evacuation that an object of the list stands for; an unreadable one does too.
-fn evacuation_of(change: &StoreChange<()>) -> Option<Evacuation> {
+/// Returns what an object of the list says of its data centre; an unreadable one evacuates it too.
+fn evacuation_change(change: &StoreChange<()>) -> EvacuationChange {
     let changed_at = match change {
-        StoreChange::Present { changed_at, .. } => *changed_at,
-        StoreChange::Unreadable { .. } => 0,
-        StoreChange::Absent { .. } => return None,
+        StoreChange::Present { changed_at, .. } => Some(*changed_at),
+        StoreChange::Unreadable { .. } => Some(0),
+        StoreChange::Absent { .. } => None,
     };
-    Some(Evacuation { data_centre: object_name(change).to_owned(), changed_at })
+    (object_name(change).to_owned(), changed_at)
 }
 
-/// Follows the list of upstreams.
+/// Reads the list of upstreams.
 pub(crate) async fn follow_upstreams(relay: Arc<Relay>, client: Client, stop: CancellationToken) {
-    let mut feed = Feed::start(&relay, client, servers_protocol(), &stop);
+    let mut feed = Feed::start(&relay, client, servers_protocol(), reads_lists, &stop);
     while let Some(update) = feed.next().await {
-        let now_ms = relay.now_ms();
         match update {
             PollUpdate::Snapshot { items, revision } => {
-                info!(upstreams = items.len(), revision:% = revision; "upstreams listed");
-                let records = items.into_iter().filter_map(record_of).collect();
-                relay.upstreams().update(ListUpdate::Snapshot(records), revision, now_ms);
+                let changes = items.into_iter().map(upstream_change);
+                let records = changes.filter_map(|it| match it {
+                    UpstreamChange::Listed(record) => Some(record),
+                    UpstreamChange::Unlisted(_) => None,
+                });
+                let records = records.collect();
+                relay.apply_update(PlatformUpdate::Upstreams { revision, records });
                 relay.mark_fresh(PlatformData::Upstreams);
             }
             PollUpdate::Changes { items, revision } => {
-                for change in items {
-                    let update = list_update(change);
-                    relay.upstreams().update(update, revision, now_ms);
-                }
-                relay.upstreams().confirm(revision);
+                let changes = items.into_iter().map(upstream_change).collect();
+                relay.apply_update(PlatformUpdate::UpstreamChanges { revision, changes });
             }
             PollUpdate::Available => {
                 relay.set_follows_platform(true);
-                relay.upstreams().begin_removal_grace(now_ms);
+                relay.apply_update(PlatformUpdate::Recovered);
+            }
+            PollUpdate::Unavailable(_) => {
+                relay.set_follows_platform(false);
+                relay.stages.start_all_calls(&relay);
             }
-            PollUpdate::Unavailable(_) => relay.set_follows_platform(false),
         }
-        relay.stages.start_all_calls(&relay);
     }
     feed.close().await;
 }
 
-fn list_update(change: StoreChange<UpstreamRecord>) -> ListUpdate {
-    let name = object_name(&change).to_owned();
-    match record_of(change) {
-        Some(record) => {
-            info!(
-                upstream:% = record.id,
-                service:% = record.service,
-                address:% = record.address,
-                is_draining = record.is_draining,
-                cold_remaining_ms = record.cold_remaining_ms,
-                sequence = record.sequence;
-                "upstream listed"
-            );
-            ListUpdate::Listed(record)
+/// Returns a change of the list of upstreams; an unreadable record names no upstream to use.
+fn upstream_change(change: StoreChange<UpstreamRecord>) -> UpstreamChange {
+    match change {
+        StoreChange::Present { content, .. } => UpstreamChange::Listed(content),
+        StoreChange::Absent { name } => UpstreamChange::Unlisted(name),
+        StoreChange::Unreadable { name, detail } => {
+            warn!(upstream:% = name, detail:% = detail; "record of an upstream can't be read");
+            UpstreamChange::Unlisted(name)
         }
-        None => {
-            info!(upstream:% = name; "upstream no longer listed");
-            ListUpdate::Unlisted { id: name }
+    }
+}
+
+/// Reads the list of entries.
+pub(crate) async fn follow_entries(relay: Arc<Relay>, client: Client, stop: CancellationToken) {
+    let mut feed = Feed::start(&relay, client, entries_protocol(), reads_entries, &stop);
+    while let Some(update) = feed.next().await {
+        match update {
+            PollUpdate::Snapshot { items, revision } => {
+                let changes = items.into_iter().filter_map(entry_change);
+                let entries = changes.filter_map(|it| match it {
+                    EntryChange::Listed(entry) => Some(entry),
+                    EntryChange::Unlisted(_) => None,
+                });
+                let entries = entries.collect();
+                relay.apply_update(PlatformUpdate::Entries { revision, entries });
+            }
+            PollUpdate::Changes { items, .. } => {
+                let changes = items.into_iter().filter_map(entry_change).collect();
+                relay.apply_update(PlatformUpdate::EntryChanges { changes });
+            }
+            PollUpdate::Unavailable(_) | PollUpdate::Available => {}
         }
     }
+    feed.close().await;
 }
 
-fn record_of(change: StoreChange<UpstreamRecord>) -> Option<UpstreamRecord> {
+/// Returns a change of the list of entries; none for an unreadable record, which changes nothing.
+fn entry_change(change: StoreChange<EntryRecord>) -> Option<EntryChange> {
     match change {
-        StoreChange::Present { content, .. } => Some(content),
-        StoreChange::Absent { .. } => None,
+        StoreChange::Present { name, content, .. } => Some(EntryChange::Listed(EntryAddress {
+            name,
+            peer_address: content.peer_address,
+            cpu_share: content.cpu_share,
+            data_centre: content.data_centre.into(),
+        })),
+        StoreChange::Absent { name } => Some(EntryChange::Unlisted(name)),
         StoreChange::Unreadable { name, detail } => {
-            warn!(upstream:% = name, detail:% = detail; "record of an upstream can't be read");
+            warn!(entry:% = name, detail:% = detail; "record of an entry can't be read");
             None
         }
     }
 }
 
-/// Returns the changes of an update; a snapshot counts as one change per object.
-fn changes_of<T>(update: PollUpdate<StoreChange<T>>) -> Vec<StoreChange<T>> {
-    match update {
-        PollUpdate::Snapshot { items, .. } => items,
-        PollUpdate::Changes { items, .. } => items,
-        PollUpdate::Unavailable(_) | PollUpdate::Available => Vec::new(),
-    }
-}
-
 fn object_name<T>(change: &StoreChange<T>) -> &str {
     match change {
         StoreChange::Present { name, .. }
--- a/crates/entry/src/relay/mod.rs
+++ b/crates/entry/src/relay/mod.rs
@@ -9,6 +9,7 @@
 mod plain;
 mod platform_check;
 mod pool;
+mod reading;
 mod release;
 mod request;
 mod sabotage;
@@ -17,6 +18,7 @@
 mod state;
 mod stages;
 mod stream;
+mod updates;
 
 use std::{io, process::ExitCode, sync::Arc, time::Duration};
 
@@ -35,6 +37,7 @@
         sabotage::Mechanism,
         server::{handle_metrics, handle_ready, serve_callers},
         state::Relay,
+        updates::log_evacuations,
     },
     serve::run_with_logging,
 };
@@ -89,7 +92,8 @@
     tokio::spawn(feed::follow_configuration(relay.clone(), client.clone(), finished.clone()));
     tokio::spawn(feed::follow_upstreams(relay.clone(), client.clone(), finished.clone()));
     tokio::spawn(feed::follow_evacuations(relay.clone(), client.clone(), finished.clone()));
-    tokio::spawn(peers::follow_entries(relay.clone(), client.clone(), finished.clone()));
+    tokio::spawn(feed::follow_entries(relay.clone(), client.clone(), finished.clone()));
+    tokio::spawn(peers::follow_sources(relay.clone(), finished.clone()));
     tokio::spawn(platform_check::check(relay.clone(), client.clone(), finished.clone()));
     tokio::spawn(peers::serve(peers, relay.clone(), finished.clone()));
     let registering = tokio::spawn(peers::register(relay.clone(), client.clone()));
@@ -154,9 +158,11 @@
         relay.detect_pause();
         let now_ms = relay.now_ms();
         let changed = relay.upstreams().expire(now_ms);
-        feed::log_evacuations(&changed);
+        log_evacuations(&changed);
+        relay.expire_entries();
         relay.crashes.expire(now_ms);
         relay.peers.update_polled_entries(&relay);
+        relay.reading.update(&relay);
         relay.stages.tick(&relay);
         relay.releases.flush(&relay);
         let upstreams = relay.upstreams();
--- a/crates/entry/src/relay/peers.rs
+++ b/crates/entry/src/relay/peers.rs
@@ -1,5 +1,6 @@
 //! The other entries: which are alive, which of them owns a stage service, and which to poll.
 
+mod follow;
 mod hello;
 mod record;
 mod serve;
@@ -13,19 +14,20 @@
 use tarpc::context::{self, Context};
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
-use yuccatrail_adapter::EntryRecord;
 use yuccatrail_core::{
     FastMap,
-    ownership::{Candidate, EntryView, OwnState, PeerState},
+    ownership::{Candidate, EntryAddress, EntryView, OwnState, PeerState, ReaderPlan},
 };
-use yuccatrail_rpc::entries::{EntryAddress, EntryPeerClient, HelloReply, QueueState};
+use yuccatrail_rpc::entries::{EntryPeerClient, HelloReply, QueueState};
 
 use crate::relay::{
     peers::hello::MissingConfiguration,
     state::{Relay, lock},
 };
 
-pub(crate) use record::{follow_entries, register, unregister};
+pub(crate) use follow::follow_sources;
+pub(crate) use hello::own_address;
+pub(crate) use record::{register, unregister};
 pub(crate) use serve::serve;
 
 /// Minimum interval between hellos to another entry, in milliseconds.
@@ -47,7 +49,7 @@
 
 /// Another entry that is listed.
 struct KnownEntry {
-    record: EntryRecord,
+    address: EntryAddress,
     /// Cancelling it stops polling the entry; none while the entry is not polled.
     polling: Option<CancellationToken>,
     /// Connection to the entry; none until it has responded.
@@ -63,6 +65,8 @@
     /// State of this entry for which the polled entries were last chosen; none if they have to be
     /// chosen again.
     polled_for: Option<OwnState>,
+    /// Which entries read the platform, as of the last choice of polled entries.
+    plan: ReaderPlan,
 }
 
 /// Owner of a stage service.
@@ -85,7 +89,12 @@
     /// Creates the directory of the entry `own`, without other entries.
     pub(crate) fn new(own: Candidate) -> Self {
         let view = EntryView::new(own);
-        let directory = Directory { view, known: FastMap::default(), polled_for: None };
+        let directory = Directory {
+            view,
+            known: FastMap::default(),
+            polled_for: None,
+            plan: ReaderPlan::default(),
+        };
         Self {
             directory: Mutex::new(directory),
             missing_configuration: Mutex::default(),
@@ -132,8 +141,9 @@
         }
         let services = relay.stages.services();
         let mut directory = lock(&self.directory);
-        let Directory { view, known, polled_for } = &mut *directory;
+        let Directory { view, known, polled_for, plan } = &mut *directory;
         *polled_for = Some(own);
+        *plan = view.reader_plan(own);
         let to_poll = view.peers_to_poll(&services, own);
         for (name, entry) in known.iter_mut() {
             if to_poll.contains(name) == entry.polling.is_some() {
@@ -148,7 +158,7 @@
             }
             let stop = CancellationToken::new();
             entry.polling = Some(stop.clone());
-            let address = entry.record.peer_address;
+            let address = entry.address.peer_address;
             tokio::spawn(hello::poll_entry(relay.clone(), name.clone(), address, stop));
         }
     }
@@ -159,20 +169,20 @@
         lock(&self.directory).polled_for = None;
     }
 
-    fn set_record(&self, relay: &Relay, name: &str, record: EntryRecord) {
+    pub(crate) fn set_address(&self, relay: &Relay, address: EntryAddress) {
+        let name = address.name.clone();
         if name == relay.settings.name {
             return;
         }
         let mut directory = lock(&self.directory);
-        if directory.known.get(name).is_some_and(|it| it.record == record) {
+        if directory.known.get(&name).is_some_and(|it| it.address == address) {
             return;
         }
-        info!(entry = name, address:% = record.peer_address; "entry listed");
-        let candidate = Candidate { name: name.to_owned(), cpu_share: record.cpu_share };
-        directory.view.add(candidate);
+        info!(entry:% = name, address:% = address.peer_address; "entry listed");
+        directory.view.add(address.candidate());
         directory.polled_for = None;
-        let entry = KnownEntry { record, polling: None, peer: None, queues: FastMap::default() };
-        if let Some(replaced) = directory.known.insert(name.to_owned(), entry) {
+        let entry = KnownEntry { address, polling: None, peer: None, queues: FastMap::default() };
+        if let Some(replaced) = directory.known.insert(name, entry) {
             // The entry has restarted; calls to the previous process get no response.
             if let Some(peer) = &replaced.peer {
                 peer.lost.cancel();
@@ -181,7 +191,7 @@
         }
     }
 
-    fn remove(&self, name: &str) {
+    pub(crate) fn remove(&self, name: &str) {
         let mut directory = lock(&self.directory);
         if let Some(removed) = directory.known.remove(name) {
             info!(entry = name; "entry no longer listed");
@@ -221,8 +231,8 @@
     }
 
     /// Makes this entry write its record again.
-    fn register_again(&self) {
-        self.unregistered.notify_waiters();
+    pub(crate) fn register_again(&self) {
+        self.unregistered.notify_one();
     }
 
     /// Waits until the platform does not list this entry.
@@ -230,8 +240,40 @@
         self.unregistered.notified().await;
     }
 
+    /// Returns whether this entry reads the platform, and which entries it follows otherwise.
+    pub(crate) fn reader_plan(&self) -> ReaderPlan {
+        lock(&self.directory).plan.clone()
+    }
+
+    /// Returns whether this entry reads the platform, and whether one that it could follow responds.
+    pub(crate) fn reading_state(&self) -> (bool, bool) {
+        let directory = lock(&self.directory);
+        let Directory { known, plan, .. } = &*directory;
+        let responds = |it: &String| known.get(it).is_some_and(|it| it.peer.is_some());
+        (plan.is_reader, plan.sources.iter().any(responds))
+    }
+
+    /// Returns the entries to follow that have responded, in order of preference, each with whether it
+    /// followed the platform then.
+    fn sources(&self) -> Vec<(Peer, bool)> {
+        let directory = lock(&self.directory);
+        let mut sources = Vec::new();
+        for name in &directory.plan.sources {
+            let Some(peer) = directory.known.get(name).and_then(|it| it.peer.clone()) else {
+                continue;
+            };
+            sources.push((peer, directory.view.follows_platform(name)));
+        }
+        sources
+    }
+
+    /// Returns the addresses of all other entries.
+    pub(crate) fn addresses(&self) -> Vec<EntryAddress> {
+        lock(&self.directory).known.values().map(|it| it.address.clone()).collect()
+    }
+
     /// Returns the names of all other entries.
-    fn names(&self) -> Vec<String> {
+    pub(crate) fn names(&self) -> Vec<String> {
         lock(&self.directory).known.keys().cloned().collect()
     }
 
@@ -266,12 +308,6 @@
     OwnState { takes_work: relay.is_ready(), follows_platform: relay.follows_platform() }
 }
 
-/// Adds an entry that another entry listed, or that sent a hello.
-fn record_address(relay: &Relay, entry: EntryAddress) {
-    let record = EntryRecord { peer_address: entry.peer_address, cpu_share: entry.cpu_share };
-    relay.peers.set_record(relay, &entry.name, record);
-}
-
 /// Returns the context of an RPC with a timeout in milliseconds.
 pub(crate) fn context_for(limit_ms: u64) -> Context {
     let mut context = context::current();
--- a/crates/entry/src/relay/peers/hello.rs
+++ b/crates/entry/src/relay/peers/hello.rs
@@ -8,21 +8,18 @@
 use log::{info, warn};
 use tarpc::client::Config;
 use tokio_util::sync::CancellationToken;
-use yuccatrail_core::{route_table::RouteTable, upstreams::ListRevisions};
-use yuccatrail_rpc::{
-    entries::{EntryAddress, EntryPeerClient},
-    transport,
-};
+use yuccatrail_core::{ownership::EntryAddress, route_table::RouteTable, upstreams::ListRevisions};
+use yuccatrail_rpc::{entries::EntryPeerClient, transport};
 
 use crate::relay::{
-    feed::log_evacuations,
-    peers::{Peer, context_for, record_address},
+    peers::{Peer, context_for},
     state::{Relay, lock},
+    updates::log_evacuations,
 };
 
 /// Timeout of a hello, after which the entry counts as lost, in milliseconds; an entry short of CPU
 /// time responds within 100 ms.
-const HELLO_TIMEOUT_MS: u64 = 700;
+pub(super) const HELLO_TIMEOUT_MS: u64 = 700;
 /// Delay before reconnecting, in milliseconds.
 const RECONNECT_MS: u64 = 300;
 /// Time for the platform to deliver a configuration that another entry already has before it is
@@ -115,11 +112,13 @@
     }
 }
 
-fn own_address(relay: &Relay) -> EntryAddress {
+/// Returns name, address and capacity of this entry.
+pub(crate) fn own_address(relay: &Relay) -> EntryAddress {
     EntryAddress {
         name: relay.settings.name.clone(),
         peer_address: relay.settings.peer_listen,
         cpu_share: relay.settings.cpu_share,
+        data_centre: relay.settings.data_centre.as_str().into(),
     }
 }
 
@@ -133,7 +132,7 @@
         Ok(entries) => {
             info!(entry:% = peer.name, entries = entries.len(); "fetched entries from another entry");
             for entry in entries {
-                record_address(relay, entry);
+                relay.peers.set_address(relay, entry);
             }
             true
         }
@@ -151,20 +150,27 @@
     if !lock(&relay.peers.missing_configuration).begin_fetch(own, offered, relay.now_ms()) {
         return;
     }
+    // The platform has not delivered it in time, so the pending long polls may never get a response.
+    if fetch_configuration(relay, peer).await && own.is_some() {
+        warn!(entry:% = peer.name; "platform did not deliver a configuration in time, relisting");
+        relay.relist();
+    }
+    lock(&relay.peers.missing_configuration).fetching_until_ms = 0;
+}
+
+/// Fetches the configuration of another entry and activates it if it is newer; returns whether it was.
+pub(super) async fn fetch_configuration(relay: &Relay, peer: &Peer) -> bool {
     match peer.client.configuration(context_for(HELLO_TIMEOUT_MS)).await {
         Ok(Some(configuration)) => {
             let table = RouteTable::new(Arc::unwrap_or_clone(configuration));
-            // The platform has not delivered it in time, so the pending long polls may never get a
-            // response.
-            if relay.activate_configuration(table, &peer.name) && own.is_some() {
-                warn!(entry:% = peer.name; "platform did not deliver a configuration in time, relisting");
-                relay.relist();
-            }
+            relay.activate_configuration(table, &peer.name)
+        }
+        Ok(None) => false,
+        Err(error) => {
+            warn!(entry:% = peer.name, error:% = error; "failed to fetch configuration");
+            false
         }
-        Ok(None) => {}
-        Err(error) => warn!(entry:% = peer.name, error:% = error; "failed to fetch configuration"),
     }
-    lock(&relay.peers.missing_configuration).fetching_until_ms = 0;
 }
 
 /// Fetches newer lists from an entry that follows the platform while this one does not.
--- a/crates/entry/src/relay/peers/record.rs
+++ b/crates/entry/src/relay/peers/record.rs
@@ -1,114 +1,39 @@
-//! The platform's list of entries, and this entry's record in it.
+//! This entry's record in the platform's list of entries.
 
 use std::{sync::Arc, time::Duration};
 
 use hyper::Method;
 use log::{info, warn};
-use tokio_util::sync::CancellationToken;
-use yuccatrail_adapter::{
-    EntryRecord, StoreChange, encode_entry, entries_protocol, entry_collection_path, entry_path,
-};
-use yuccatrail_core::{FastSet, ownership::ListedEntries};
-use yuccatrail_platform::{Client, PlatformError, PollUpdate};
+use yuccatrail_adapter::{EntryRecord, encode_entry, entry_collection_path, entry_path};
+use yuccatrail_platform::{CallKind, Client, PlatformError};
 
-use crate::relay::{feed::Feed, state::Relay};
+use crate::relay::state::Relay;
 
 /// Delay between attempts to write this entry's record, in milliseconds.
 const REGISTER_INTERVAL_MS: u64 = 500;
 /// Longest delay before this entry's record is written again, in milliseconds.
 const MAX_REWRITE_DELAY_MS: u64 = 2_000;
-/// Interval at which entries that a restored list lacks are checked.
-const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 /// Timeout for removing this entry's record during a graceful shutdown, in milliseconds; less than
 /// the time left before the kill.
 const UNREGISTER_LIMIT_MS: u64 = 300;
 
-/// Follows the list of entries.
-pub(crate) async fn follow_entries(relay: Arc<Relay>, client: Client, stop: CancellationToken) {
-    let mut feed = Feed::start(&relay, client, entries_protocol(), &stop);
-    let mut listed = ListedEntries::default();
-    loop {
-        let removed = tokio::select! {
-            update = feed.next() => match update {
-                Some(update) => apply_update(&relay, &mut listed, update),
-                None => break,
-            },
-            () = tokio::time::sleep(EXPIRY_INTERVAL) => listed.take_expired(relay.now_ms()),
-        };
-        for name in &removed {
-            relay.peers.remove(name);
-        }
-        let mut names = relay.peers.names();
-        names.push(relay.settings.name.clone());
-        relay.upstreams().set_entries(names);
-    }
-    feed.close().await;
-}
-
-/// Applies an update of the list; returns the entries that are no longer listed.
-fn apply_update(
-    relay: &Relay,
-    listed: &mut ListedEntries,
-    update: PollUpdate<StoreChange<EntryRecord>>,
-) -> Vec<String> {
-    match update {
-        PollUpdate::Snapshot { items, revision } => {
-            let names: FastSet<String> = items.iter().filter_map(present_name).collect();
-            if !names.contains(&relay.settings.name) {
-                relay.peers.register_again();
-            }
-            let removed = listed.replace(names, revision, relay.now_ms());
-            apply_changes(relay, listed, items);
-            removed
-        }
-        PollUpdate::Changes { items, .. } => {
-            apply_changes(relay, listed, items);
-            Vec::new()
-        }
-        PollUpdate::Unavailable(_) | PollUpdate::Available => Vec::new(),
-    }
-}
-
-fn apply_changes(
-    relay: &Relay,
-    listed: &mut ListedEntries,
-    changes: Vec<StoreChange<EntryRecord>>,
-) {
-    for change in changes {
-        match change {
-            StoreChange::Present { name, content, .. } => {
-                listed.add(&name);
-                relay.peers.set_record(relay, &name, content);
-            }
-            StoreChange::Absent { name } => {
-                listed.remove(&name);
-                relay.peers.remove(&name);
-            }
-            StoreChange::Unreadable { name, detail } => {
-                warn!(entry:% = name, detail:% = detail; "record of an entry can't be read");
-            }
-        }
-    }
-}
-
-fn present_name(change: &StoreChange<EntryRecord>) -> Option<String> {
-    match change {
-        StoreChange::Present { name, .. } => Some(name.clone()),
-        StoreChange::Absent { .. } | StoreChange::Unreadable { .. } => None,
-    }
-}
-
 /// Keeps this entry's record in the platform, so that the other entries find it.
 ///
 /// A platform that was restored from a copy may have lost it; the entries write theirs again at
 /// different times.
 pub(crate) async fn register(relay: Arc<Relay>, client: Client) {
+    write_record(&relay, &client).await;
     loop {
-        write_record(&relay, &client).await;
         relay.peers.until_unregistered().await;
         let delay_ms = rand::random_range(0..MAX_REWRITE_DELAY_MS);
-        info!(delay_ms = delay_ms; "platform does not list this entry, registering again");
         tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        // The list may have been read before the record was written.
+        let name = &relay.settings.name;
+        if client.read(CallKind::Read, name, &entry_path(name), 0).await.is_ok() {
+            continue;
+        }
+        info!(delay_ms = delay_ms; "platform does not list this entry, registering again");
+        write_record(&relay, &client).await;
     }
 }
 
@@ -118,6 +43,7 @@
     let record = EntryRecord {
         peer_address: relay.settings.peer_listen,
         cpu_share: relay.settings.cpu_share,
+        data_centre: relay.settings.data_centre.clone(),
     };
     let body = encode_entry(name, &record);
     let mut path = entry_collection_path();
--- a/crates/entry/src/relay/peers/serve.rs
+++ b/crates/entry/src/relay/peers/serve.rs
@@ -1,6 +1,6 @@
 //! RPC server for the other entries.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use futures::StreamExt;
 use log::warn;
@@ -8,23 +8,27 @@
     context::Context,
     server::{BaseChannel, Channel},
 };
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::Instant,
+};
 use tokio_util::sync::CancellationToken;
 use yuccatrail_core::{
+    ownership::EntryAddress,
     quarantine::Strike,
     route_table::Configuration,
     upstreams::{ListCorrections, PlatformLists},
 };
 use yuccatrail_rpc::{
-    entries::{EntryAddress, EntryPeer, HelloReply, StageReply, StageRequest},
+    entries::{EntryPeer, FollowerState, HelloReply, StageReply, StageRequest, UpdatesReply},
     transport,
 };
 use yuccatrail_runtime::accept::accept;
 
-use crate::relay::{
-    peers::{KnownEntry, record_address},
-    state::{Relay, lock},
-};
+use crate::relay::state::Relay;
+
+/// Longest time for which a follower's question is held, in milliseconds.
+const MAX_UPDATES_WAIT_MS: u64 = 2_000;
 
 /// Handler of the RPCs of one connection.
 #[derive(Clone)]
@@ -45,7 +49,7 @@
         self.relay.merge_corrections(&corrections);
         // Without the platform, a restarted entry finds the others by their hellos.
         if !self.relay.upstreams().has_platform_list() {
-            record_address(&self.relay, from);
+            self.relay.peers.set_address(&self.relay, from);
         }
         let queues = self.relay.stages.states(&self.relay);
         let config_version = self.relay.table().map(|it| it.version());
@@ -58,13 +62,24 @@
     }
 
     async fn entries(self, _: Context) -> Vec<EntryAddress> {
-        let directory = lock(&self.relay.peers.directory);
-        let address = |(name, entry): (&String, &KnownEntry)| EntryAddress {
-            name: name.clone(),
-            peer_address: entry.record.peer_address,
-            cpu_share: entry.record.cpu_share,
-        };
-        directory.known.iter().map(address).collect()
+        self.relay.peers.addresses()
+    }
+
+    async fn updates(self, _: Context, state: FollowerState, wait_ms: u64) -> UpdatesReply {
+        let deadline = Instant::now() + Duration::from_millis(wait_ms.min(MAX_UPDATES_WAIT_MS));
+        let mut changed = self.relay.updates.subscribe();
+        loop {
+            changed.borrow_and_update();
+            let reply = self.relay.updates_for(state);
+            let has_news = !reply.updates.is_empty() || reply.config_version > state.config_version;
+            if has_news || Instant::now() >= deadline {
+                return reply;
+            }
+            tokio::select! {
+                _ = changed.changed() => {}
+                () = tokio::time::sleep_until(deadline) => {}
+            }
+        }
     }
 
     async fn configuration(self, _: Context) -> Option<Arc<Configuration>> {
--- a/crates/entry/src/relay/state.rs
+++ b/crates/entry/src/relay/state.rs
@@ -15,7 +15,7 @@
 use yuccatrail_core::{
     FastMap,
     freshness::{PlatformData, PlatformDataFreshness},
-    ownership::Candidate,
+    ownership::{Candidate, ReadingRole},
     retry_share::RetryShare,
     route_table::RouteTable,
     upstreams::{ListCorrections, Upstreams, UpstreamsSettings},
@@ -23,8 +23,15 @@
 use yuccatrail_runtime::clock::Clock;
 
 use crate::relay::{
-    crashes::RequestCrashes, feed::log_evacuations, metrics::RelayMetrics, peers::Peers,
-    pool::ConnectionPool, release::ResultReleases, settings::RelaySettings, stages::StageQueues,
+    crashes::RequestCrashes,
+    metrics::RelayMetrics,
+    peers::Peers,
+    pool::ConnectionPool,
+    reading::Reading,
+    release::ResultReleases,
+    settings::RelaySettings,
+    stages::StageQueues,
+    updates::{Updates, log_evacuations},
 };
 
 /// Interval at which waiting requests check for fresh lists; reading the lists takes a few
@@ -43,6 +50,10 @@
     pub(crate) stages: StageQueues,
     /// The other entries.
     pub(crate) peers: Peers,
+    /// Updates for entries that follow this one.
+    pub(crate) updates: Updates,
+    /// Whether this entry reads the platform or follows another one.
+    pub(crate) reading: Reading,
     /// Stage results to release at their upstreams.
     pub(crate) releases: ResultReleases,
     /// Tracks requests that crash upstreams.
@@ -64,10 +75,12 @@
 }
 
 /// Tells the feeds when to read the platform's lists again.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct RelistSignal {
     /// Number of relists so far; each increase wakes the feeds.
-    relists: u64,
+    pub(crate) relists: u64,
+    /// Role of this entry, which decides on what the feeds read.
+    pub(crate) role: ReadingRole,
     /// Whether the last platform check got no response.
     pub(crate) is_platform_unresponsive: bool,
 }
@@ -86,12 +99,19 @@
 impl Relay {
     /// Creates the state of a relay without a configuration or upstreams.
     pub(crate) fn new(settings: RelaySettings) -> Arc<Self> {
-        let own = Candidate { name: settings.name.clone(), cpu_share: settings.cpu_share };
+        let own = Candidate {
+            name: settings.name.clone(),
+            cpu_share: settings.cpu_share,
+            data_centre: settings.data_centre.as_str().into(),
+        };
+        let clock = Clock::new();
         Arc::new(Self {
-            clock: Clock::new(),
+            clock,
             pool: ConnectionPool::default(),
             stages: StageQueues::default(),
             peers: Peers::new(own),
+            updates: Updates::new(),
+            reading: Reading::new(clock.now_ms()),
             releases: ResultReleases::default(),
             crashes: RequestCrashes::default(),
             metrics: RelayMetrics::new(),
@@ -136,6 +156,7 @@
         self.peers.invalidate_polled_entries();
         self.upstreams().set_cold_starts(cold_starts);
         *current = Some(Arc::new(table));
+        self.updates.notify();
         true
     }
 
@@ -193,6 +214,14 @@
         });
     }
 
+    /// Tells the feeds the role of this entry.
+    pub(crate) fn set_role(&self, role: ReadingRole) {
+        self.relist_signal.send_modify(|it| {
+            it.role = role;
+            it.is_platform_unresponsive = false;
+        });
+    }
+
     /// Returns a receiver that is notified whenever the lists have to be read again.
     pub(crate) fn relist_signal(&self) -> watch::Receiver<RelistSignal> {
         self.relist_signal.subscribe()
@@ -237,9 +266,15 @@
         self.follows_platform.store(follows, Ordering::Relaxed);
     }
 
-    /// Tells whether the lists come from the platform and are kept up to date.
+    /// Tells whether the lists come from the platform, directly or through other entries, and are kept
+    /// up to date.
     pub(crate) fn follows_platform(&self) -> bool {
-        self.follows_platform.load(Ordering::Relaxed) && self.upstreams().has_platform_list()
+        let follows = match self.reading.role() {
+            ReadingRole::Reads => self.follows_platform.load(Ordering::Relaxed),
+            ReadingRole::Follows => self.reading.has_source(),
+            ReadingRole::Starts | ReadingRole::Waits | ReadingRole::Checks => false,
+        };
+        follows && self.upstreams().has_platform_list()
     }
 
     /// Tells whether the relay takes callers: it has a configuration and a list of upstreams, and
--- a/crates/platform/src/poll.rs
+++ b/crates/platform/src/poll.rs
@@ -13,7 +13,7 @@
 
 use log::{info, warn};
 use tokio::{
-    sync::{Notify, mpsc},
+    sync::{Notify, mpsc, watch},
     task::JoinHandle,
 };
 use tokio_util::sync::CancellationToken;
@@ -73,6 +73,8 @@
     /// Delay after a failed call while slow retry is set, in milliseconds; see
     /// [`Poller::set_slow_retry`].
     pub slow_retry_delay_ms: u64,
+    /// Whether the poller makes no calls until [`Poller::set_paused`].
+    pub starts_paused: bool,
     /// Number of updates that may be queued for the consumer; the poller pauses while the queue is
     /// full.
     pub queue: usize,
@@ -89,6 +91,7 @@
             // Only a fallback in case the refresh on the platform's return is missed; each call is
             // billed, even a refused one.
             slow_retry_delay_ms: 5_000,
+            starts_paused: false,
             queue: 64,
         }
     }
@@ -123,6 +126,7 @@
     cancel: CancellationToken,
     refresh: Arc<Notify>,
     retries_slowly: Arc<AtomicBool>,
+    is_paused: watch::Sender<bool>,
     task: JoinHandle<()>,
 }
 
@@ -152,11 +156,12 @@
         let stop = cancel.clone();
         let refresh = Arc::new(Notify::new());
         let refresh_request = refresh.clone();
+        let (is_paused, mut paused) = watch::channel(settings.starts_paused);
         let task = tokio::spawn(async move {
             // No cleanup is needed, whether the task was cancelled or has finished.
-            let _ = stop.run_until_cancelled(poll_task.run(&refresh_request)).await;
+            let _ = stop.run_until_cancelled(poll_task.run(&refresh_request, &mut paused)).await;
         });
-        (Self { cancel, refresh, retries_slowly, task }, receiver)
+        (Self { cancel, refresh, retries_slowly, is_paused, task }, receiver)
     }
 
     /// Cancels the call in progress or the delay after one, and lists the kind again immediately.
@@ -173,6 +178,11 @@
         self.retries_slowly.store(retries_slowly, Ordering::Relaxed);
     }
 
+    /// Sets whether the poller makes no calls; when it goes on, it lists the kind again.
+    pub fn set_paused(&self, is_paused: bool) {
+        self.is_paused.send_if_modified(|it| std::mem::replace(it, is_paused) != is_paused);
+    }
+
     /// Stops the poller and waits until its connection is closed.
     pub async fn close(self) {
         self.cancel.cancel();
@@ -197,9 +207,16 @@
 struct ConsumerGone;
 
 impl<T: Send + 'static> PollTask<T> {
-    async fn run(mut self, refresh: &Notify) {
+    async fn run(mut self, refresh: &Notify, paused: &mut watch::Receiver<bool>) {
         let mut era = self.client.era();
         loop {
+            if *paused.borrow() {
+                self.revision = None;
+                self.backoff.reset();
+                if paused.wait_for(|it| !it).await.is_err() {
+                    return;
+                }
+            }
             let own = self.revision;
             let result = tokio::select! {
                 result = self.list_or_poll() => result,
@@ -209,6 +226,7 @@
                     self.revision = None;
                     continue;
                 }
+                Ok(_) = paused.wait_for(|it| *it) => continue,
                 () = refresh.notified() => {
                     self.revision = None;
                     self.backoff.reset();
--- a/crates/rpc/src/entries.rs
+++ b/crates/rpc/src/entries.rs
@@ -1,26 +1,17 @@
 //! RPC service by which entries share the work of stage services among themselves.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 use yuccatrail_core::{
     batching::{GroupOutcome, StageWork},
+    ownership::EntryAddress,
+    platform_updates::{LogCursor, PlatformUpdate},
     quarantine::Strike,
     route_table::Configuration,
     upstreams::{ListCorrections, ListRevisions, PlatformLists},
 };
 
-/// Name, address and capacity of an entry.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct EntryAddress {
-    /// Name of the entry.
-    pub name: String,
-    /// Address on which the entry accepts calls of other entries.
-    pub peer_address: SocketAddr,
-    /// CPU limit of the entry, in cores.
-    pub cpu_share: f64,
-}
-
 /// Response to [`EntryPeer::hello`]: the state of the responding entry.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct HelloReply {
@@ -69,6 +60,29 @@
     pub handles: Vec<String>,
 }
 
+/// What a follower has, for [`EntryPeer::updates`].
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+pub struct FollowerState {
+    /// Position up to which it has received the updates; `None` if it needs the complete lists.
+    pub cursor: Option<LogCursor>,
+    /// Version of its active configuration.
+    pub config_version: Option<u64>,
+}
+
+/// Response to [`EntryPeer::updates`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct UpdatesReply {
+    /// Position after the updates; `None` if the entry does not follow the platform itself, and then
+    /// there are none.
+    pub cursor: Option<LogCursor>,
+    /// Version of the active configuration.
+    pub config_version: Option<u64>,
+    /// Updates in their order.
+    pub updates: Vec<Arc<PlatformUpdate>>,
+    /// What the entry knows beyond the platform's lists.
+    pub corrections: ListCorrections,
+}
+
 /// Calls that an entry accepts from other entries.
 #[tarpc::service]
 pub trait EntryPeer {
@@ -86,6 +100,9 @@
     /// Returns the platform's lists as the entry knows them; `None` unless it currently receives
     /// the platform's updates.
     async fn beliefs() -> Option<PlatformLists>;
+    /// Returns the platform's updates that a follower lacks, as soon as there are any, at the latest
+    /// after `wait_ms` milliseconds.
+    async fn updates(state: FollowerState, wait_ms: u64) -> UpdatesReply;
     /// Runs all pieces of one stage and returns when the stage has ended.
     async fn run_stage(request: StageRequest) -> StageReply;
     /// Releases results that are no longer needed.
