--- a/crates/core/src/ownership/reading_role.rs
+++ b/crates/core/src/ownership/reading_role.rs
@@ -22,7 +22,7 @@
     Follows,
     /// It waits for an entry to follow.
     Waits,
-    /// It waits for an entry to follow, and checks whether the platform responds.
+    /// It checks whether the platform responds before it reads, and waits for an entry to follow.
     Checks,
 }
 
@@ -82,15 +82,17 @@
             self.alone_since_ms = None;
             return ReadingRole::Follows;
         }
+        let is_platform_doubtful = inputs.has_detached_source && !inputs.does_platform_respond;
         if inputs.is_reader || !inputs.has_entries {
             self.alone_since_ms = None;
-            return ReadingRole::Reads;
+            let takes_over = is_platform_doubtful && self.role != ReadingRole::Reads;
+            return if takes_over { ReadingRole::Checks } else { ReadingRole::Reads };
         }
         let alone_since_ms = *self.alone_since_ms.get_or_insert(now_ms);
         if is_starting && self.role == ReadingRole::Starts {
             return ReadingRole::Starts;
         }
-        if inputs.does_platform_respond || !inputs.has_detached_source {
+        if !is_platform_doubtful {
             return ReadingRole::Reads;
         }
         if now_ms < alone_since_ms + self.check_delay_ms {
--- a/crates/core/src/ownership/reading_role/tests.rs
+++ b/crates/core/src/ownership/reading_role/tests.rs
@@ -39,6 +39,17 @@
     assert_eq!(decide(&mut decision, FOLLOWER, 5_100), ReadingRole::Follows);
 }
 
+#[test]
+fn an_entry_that_takes_the_place_of_a_rejected_reader_checks_the_platform_first() {
+    let mut decision = RoleDecision::new(0, 300);
+    decide(&mut decision, FOLLOWER, 2_000);
+    let reader = RoleInputs { is_reader: true, has_detached_source: true, ..FOLLOWER };
+    assert_eq!(decide(&mut decision, reader, 5_000), ReadingRole::Checks);
+    let responds = RoleInputs { does_platform_respond: true, ..reader };
+    assert_eq!(decide(&mut decision, responds, 5_010), ReadingRole::Reads);
+    assert_eq!(decide(&mut decision, reader, 5_020), ReadingRole::Reads, "it goes on reading");
+}
+
 #[test]
 fn an_entry_whose_sources_are_rejected_checks_the_platform_before_it_reads() {
     let mut decision = RoleDecision::new(0, 300);
--- a/crates/entry/src/relay/feed.rs
+++ b/crates/entry/src/relay/feed.rs
@@ -72,8 +72,8 @@
         self.poller.set_paused(!(self.is_active)(signal.role));
         self.poller.set_slow_retry(signal.is_platform_unresponsive);
         let known = std::mem::replace(&mut self.known_signal, signal);
-        let is_role_change = RelistSignal { role: signal.role, ..known } == signal;
-        if !is_role_change {
+        let responds_again = known.is_platform_unresponsive && !signal.is_platform_unresponsive;
+        if known.relists != signal.relists || responds_again {
             self.poller.refresh();
         }
     }
@@ -95,7 +95,11 @@
         let (items, is_snapshot) = match update {
             PollUpdate::Snapshot { items, .. } => (items, true),
             PollUpdate::Changes { items, .. } => (items, false),
-            PollUpdate::Unavailable(_) | PollUpdate::Available => continue,
+            PollUpdate::Unavailable(_) => {
+                relay.check_platform_now.notify_one();
+                continue;
+            }
+            PollUpdate::Available => continue,
         };
         for change in items {
             apply_configuration(&relay, change);
@@ -179,6 +183,7 @@
                 relay.apply_update(PlatformUpdate::Recovered);
             }
             PollUpdate::Unavailable(_) => {
+                relay.check_platform_now.notify_one();
                 relay.set_follows_platform(false);
                 relay.stages.start_all_calls(&relay);
             }
--- a/crates/entry/src/relay/platform_check.rs
+++ b/crates/entry/src/relay/platform_check.rs
@@ -57,6 +57,10 @@
             }
             relay.relist();
         }
-        tokio::time::sleep(Duration::from_millis(outcome.next_check_ms)).await;
+        let next_check = tokio::time::sleep(Duration::from_millis(outcome.next_check_ms));
+        tokio::select! {
+            () = next_check => {}
+            () = relay.check_platform_now.notified() => {}
+        }
     }
 }
--- a/crates/entry/src/relay/state.rs
+++ b/crates/entry/src/relay/state.rs
@@ -10,7 +10,7 @@
 
 use log::{info, warn};
 use rustix::time::{ClockId, clock_gettime};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 use yuccatrail_core::{
     FastMap,
@@ -64,6 +64,8 @@
     upstreams: Mutex<Upstreams>,
     retries: Mutex<RetryShare>,
     freshness: Mutex<PlatformDataFreshness>,
+    /// Notified when a call to the platform has failed, so that it is checked at once.
+    pub(crate) check_platform_now: Notify,
     /// Tells the feeds to read their lists again.
     relist_signal: watch::Sender<RelistSignal>,
     is_stopping: AtomicBool,
@@ -119,6 +121,7 @@
             upstreams: Mutex::new(Upstreams::new(UpstreamsSettings::default(), &settings.name)),
             retries: Mutex::new(RetryShare::new(settings.bounds.retries)),
             freshness: Mutex::new(PlatformDataFreshness::new(boottime_ms())),
+            check_platform_now: Notify::new(),
             relist_signal: watch::Sender::new(RelistSignal::default()),
             is_stopping: AtomicBool::new(false),
             refuse_unsent_token: CancellationToken::new(),
