Pass over upstreams whose streams begin late, and tell the other entries

The choice by prefix looks at load and failures only, and one of 103 entries calls an upstream every twenty seconds, so a fifth of all requests kept going to them: streams of 84 bytes took 2 to 5 s there and 0.2 to 0.9 s elsewhere.

Change: an entry that waits for a first event four times as long as usual, and a second at least, passes over the upstream for three seconds and tells the others; then four entries try it first. Ruled out: more own observations (one call in twenty seconds).

--- a/crates/core/src/upstreams/choose.rs
+++ b/crates/core/src/upstreams/choose.rs
@@ -2,7 +2,7 @@
 //!
 //! A call goes to the upstream with the shortest expected time to a response. A call with a shared
 //! prompt prefix goes to the upstream that every entry ranks first for the prefix, since it has read
-//! the prefix before, unless that upstream is loaded clearly more than the others.
+//! the prefix before, unless that upstream is loaded clearly more than the others or is slow.
 
 use crate::upstreams::{Upstream, UpstreamKey, Upstreams, directory::rendezvous_weight};
 
@@ -56,7 +56,7 @@
                 && self.is_usable(*key, now_ms)
                 && self.all.get(*key).is_some_and(|it| it.fits(criteria))
         };
-        let candidates: Vec<UpstreamKey> = keys.iter().copied().filter(fits).collect();
+        let candidates = self.without_slow(keys.iter().copied().filter(fits).collect(), now_ms);
         if let Some(affinity) = criteria.affinity
             && let Some(key) = self.choose_by_prefix(&candidates, affinity, now_ms)
         {
--- a/crates/core/src/upstreams/directory.rs
+++ b/crates/core/src/upstreams/directory.rs
@@ -9,7 +9,7 @@
     revision::Revision,
     switch::MechanismSwitch,
     upstreams::{
-        CallEnd, ColdLimit, Departures, Evacuations, ListRevisions, Load, Rest, RestRequest,
+        CallEnd, ColdLimit, Departures, Evacuations, ListRevisions, Load, Pace, Rest, RestRequest,
         Upstream, UpstreamKey, UpstreamRecord,
     },
 };
@@ -67,6 +67,7 @@
     pub(crate) by_service: FastMap<Arc<str>, Vec<UpstreamKey>>,
     pub(crate) evacuations: Evacuations,
     pub(crate) departures: Departures,
+    pub(crate) pace: Pace,
     /// For each service, the time for which an upstream is cold after its start, in milliseconds, and
     /// the requests a second that a cold upstream tolerates; 0 if it needs no limit.
     cold_starts: FastMap<Arc<str>, (u64, f64)>,
@@ -162,6 +163,11 @@
         keys.iter().filter_map(|it| Some((*it, self.all.get(*it)?)))
     }
 
+    /// Returns the upstream with the given identifier.
+    pub(crate) fn key_of(&self, id: &str) -> Option<UpstreamKey> {
+        self.by_id.get(id).copied()
+    }
+
     /// Returns the upstream with the given address.
     pub fn at_address(&self, address: SocketAddr) -> Option<UpstreamKey> {
         self.all.iter().find(|(_, it)| it.record.address == address).map(|(key, _)| key)
--- a/crates/core/src/upstreams/platform_lists.rs
+++ b/crates/core/src/upstreams/platform_lists.rs
@@ -9,8 +9,8 @@
 use crate::{
     revision::Revision,
     upstreams::{
-        Evacuation, HeldEvacuation, LeavingUpstream, ListUpdate, RestoreSabotage, UpstreamRecord,
-        Upstreams,
+        Evacuation, HeldEvacuation, LeavingUpstream, ListUpdate, RestoreSabotage, SlowUpstream,
+        UpstreamRecord, Upstreams,
     },
 };
 
@@ -52,6 +52,8 @@
     pub leaving: Vec<LeavingUpstream>,
     /// Evacuations that a restored platform has lost.
     pub held_evacuations: Vec<HeldEvacuation>,
+    /// Upstreams that are passed over because their streams begin late.
+    pub slow: Vec<SlowUpstream>,
 }
 
 impl Upstreams {
@@ -173,6 +175,7 @@
         ListCorrections {
             leaving: self.departures.recent(now_ms),
             held_evacuations: self.evacuations.held(now_ms),
+            slow: self.slow_upstreams(now_ms),
         }
     }
 
@@ -195,6 +198,7 @@
                 upstream.is_leaving = true;
             }
         }
+        self.merge_slow(&corrections.slow, now_ms);
         self.evacuations.adopt_held(&corrections.held_evacuations, now_ms)
     }
 }
--- a/crates/core/src/upstreams/record.rs
+++ b/crates/core/src/upstreams/record.rs
@@ -103,6 +103,8 @@
     pub(crate) listed_era: u64,
     /// Whether this incarnation leaves although its record does not say so.
     pub(crate) is_leaving: bool,
+    /// Time until which the upstream is passed over because its streams begin late, in milliseconds.
+    pub(crate) slow_until_ms: u64,
     /// Rest that the upstream asked for.
     pub(crate) rest: Rest,
 }
@@ -125,6 +127,7 @@
             remove_at_ms: None,
             listed_era: 0,
             is_leaving: false,
+            slow_until_ms: 0,
             rest: Rest::default(),
         }
     }
--- a/crates/entry/src/relay/feed.rs
+++ b/crates/entry/src/relay/feed.rs
@@ -23,6 +23,15 @@
     state::{Relay, RelistSignal},
 };
 
+/// Delay between calls for frequent changes, in milliseconds for each entry: the number of readers and
+/// of changes rises with the number of entries.
+const COALESCE_MS_PER_ENTRY: u64 = 8;
+/// Smallest delay between calls for frequent changes, in milliseconds.
+const MIN_COALESCE_MS: u64 = 250;
+/// Largest delay between calls for frequent changes, in milliseconds; less than half of the two seconds
+/// within which a change has to take effect.
+const MAX_COALESCE_MS: u64 = 800;
+
 /// Updates of one kind of object, which is read while the role of this entry asks for it and listed
 /// again on each relist signal.
 struct Feed<T> {
@@ -78,6 +87,14 @@
         }
     }
 
+    /// Coalesces frequent changes for longer, the more entries there are.
+    ///
+    /// Only for lists whose changes may take effect a second late.
+    fn coalesce_for(&self, entries: usize) {
+        let coalesce_ms = entries as u64 * COALESCE_MS_PER_ENTRY;
+        self.poller.set_busy_coalesce_ms(coalesce_ms.clamp(MIN_COALESCE_MS, MAX_COALESCE_MS));
+    }
+
     /// Stops the feed and waits until its connection is closed.
     async fn close(self) {
         self.poller.close().await;
@@ -163,6 +180,7 @@
 pub(crate) async fn follow_upstreams(relay: Arc<Relay>, client: Client, stop: CancellationToken) {
     let mut feed = Feed::start(&relay, client, servers_protocol(), reads_lists, &stop);
     while let Some(update) = feed.next().await {
+        feed.coalesce_for(relay.upstreams().entry_count());
         match update {
             PollUpdate::Snapshot { items, revision } => {
                 let changes = items.into_iter().map(upstream_change);
@@ -208,6 +226,7 @@
 pub(crate) async fn follow_entries(relay: Arc<Relay>, client: Client, stop: CancellationToken) {
     let mut feed = Feed::start(&relay, client, entries_protocol(), reads_entries, &stop);
     while let Some(update) = feed.next().await {
+        feed.coalesce_for(relay.upstreams().entry_count());
         match update {
             PollUpdate::Snapshot { items, revision } => {
                 let changes = items.into_iter().filter_map(entry_change);
--- a/crates/entry/src/relay/mod.rs
+++ b/crates/entry/src/relay/mod.rs
@@ -157,7 +157,11 @@
         interval.tick().await;
         relay.detect_pause();
         let now_ms = relay.now_ms();
-        let changed = relay.upstreams().expire(now_ms);
+        let changed = {
+            let mut upstreams = relay.upstreams();
+            upstreams.detect_slow(now_ms);
+            upstreams.expire(now_ms)
+        };
         log_evacuations(&changed);
         relay.expire_entries();
         relay.crashes.expire(now_ms);
--- a/crates/entry/src/relay/model.rs
+++ b/crates/entry/src/relay/model.rs
@@ -111,7 +111,7 @@
 }
 
 /// Returns the expected time from the end of the last stage to the first event, in milliseconds.
-fn model_ms(request: &CallerRequest) -> f64 {
+pub(crate) fn model_ms(request: &CallerRequest) -> f64 {
     let own_tokens = request.head.prompt_parts.last().map_or(0, |it| it.1);
     MODEL_OVERHEAD_MS + own_tokens as f64 / PROMPT_TOKENS_PER_MS
 }
--- a/crates/entry/src/relay/peers/follow.rs
+++ b/crates/entry/src/relay/peers/follow.rs
@@ -54,7 +54,8 @@
         let config_version = relay.table().map(|it| it.version());
         let state = FollowerState { cursor, config_version };
         let limit_ms = wait_ms + HELLO_TIMEOUT_MS;
-        let call = peer.client.updates(context_for(limit_ms), state, wait_ms);
+        let corrections = relay.upstreams().corrections(relay.now_ms());
+        let call = peer.client.updates(context_for(limit_ms), state, corrections, wait_ms);
         let call = tokio::time::timeout(Duration::from_millis(limit_ms), call);
         let reply = tokio::select! {
             reply = call => reply,
--- a/crates/entry/src/relay/peers/hello.rs
+++ b/crates/entry/src/relay/peers/hello.rs
@@ -8,7 +8,11 @@
 use log::{info, warn};
 use tarpc::client::Config;
 use tokio_util::sync::CancellationToken;
-use yuccatrail_core::{ownership::EntryAddress, route_table::RouteTable, upstreams::ListRevisions};
+use yuccatrail_core::{
+    ownership::{EntryAddress, ReadingRole},
+    route_table::RouteTable,
+    upstreams::ListRevisions,
+};
 use yuccatrail_rpc::{entries::EntryPeerClient, transport};
 
 use crate::relay::{
@@ -125,7 +129,7 @@
 /// Fetches the list of entries from another entry if the platform has not delivered it; returns
 /// false if that failed.
 async fn fetch_entries(relay: &Relay, peer: &Peer) -> bool {
-    if relay.upstreams().has_platform_list() {
+    if relay.upstreams().has_entries() {
         return true;
     }
     match peer.client.entries(context_for(HELLO_TIMEOUT_MS)).await {
@@ -176,7 +180,8 @@
 /// Fetches newer lists from an entry that follows the platform while this one does not.
 async fn fetch_newer_lists(relay: &Arc<Relay>, peer: &Peer, revisions: Option<ListRevisions>) {
     let is_newer = |it: ListRevisions| it.has_newer_than(relay.upstreams().revisions());
-    if relay.follows_platform() || !revisions.is_some_and(is_newer) {
+    let waits_for_source = relay.reading.role() == ReadingRole::Starts;
+    if waits_for_source || relay.follows_platform() || !revisions.is_some_and(is_newer) {
         return;
     }
     let lists = match peer.client.beliefs(context_for(HELLO_TIMEOUT_MS)).await {
--- a/crates/entry/src/relay/peers/serve.rs
+++ b/crates/entry/src/relay/peers/serve.rs
@@ -65,7 +65,14 @@
         self.relay.peers.addresses()
     }
 
-    async fn updates(self, _: Context, state: FollowerState, wait_ms: u64) -> UpdatesReply {
+    async fn updates(
+        self,
+        _: Context,
+        state: FollowerState,
+        corrections: ListCorrections,
+        wait_ms: u64,
+    ) -> UpdatesReply {
+        self.relay.merge_corrections(&corrections);
         let deadline = Instant::now() + Duration::from_millis(wait_ms.min(MAX_UPDATES_WAIT_MS));
         let mut changed = self.relay.updates.subscribe();
         loop {
--- a/crates/entry/src/relay/stream.rs
+++ b/crates/entry/src/relay/stream.rs
@@ -18,13 +18,13 @@
 use yuccatrail_core::{
     event_stream::{EventFramer, EventId},
     stage_graph::ResultHandle,
-    upstreams::{Affinity, UpstreamKey},
+    upstreams::{Affinity, FirstEventKey, UpstreamKey},
 };
 
 use crate::relay::{
     attempt::{Attempt, AttemptError, check_seal},
     crashes::check_for_crash,
-    model::selection_criteria,
+    model::{model_ms, selection_criteria},
     plain::take_retry,
     release::HeldResults,
     request::{CallerRequest, Refusal, ResponseAborted, ResponseBody, no_upstream_refusal},
@@ -98,6 +98,35 @@
     Lost,
 }
 
+/// A first event that is expected from an upstream; dropped if the call ends without it.
+struct FirstEvent {
+    relay: Arc<Relay>,
+    key: Option<FirstEventKey>,
+}
+
+impl Drop for FirstEvent {
+    fn drop(&mut self) {
+        if let Some(key) = self.key.take() {
+            self.relay.upstreams().forget_first_event(key);
+        }
+    }
+}
+
+impl FirstEvent {
+    fn expect(relay: &Arc<Relay>, request: &CallerRequest, upstream: UpstreamKey) -> Self {
+        let (nominal_ms, now_ms) = (model_ms(request), relay.now_ms());
+        let key = relay.upstreams().await_first_event(upstream, nominal_ms, now_ms);
+        Self { relay: relay.clone(), key }
+    }
+
+    fn arrived(mut self) {
+        let now_ms = self.relay.now_ms();
+        if let Some(key) = self.key.take() {
+            self.relay.upstreams().record_first_event(key, now_ms);
+        }
+    }
+}
+
 /// Opens the stream at an upstream and waits for its first bytes.
 pub(crate) async fn open(call: ModelCall) -> Result<OpenedStream, OpenError> {
     let last_id = call.request.head.last_event_id;
@@ -203,6 +232,7 @@
         let now_ms = relay.now_ms();
         let upstream_request =
             request.upstream_request(&attempt.record, now_ms, inputs, self.last_id);
+        let first_event = FirstEvent::expect(relay, request, attempt.key);
         let (response, meta) = request.send(&mut attempt, &upstream_request).await?;
         let (parts, mut body) = response.into_parts();
         if meta.is_not_run {
@@ -229,6 +259,7 @@
             }
             None => None,
         };
+        first_event.arrived();
         let headers = forwarded_headers(&parts.headers);
         let source = Source { attempt, meta, body };
         let open = OpenedSource { source, status: parts.status, headers, first_bytes };
--- a/crates/platform/src/poll.rs
+++ b/crates/platform/src/poll.rs
@@ -6,7 +6,7 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -15,12 +15,19 @@
 use tokio::{
     sync::{Notify, mpsc, watch},
     task::JoinHandle,
+    time::Instant,
 };
 use tokio_util::sync::CancellationToken;
 use yuccatrail_core::revision::Revision;
 
 use crate::{Backoff, BackoffSettings, CallKind, Client, PlatformError};
 
+/// Time for which a poll was open from which its failure may be a cut without an outage, in
+/// milliseconds; polls that fail sooner are not repeated at once.
+const MIN_CUT_POLL_MS: u64 = 500;
+/// Time since the last changes within which further ones are coalesced for longer, in milliseconds.
+const BUSY_MS: u64 = 1_000;
+
 /// One page of a list.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ListPage<T> {
@@ -126,6 +133,7 @@
     cancel: CancellationToken,
     refresh: Arc<Notify>,
     retries_slowly: Arc<AtomicBool>,
+    busy_coalesce_ms: Arc<AtomicU64>,
     is_paused: watch::Sender<bool>,
     task: JoinHandle<()>,
 }
@@ -143,6 +151,7 @@
         let (updates, receiver) = mpsc::channel(settings.queue);
         let cancel = cancel.child_token();
         let retries_slowly = Arc::new(AtomicBool::new(false));
+        let busy_coalesce_ms = Arc::new(AtomicU64::new(settings.coalesce_ms));
         let poll_task = PollTask {
             client,
             protocol,
@@ -150,8 +159,11 @@
             updates,
             backoff: Backoff::new(settings.backoff),
             retries_slowly: retries_slowly.clone(),
+            busy_coalesce_ms: busy_coalesce_ms.clone(),
             revision: None,
             is_available: true,
+            poll_started: None,
+            changed: None,
         };
         let stop = cancel.clone();
         let refresh = Arc::new(Notify::new());
@@ -161,7 +173,7 @@
             // No cleanup is needed, whether the task was cancelled or has finished.
             let _ = stop.run_until_cancelled(poll_task.run(&refresh_request, &mut paused)).await;
         });
-        (Self { cancel, refresh, retries_slowly, is_paused, task }, receiver)
+        (Self { cancel, refresh, retries_slowly, busy_coalesce_ms, is_paused, task }, receiver)
     }
 
     /// Cancels the call in progress or the delay after one, and lists the kind again immediately.
@@ -178,6 +190,12 @@
         self.retries_slowly.store(retries_slowly, Ordering::Relaxed);
     }
 
+    /// Sets the delay between a response with changes and the next poll while changes are frequent, in
+    /// milliseconds.
+    pub fn set_busy_coalesce_ms(&self, coalesce_ms: u64) {
+        self.busy_coalesce_ms.store(coalesce_ms, Ordering::Relaxed);
+    }
+
     /// Sets whether the poller makes no calls; when it goes on, it lists the kind again.
     pub fn set_paused(&self, is_paused: bool) {
         self.is_paused.send_if_modified(|it| std::mem::replace(it, is_paused) != is_paused);
@@ -198,9 +216,16 @@
     updates: mpsc::Sender<PollUpdate<T>>,
     backoff: Backoff,
     retries_slowly: Arc<AtomicBool>,
+    /// Delay between a response with changes and the next poll while changes are frequent, in
+    /// milliseconds.
+    busy_coalesce_ms: Arc<AtomicU64>,
     /// Revision up to which all changes have been delivered; `None` if the kind has to be listed.
     revision: Option<Revision>,
     is_available: bool,
+    /// Start of the poll in progress or of the last one.
+    poll_started: Option<Instant>,
+    /// Time of the last changes.
+    changed: Option<Instant>,
 }
 
 /// Error when the consumer has dropped the receiver.
@@ -277,6 +302,7 @@
     async fn poll(&mut self, revision: Revision) -> Result<PollUpdate<T>, PlatformError> {
         let wait_ms = self.settings.wait_ms;
         let path = (self.protocol.poll_path)(self.protocol.kind, revision.number, wait_ms);
+        self.poll_started = Some(Instant::now());
         let reply = self.client.read(CallKind::Watch, self.protocol.kind, &path, wait_ms).await?;
         if revision.era != reply.era {
             return Err(self.restored());
@@ -302,7 +328,13 @@
         let has_changes = matches!(&update, PollUpdate::Changes { items, .. } if !items.is_empty());
         self.send(update).await?;
         if has_changes {
-            tokio::time::sleep(Duration::from_millis(self.settings.coalesce_ms)).await;
+            let last = self.changed.replace(Instant::now());
+            let is_busy = last.is_some_and(|it| it.elapsed().as_millis() < u128::from(BUSY_MS));
+            let coalesce_ms = match is_busy {
+                true => self.busy_coalesce_ms.load(Ordering::Relaxed),
+                false => self.settings.coalesce_ms,
+            };
+            tokio::time::sleep(Duration::from_millis(coalesce_ms)).await;
         }
         Ok(())
     }
@@ -313,6 +345,7 @@
     /// history may hold a poll from the old revision open instead of refusing it.
     async fn back_off(&mut self, error: PlatformError) -> Result<(), ConsumerGone> {
         self.revision = None;
+        let poll_ms = self.poll_started.take().map_or(0, |it| it.elapsed().as_millis() as u64);
         if matches!(error, PlatformError::Gone { .. }) {
             info!(kind = self.protocol.kind; "revision is too old, listing again");
             return Ok(());
@@ -322,6 +355,11 @@
             tokio::time::sleep(self.backoff.fail(None, rand::random())).await;
             return Ok(());
         }
+        // A poll may be cut without an outage.
+        if poll_ms >= MIN_CUT_POLL_MS && self.is_available {
+            info!(kind = self.protocol.kind, error:% = error; "poll was cut, listing again");
+            return Ok(());
+        }
         let retry_after_ms = match &error {
             PlatformError::Unavailable { retry_after_ms, .. } => *retry_after_ms,
             _ => None,
--- a/crates/rpc/src/entries.rs
+++ b/crates/rpc/src/entries.rs
@@ -101,8 +101,12 @@
     /// the platform's updates.
     async fn beliefs() -> Option<PlatformLists>;
     /// Returns the platform's updates that a follower lacks, as soon as there are any, at the latest
-    /// after `wait_ms` milliseconds.
-    async fn updates(state: FollowerState, wait_ms: u64) -> UpdatesReply;
+    /// after `wait_ms` milliseconds. `corrections` are those that the follower knows of.
+    async fn updates(
+        state: FollowerState,
+        corrections: ListCorrections,
+        wait_ms: u64,
+    ) -> UpdatesReply;
     /// Runs all pieces of one stage and returns when the stage has ended.
     async fn run_stage(request: StageRequest) -> StageReply;
     /// Releases results that are no longer needed.
