Tell peers of a strike before the caller hears that its request failed

Cause: strikes travel with gossip rounds half a second apart and with the agents' replies. A caller that sends the request again through another entry at once finds an entry that may not know of the first strike, and the request crashes a third upstream.

Change: an entry that refuses a request with strikes, other than as not run, first tells up to eight peers, for 0.3 s at the most.

--- a/crates/entry/src/caller/routes.rs
+++ b/crates/entry/src/caller/routes.rs
@@ -24,6 +24,7 @@
 };
 use crate::{
     entry::Entry,
+    gossip,
     run::{RequestContext, pipeline, stage_call::PipelineInput},
 };
 
@@ -119,7 +120,7 @@
         return Ok(stream_pipeline(entry.clone(), document, pipeline, context, input));
     }
     let result = pipeline::run(entry, &document, &pipeline, &context, &input, None).await;
-    record_outcome(entry, &context, result.as_ref().err());
+    record_outcome(entry, &context, result.as_ref().err()).await;
     let output = result.map_err(Problem::refused)?;
     Ok(response::json(&response::pipeline_json(context.id, &pipeline, &output)))
 }
@@ -142,7 +143,7 @@
             () = caller_disconnected.closed() => return,
         };
         drop(caller_disconnected);
-        record_outcome(&entry, &context, result.as_ref().err());
+        record_outcome(&entry, &context, result.as_ref().err()).await;
         let event = match result {
             Ok(output) => {
                 LastEvent::Completed(response::pipeline_json(context.id, &pipeline, &output))
@@ -155,8 +156,16 @@
     response::event_stream(ResponseStream { chunks, last })
 }
 
-/// Counts the outcome of a request in the metrics; `refusal` is none if it completed.
-pub(crate) fn record_outcome(entry: &Entry, context: &RequestContext, refusal: Option<&Refusal>) {
+/// Counts the outcome of a request in the metrics and tells peers of its strikes; `refusal` is none if
+/// it completed.
+pub(crate) async fn record_outcome(
+    entry: &Entry,
+    context: &RequestContext,
+    refusal: Option<&Refusal>,
+) {
+    if let Some(refusal) = refusal {
+        gossip::share_strikes(entry, context.fingerprint, refusal).await;
+    }
     let label =
         RequestLabel { pipeline: context.target.clone(), customer: context.customer.clone() };
     let outcome = match refusal {
--- a/crates/entry/src/caller/service.rs
+++ b/crates/entry/src/caller/service.rs
@@ -76,7 +76,7 @@
         Ok(work) => service::run(entry, &document, &context, &work).await,
         Err(refusal) => Err(refusal),
     };
-    routes::record_outcome(entry, &context, result.as_ref().err());
+    routes::record_outcome(entry, &context, result.as_ref().err()).await;
     Ok(forwarded_response(result.map_err(Problem::refused)?))
 }
 
@@ -85,7 +85,7 @@
     let reply = claim::run(entry, call).await;
     let refusal = match reply {
         Ok(ClaimReply::Response(response)) => {
-            routes::record_outcome(entry, &context, None);
+            routes::record_outcome(entry, &context, None).await;
             return Ok(recorded_response(response));
         }
         Ok(ClaimReply::KeyReused) => {
@@ -94,7 +94,7 @@
         }
         Ok(ClaimReply::Refused(refusal)) | Err(refusal) => refusal,
     };
-    routes::record_outcome(entry, &context, Some(&refusal));
+    routes::record_outcome(entry, &context, Some(&refusal)).await;
     Err(Problem::refused(refusal))
 }
 
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -2,7 +2,8 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use futures::StreamExt;
+use futures::{StreamExt, future::join_all};
+use log::warn;
 use tarpc::{
     client::Config,
     context::Context,
@@ -13,7 +14,9 @@
 use yuccatrail_core::{
     FastMap,
     control::Versions,
+    ids::Digest,
     membership::{InstanceRecord, gossip_peers},
+    outcome::{Execution, Refusal},
     routing::LoadReport,
 };
 use yuccatrail_rpc::{
@@ -32,6 +35,11 @@
 /// Timeout of a connection attempt and of a call to a peer.
 const PEER_TIMEOUT: Duration = Duration::from_millis(1000);
 
+/// Longest time for which the response to a suspect waits until peers know of its strikes.
+const STRIKE_SHARING_TIMEOUT: Duration = Duration::from_millis(300);
+/// Largest number of peers that are told of a strike before the response.
+const STRIKE_PEERS: usize = 8;
+
 /// Connection to a peer and what it last reported.
 struct PeerConnection {
     client: PeerClient,
@@ -63,6 +71,22 @@
     }
 }
 
+/// Tells peers of the strikes against a request that has failed, before its caller hears of that.
+///
+/// A caller that sends the request again through another entry would crash a further upstream there,
+/// because the next gossip round may be half a second away.
+pub(crate) async fn share_strikes(entry: &Entry, fingerprint: Digest, refusal: &Refusal) {
+    let strikes = entry.strikes.against(fingerprint, entry.clock.now_ms());
+    if refusal.execution == Execution::NotRun || strikes.is_empty() {
+        return;
+    }
+    let peers = peers(entry);
+    let told = peers.iter().take(STRIKE_PEERS).map(|it| sync_with_peer(entry, it.address, None));
+    if tokio::time::timeout(STRIKE_SHARING_TIMEOUT, join_all(told)).await.is_err() {
+        warn!("not all peers were told of a strike in time");
+    }
+}
+
 fn peers(entry: &Entry) -> Vec<InstanceRecord> {
     let mut peers = entry.fleet.entries();
     peers.retain(|it| it.name != entry.name);
