--- a/crates/core/src/upstreams/mod.rs
+++ b/crates/core/src/upstreams/mod.rs
@@ -5,6 +5,7 @@
 //! and latency lower its preference. Several entries share the limits of an upstream without
 //! coordinating each request: every entry keeps to its share.
 
+mod calls;
 mod choose;
 mod cold;
 mod departure;
