--- a/crates/entry/src/relay/plain.rs
+++ b/crates/entry/src/relay/plain.rs
@@ -181,6 +181,7 @@
         route:% = request.authorized.route.name,
         upstream:% = attempt.record.id,
         status = parts.status.as_u16(),
+        framing:% = meta.framing,
         took_ms = took_ms;
         "upstream responded"
     );
--- a/crates/entry/src/relay/stream.rs
+++ b/crates/entry/src/relay/stream.rs
@@ -14,7 +14,7 @@
     body::{Frame, Incoming},
 };
 use log::{info, warn};
-use yuccatrail_adapter::{ResponseMeta, forwarded_headers};
+use yuccatrail_adapter::{BodyFraming, ResponseMeta, forwarded_headers};
 use yuccatrail_core::{
     event_stream::{EventFramer, EventId},
     stage_graph::ResultHandle,
@@ -71,6 +71,10 @@
     tried: Vec<UpstreamKey>,
     runs: u32,
     events_bytes: u64,
+    /// Framing of the last response.
+    framing: BodyFraming,
+    /// The last bytes that were forwarded end an event.
+    ends_event: bool,
     held: Option<HeldResults>,
     in_progress: Option<InProgressGuard>,
 }
@@ -139,6 +143,8 @@
         tried: Vec::new(),
         runs: 0,
         events_bytes: 0,
+        framing: BodyFraming::default(),
+        ends_event: false,
         held: None,
         in_progress: None,
     };
@@ -185,6 +191,7 @@
             match self.try_open(attempt).await {
                 Ok(OpenOutcome::Open(open)) => {
                     self.runs += 1;
+                    self.framing = open.source.meta.framing;
                     self.source = Some(open.source);
                     self.first_bytes = open.first_bytes;
                     return Ok((open.status, open.headers));
@@ -315,6 +322,7 @@
             bytes.clone()
         };
         self.events_bytes += passed.len() as u64;
+        self.ends_event = passed.ends_with(b"\n\n");
         Some(passed)
     }
 
@@ -370,7 +378,9 @@
             id:% = request.id,
             route:% = request.authorized.route.name,
             end = end,
+            framing:% = self.framing,
             bytes = self.events_bytes,
+            ends_event = self.ends_event,
             runs = self.runs,
             took_ms = self.call.relay.now_ms().saturating_sub(request.arrived_ms);
             "stream ended"
