Forward failures of resumable routes that are not event streams

Callers of a route whose streams can be resumed got a broken connection where the upstream had answered with a failure, such as 400 with a JSON body: the relay waited for the end of an event in it, took its end for a break, and called another upstream. Only the body of a success is an event stream.

the_response_of_a_failed_stream_need_not_be_events failed before (/resumable/1: response not complete).

--- a/crates/entry/src/relay/stream.rs
+++ b/crates/entry/src/relay/stream.rs
@@ -73,8 +73,6 @@
     events_bytes: u64,
     /// Framing of the last response.
     framing: BodyFraming,
-    /// The last bytes that were forwarded end an event.
-    ends_event: bool,
     held: Option<HeldResults>,
     in_progress: Option<InProgressGuard>,
 }
@@ -82,14 +80,21 @@
 /// The connection to the upstream that currently produces the stream.
 struct Source {
     attempt: Attempt,
+    status: StatusCode,
     meta: ResponseMeta,
     body: Incoming,
 }
 
-/// A source with its response status, headers and first bytes.
+impl Source {
+    /// Tells whether the body is an event stream; that of a failure need not be one.
+    fn is_event_stream(&self) -> bool {
+        self.status.is_success()
+    }
+}
+
+/// A source with its response headers and first bytes.
 struct OpenedSource {
     source: Source,
-    status: StatusCode,
     headers: HeaderMap,
     first_bytes: Option<Bytes>,
 }
@@ -144,7 +149,6 @@
         runs: 0,
         events_bytes: 0,
         framing: BodyFraming::default(),
-        ends_event: false,
         held: None,
         in_progress: None,
     };
@@ -192,9 +196,10 @@
                 Ok(OpenOutcome::Open(open)) => {
                     self.runs += 1;
                     self.framing = open.source.meta.framing;
+                    let status = open.source.status;
                     self.source = Some(open.source);
                     self.first_bytes = open.first_bytes;
-                    return Ok((open.status, open.headers));
+                    return Ok((status, open.headers));
                 }
                 Ok(OpenOutcome::NotRun) => reached += 1,
                 Ok(OpenOutcome::InputGone) => return Err(OpenError::InputGone),
@@ -268,8 +273,8 @@
         };
         first_event.arrived();
         let headers = forwarded_headers(&parts.headers);
-        let source = Source { attempt, meta, body };
-        let open = OpenedSource { source, status: parts.status, headers, first_bytes };
+        let source = Source { attempt, status: parts.status, meta, body };
+        let open = OpenedSource { source, headers, first_bytes };
         Ok(OpenOutcome::Open(Box::new(open)))
     }
 
@@ -311,10 +316,11 @@
         }
     }
 
-    /// Processes received bytes and returns those to forward; for resumable streams only whole
+    /// Processes received bytes and returns those to forward; of a resumable stream only whole
     /// events.
     fn accept_bytes(&mut self, bytes: &Bytes) -> Option<Bytes> {
-        let passed = if self.call.request.authorized.route.is_resumable {
+        let is_resumable = self.call.request.authorized.route.is_resumable;
+        let passed = if is_resumable && self.source.as_ref().is_some_and(Source::is_event_stream) {
             let events = self.framer.push(bytes)?;
             self.last_id = events.last_id.or(self.last_id);
             events.bytes
@@ -322,7 +328,6 @@
             bytes.clone()
         };
         self.events_bytes += passed.len() as u64;
-        self.ends_event = passed.ends_with(b"\n\n");
         Some(passed)
     }
 
@@ -380,7 +385,7 @@
             end = end,
             framing:% = self.framing,
             bytes = self.events_bytes,
-            ends_event = self.ends_event,
+            ends_event = self.framer.is_empty(),
             runs = self.runs,
             took_ms = self.call.relay.now_ms().saturating_sub(request.arrived_ms);
             "stream ended"
