Abort streams that end within an event, however they are framed

The cause is that the end of a connection was taken as evidence of completeness. Now every stream goes through the framer, and a stream without a marked end and without events is lost: it is tried elsewhere where it can be repeated, else answered 502.

Ruled out: a reset (noticed before and after), the change of the configuration (no logic ends a stream for it).

--- a/crates/entry/src/relay/stream.rs
+++ b/crates/entry/src/relay/stream.rs
@@ -1,8 +1,8 @@
 //! Forwards an event stream from a model upstream to a caller.
 //!
-//! Events are forwarded as they arrive. When its connection breaks, a resumable stream continues at
-//! another upstream after the last complete event that was forwarded; any other stream is aborted,
-//! which the caller can detect.
+//! Events are forwarded as they arrive, and only whole ones. A stream that ends within an event has been
+//! broken off, however its response was framed: a resumable one continues at another upstream after the
+//! last event that was forwarded; any other is aborted, which the caller can detect.
 
 use std::{sync::Arc, time::Duration};
 
@@ -269,6 +269,11 @@
                 attempt.fail();
                 return Err(AttemptError::Lost(error.to_string()));
             }
+            // Nothing shows that a response without events and without a marked end is complete.
+            None if meta.framing == BodyFraming::Close && parts.status.is_success() => {
+                attempt.fail();
+                return Err(AttemptError::Lost("stream ended before its first event".to_owned()));
+            }
             None => None,
         };
         first_event.arrived();
@@ -316,11 +321,9 @@
         }
     }
 
-    /// Processes received bytes and returns those to forward; of a resumable stream only whole
-    /// events.
+    /// Processes received bytes and returns those to forward; of a stream only whole events.
     fn accept_bytes(&mut self, bytes: &Bytes) -> Option<Bytes> {
-        let is_resumable = self.call.request.authorized.route.is_resumable;
-        let passed = if is_resumable && self.source.as_ref().is_some_and(Source::is_event_stream) {
+        let passed = if self.source.as_ref().is_some_and(Source::is_event_stream) {
             let events = self.framer.push(bytes)?;
             self.last_id = events.last_id.or(self.last_id);
             events.bytes
