--- a/crates/entry/src/relay/plain.rs
+++ b/crates/entry/src/relay/plain.rs
@@ -8,6 +8,7 @@
 use log::{info, warn};
 use yuccatrail_adapter::{ResponseMeta, forwarded_headers};
 use yuccatrail_core::upstreams::{SelectionCriteria, UpstreamKey};
+use yuccatrail_runtime::http::BodyFraming;
 
 use crate::relay::{
     attempt::{Attempt, AttemptError, check_seal},
@@ -181,7 +182,7 @@
         route:% = request.authorized.route.name,
         upstream:% = attempt.record.id,
         status = parts.status.as_u16(),
-        framing:% = meta.framing,
+        framing:% = BodyFraming::of(parts.status, &parts.headers),
         took_ms = took_ms;
         "upstream responded"
     );
--- a/crates/entry/src/relay/stream.rs
+++ b/crates/entry/src/relay/stream.rs
@@ -14,12 +14,13 @@
     body::{Frame, Incoming},
 };
 use log::{info, warn};
-use yuccatrail_adapter::{BodyFraming, ResponseMeta, forwarded_headers};
+use yuccatrail_adapter::{ResponseMeta, forwarded_headers};
 use yuccatrail_core::{
     event_stream::{EventFramer, EventId},
     stage_graph::ResultHandle,
     upstreams::{Affinity, FirstEventKey, UpstreamKey},
 };
+use yuccatrail_runtime::http::BodyFraming;
 
 use crate::relay::{
     attempt::{Attempt, AttemptError, check_seal},
@@ -81,6 +82,7 @@
 struct Source {
     attempt: Attempt,
     status: StatusCode,
+    framing: BodyFraming,
     meta: ResponseMeta,
     body: Incoming,
 }
@@ -195,7 +197,7 @@
             match self.try_open(attempt).await {
                 Ok(OpenOutcome::Open(open)) => {
                     self.runs += 1;
-                    self.framing = open.source.meta.framing;
+                    self.framing = open.source.framing;
                     let status = open.source.status;
                     self.source = Some(open.source);
                     self.first_bytes = open.first_bytes;
@@ -247,6 +249,7 @@
         let first_event = FirstEvent::expect(relay, request, attempt.key);
         let (response, meta) = request.send(&mut attempt, &upstream_request).await?;
         let (parts, mut body) = response.into_parts();
+        let framing = BodyFraming::of(parts.status, &parts.headers);
         if meta.is_not_run {
             // The connection can be reused only after a complete response.
             let is_whole = body.collect().await.is_ok();
@@ -270,7 +273,7 @@
                 return Err(AttemptError::Lost(error.to_string()));
             }
             // Nothing shows that a response without events and without a marked end is complete.
-            None if meta.framing == BodyFraming::Close && parts.status.is_success() => {
+            None if framing == BodyFraming::Close && parts.status.is_success() => {
                 attempt.fail();
                 return Err(AttemptError::Lost("stream ended before its first event".to_owned()));
             }
@@ -278,7 +281,7 @@
         };
         first_event.arrived();
         let headers = forwarded_headers(&parts.headers);
-        let source = Source { attempt, status: parts.status, meta, body };
+        let source = Source { attempt, status: parts.status, framing, meta, body };
         let open = OpenedSource { source, headers, first_bytes };
         Ok(OpenOutcome::Open(Box::new(open)))
     }
--- a/crates/runtime/src/http.rs
+++ b/crates/runtime/src/http.rs
@@ -3,8 +3,11 @@
 use std::{convert::Infallible, future::Future, time::Duration};
 
 use bytes::Bytes;
+use derive_more::Display;
 use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
-use hyper::{Request, Response, StatusCode, body::Incoming, header, service::service_fn};
+use hyper::{
+    HeaderMap, Request, Response, StatusCode, body::Incoming, header, service::service_fn,
+};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
     server::{conn::auto, graceful::GracefulShutdown},
@@ -25,6 +28,35 @@
 /// Response body, either complete or streamed.
 pub type Body = UnsyncBoxBody<Bytes, Infallible>;
 
+/// How the end of a response body of HTTP/1 is marked (RFC 9112, section 6.3).
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display)]
+pub enum BodyFraming {
+    /// The headers state the length.
+    #[default]
+    #[display("length")]
+    Length,
+    /// The body is sent in chunks, and the last one marks the end.
+    #[display("chunks")]
+    Chunks,
+    /// The body ends with its connection, whether it is complete or not.
+    #[display("close")]
+    Close,
+}
+
+impl BodyFraming {
+    /// Returns the framing that the status and the headers of a response declare.
+    pub fn of(status: StatusCode, headers: &HeaderMap) -> Self {
+        if headers.contains_key(header::TRANSFER_ENCODING) {
+            return Self::Chunks;
+        }
+        let has_no_body = matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+        if has_no_body || headers.contains_key(header::CONTENT_LENGTH) {
+            return Self::Length;
+        }
+        Self::Close
+    }
+}
+
 /// Creates a complete body from bytes.
 pub fn full(bytes: impl Into<Bytes>) -> Body {
     Full::new(bytes.into()).boxed_unsync()
@@ -73,3 +105,6 @@
     .await;
     graceful.shutdown().await;
 }
+
+#[cfg(test)]
+mod tests;
