--- a/crates/entry/src/relay/plain.rs
+++ b/crates/entry/src/relay/plain.rs
@@ -20,7 +20,7 @@
 };
 
 /// Maximum size of a response body, in bytes; a response is buffered before it is forwarded.
-const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+pub(crate) const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 /// Minimum timeout of an attempt before another upstream is called, in milliseconds.
 const MIN_TRY_TIMEOUT_MS: u64 = 200;
 /// Multiple of the route's target latency after which an idempotent call is retried at another
--- a/crates/entry/src/relay/server.rs
+++ b/crates/entry/src/relay/server.rs
@@ -2,14 +2,16 @@
 
 use std::{convert::Infallible, sync::Arc, time::Duration};
 
+use http_body_util::{BodyExt, Empty, Full, Limited};
 use hyper::{
-    Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+    Request, Response, StatusCode, Version, body::Incoming, server::conn::http1,
+    service::service_fn,
 };
 use hyper_util::{
     rt::{TokioIo, TokioTimer},
     server::graceful::GracefulShutdown,
 };
-use log::{debug, warn};
+use log::{debug, info, warn};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use yuccatrail_runtime::{
@@ -17,7 +19,12 @@
     http::{Body, METRICS_CONTENT_TYPE, respond},
 };
 
-use crate::relay::{pool::set_socket_options, request::handle_request, state::Relay};
+use crate::relay::{
+    plain::MAX_RESPONSE_BYTES,
+    pool::set_socket_options,
+    request::{ResponseBody, handle_request},
+    state::Relay,
+};
 
 /// Serves callers until `stop` is cancelled, then finishes the requests in progress.
 pub(crate) async fn serve_callers(
@@ -33,9 +40,16 @@
         // Before the first configuration the default limits apply, and requests are refused.
         let limits = relay.table().map(|it| it.limits()).unwrap_or_default();
         let relay = relay.clone();
-        let service = service_fn(move |request| {
+        let service = service_fn(move |request: Request<Incoming>| {
+            let version = request.version();
             let response = handle_request(relay.clone(), request);
-            async move { Ok::<_, Infallible>(response.await) }
+            async move {
+                let response = response.await;
+                Ok::<_, Infallible>(match version {
+                    Version::HTTP_10 => with_length(response).await,
+                    _ => response,
+                })
+            }
         });
         let mut builder = http1::Builder::new();
         builder
@@ -57,6 +71,27 @@
     graceful.shutdown().await;
 }
 
+/// Reads the body of a response to its end, so that it is sent with its length.
+///
+/// A caller of HTTP/1.0 can't receive chunks, so that a streamed body that is aborted would look
+/// complete.
+async fn with_length(response: Response<ResponseBody>) -> Response<ResponseBody> {
+    let (parts, body) = response.into_parts();
+    match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
+        Ok(body) => {
+            let body = Full::new(body.to_bytes()).map_err(|never| match never {});
+            Response::from_parts(parts, body.boxed_unsync())
+        }
+        Err(error) => {
+            info!(error:% = error; "response to a caller of HTTP/1.0 is incomplete");
+            let body = Empty::new().map_err(|never| match never {}).boxed_unsync();
+            let mut response = Response::new(body);
+            *response.status_mut() = StatusCode::BAD_GATEWAY;
+            response
+        }
+    }
+}
+
 /// Handles the platform's readiness check.
 pub(crate) async fn handle_ready(relay: Arc<Relay>, _: Request<Incoming>) -> Response<Body> {
     let status = if relay.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
