Agent: treat an unframed response of an upstream that crashed as lost

The agent now opens one more connection to the same boot of the upstream, which runs on the same machine; if it does not answer, the response is lost.

an_unframed_response_of_an_engine_that_crashed_is_lost failed before (status 200 with half of the body).

--- a/crates/agent/src/upstream.rs
+++ b/crates/agent/src/upstream.rs
@@ -17,7 +17,7 @@
 use eventsource_stream::Eventsource;
 use futures::{Stream, StreamExt};
 use http_body_util::{BodyExt, BodyStream, Full};
-use hyper::{Request, Response, body::Incoming, header};
+use hyper::{Request, Response, Uri, body::Incoming, header};
 use hyper_util::{
     client::{
         self,
@@ -27,8 +27,10 @@
 };
 use rustc_hash::FxHasher;
 use serde::Deserialize;
+use tower_service::Service;
 use yuccatrail_core::{agent::ProbeResult, ids::AttemptId};
 use yuccatrail_rpc::messages::{ResponseForm, UpstreamCall};
+use yuccatrail_runtime::http::BodyFraming;
 
 use self::connect::BootConnector;
 
@@ -99,6 +101,7 @@
     address: SocketAddr,
     /// The only boot that calls may reach; `None` if no boot is known yet.
     boot_id: Option<u64>,
+    connector: BootConnector,
     client: Client<BootConnector, Full<Bytes>>,
 }
 
@@ -155,8 +158,9 @@
 
 impl BootClient {
     fn new(connector: HttpConnector, address: SocketAddr, boot_id: Option<u64>) -> Self {
-        let client = client_builder().build(BootConnector::new(connector, address, boot_id));
-        Self { address, boot_id, client }
+        let connector = BootConnector::new(connector, address, boot_id);
+        let client = client_builder().build(connector.clone());
+        Self { address, boot_id, connector, client }
     }
 
     /// Makes a call and passes each chunk of the response to `on_chunk`.
@@ -183,7 +187,11 @@
             read_events(chunks, on_chunk).await?;
             return Ok(head);
         }
+        let framing = BodyFraming::of(response.status(), response.headers());
         let body = response.into_body().collect().await.map_err(|_| CallError::Lost)?.to_bytes();
+        if framing == BodyFraming::Close && !self.is_running().await {
+            return Err(CallError::Lost);
+        }
         if is_server_error(head.status) {
             return Err(CallError::Status(head.status));
         }
@@ -191,6 +199,13 @@
         Ok(head)
     }
 
+    /// Tells whether the boot still answers; its connections also end if it crashes.
+    async fn is_running(&self) -> bool {
+        let Ok(uri) = self.url("/health").parse::<Uri>() else { return false };
+        let connecting = self.connector.clone().call(uri);
+        matches!(tokio::time::timeout(PROBE_TIMEOUT, connecting).await, Ok(Ok(_)))
+    }
+
     fn build_request(
         &self,
         attempt: AttemptId,
--- a/crates/agent/src/upstream/tests.rs
+++ b/crates/agent/src/upstream/tests.rs
@@ -6,7 +6,12 @@
     },
 };
 
-use hyper::{Response, body::Incoming, service::service_fn};
+use http_body_util::StreamBody;
+use hyper::{
+    Response, Version,
+    body::{Frame, Incoming},
+    service::service_fn,
+};
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpListener, sync::watch};
 use yuccatrail_core::ids::{AttemptId, Incarnation, RequestId, StageIndex};
@@ -120,3 +125,46 @@
     call(&client.current_boot()).await.expect("any boot accepts calls while none is known");
     assert_eq!(engine.calls(), 1);
 }
+
+/// Engine whose plain responses have neither a length nor chunks; it ends after the first one, in the
+/// middle of it if `crashes` is set.
+async fn start_unframed_engine(crashes: bool) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let crashed = tokio_util::sync::CancellationToken::new();
+        while let Some(Ok((stream, _))) = crashed.run_until_cancelled(listener.accept()).await {
+            let crashed = crashed.clone();
+            let service = service_fn(move |request: Request<Incoming>| {
+                let is_health = request.uri().path() == "/health";
+                let text = if is_health { r#"{"boot_id":"1"}"# } else { "the first half" };
+                // A body of unknown length has no chunks in HTTP/1.0.
+                let frame = Ok::<_, Infallible>(Frame::data(Bytes::from(text)));
+                let mut response = Response::new(StreamBody::new(futures::stream::iter([frame])));
+                if !is_health {
+                    *response.version_mut() = Version::HTTP_10;
+                    if crashes {
+                        crashed.cancel();
+                    }
+                }
+                async move { Ok::<_, Infallible>(response) }
+            });
+            tokio::spawn(
+                hyper::server::conn::http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service),
+            );
+        }
+    });
+    address
+}
+
+#[tokio::test]
+async fn an_unframed_response_of_an_engine_that_crashed_is_lost() {
+    for crashes in [false, true] {
+        let address = start_unframed_engine(crashes).await;
+        let client = UpstreamClient::new(address);
+        probe_until_answered(&client).await;
+        let result = call(&client.current_boot()).await;
+        assert_eq!(result.is_ok(), !crashes, "{result:?}");
+    }
+}
