--- a/crates/entry/src/relay/sabotage.rs
+++ b/crates/entry/src/relay/sabotage.rs
@@ -21,6 +21,8 @@
     OwnAnswer,
     /// A resumed stream continues after the last event that was forwarded.
     ResumePosition,
+    /// Only whole events of a stream are forwarded, so that a cut within one is noticed.
+    WholeEvents,
     /// A graceful shutdown waits for the requests in progress.
     PatientStop,
 }
--- a/crates/entry/src/relay/stream.rs
+++ b/crates/entry/src/relay/stream.rs
@@ -90,7 +90,7 @@
 impl Source {
     /// Tells whether the body is an event stream; that of a failure need not be one.
     fn is_event_stream(&self) -> bool {
-        self.status.is_success()
+        self.status.is_success() && !Mechanism::WholeEvents.is_off()
     }
 }
 
