--- a/crates/core/src/event_stream/mod.rs
+++ b/crates/core/src/event_stream/mod.rs
@@ -15,6 +15,8 @@
     pub bytes: Bytes,
     /// Last identifier in them; none if none of them carries one.
     pub last_id: Option<EventId>,
+    /// Number of events.
+    pub count: u64,
 }
 
 /// Buffers bytes until an event is complete.
@@ -34,8 +36,8 @@
         self.pending.extend_from_slice(bytes);
         let end = end_of_last_event(&self.pending)?;
         let bytes = self.pending.split_to(end).freeze();
-        let last_id = last_id(&bytes);
-        Some(CompleteEvents { bytes, last_id })
+        let (last_id, count) = (last_id(&bytes), count_events(&bytes));
+        Some(CompleteEvents { bytes, last_id, count })
     }
 
     /// Tells whether no part of an event is buffered, so that the stream is at an event boundary.
@@ -56,6 +58,12 @@
     None
 }
 
+fn count_events(bytes: &[u8]) -> u64 {
+    let empty_lines = bytes.split(|it| *it == b'\n').filter(|it| it.is_empty() || *it == b"\r");
+    // Splitting after the last line end yields one more part, which is empty.
+    (empty_lines.count() as u64).saturating_sub(1)
+}
+
 fn ends_with_crlf_pair(bytes: &[u8], end: usize) -> bool {
     bytes[..end].ends_with(b"\n\r\n")
 }
--- a/crates/core/src/event_stream/tests.rs
+++ b/crates/core/src/event_stream/tests.rs
@@ -22,6 +22,7 @@
     let events = framer.push(b"id: 4\r\ndata: a\r\n\r\nid: 5\r\n").unwrap();
     assert_eq!(events.bytes, b"id: 4\r\ndata: a\r\n\r\n".as_slice());
     assert_eq!(events.last_id, Some(4));
+    assert_eq!(events.count, 1);
 }
 
 proptest! {
@@ -41,15 +42,16 @@
         cuts.sort_unstable();
         let mut framer = EventFramer::new();
         let mut forwarded = Vec::new();
-        let mut last_id = None;
+        let (mut last_id, mut count) = (None, 0);
         for pair in cuts.windows(2) {
             let Some(events) = framer.push(&STREAM[pair[0]..pair[1]]) else { continue };
             prop_assert!(events.bytes.ends_with(b"\n\n"));
             forwarded.extend_from_slice(&events.bytes);
             last_id = events.last_id.or(last_id);
+            count += events.count;
         }
         prop_assert_eq!(forwarded, STREAM);
-        prop_assert_eq!(last_id, Some(3));
+        prop_assert_eq!((last_id, count), (Some(3), 3));
         prop_assert!(framer.is_empty());
     }
 }
--- a/crates/entry/src/relay/crashes.rs
+++ b/crates/entry/src/relay/crashes.rs
@@ -64,12 +64,13 @@
     }
 }
 
-/// Checks in the background whether an upstream whose response was lost has crashed, and if so
-/// counts the crash against the request.
+/// Checks in the background whether an upstream whose response was lost after `events` whole events has
+/// crashed, and if so counts the crash against the request.
 pub(crate) fn check_for_crash(
     relay: &Arc<Relay>,
     request: &Arc<CallerRequest>,
     upstream: &UpstreamRecord,
+    events: u64,
 ) {
     let (relay, request, upstream) = (relay.clone(), request.clone(), upstream.clone());
     tokio::spawn(async move {
@@ -84,7 +85,14 @@
             request_hash(&request),
             now_ms,
         );
-        info!(id:% = request.id, upstream:% = upstream.id, counts = counts; "upstream crashed while it ran the request");
+        info!(
+            id:% = request.id,
+            upstream:% = upstream.id,
+            counts = counts,
+            events = events,
+            prompt_parts:% = shared_parts(&request).collect::<Vec<_>>().join(",");
+            "upstream crashed while it ran the request"
+        );
     });
 }
 
@@ -99,6 +107,12 @@
     }
 }
 
+/// Returns the identifiers of the prompt parts that other requests may have too: all but the last.
+fn shared_parts(request: &CallerRequest) -> impl Iterator<Item = &str> {
+    let parts = &request.head.prompt_parts;
+    parts[..parts.len().saturating_sub(1)].iter().map(|(id, _)| id.as_str())
+}
+
 /// Returns the identifier of one run of an upstream, which is the same at all entries.
 fn incarnation_of(upstream: &UpstreamRecord) -> Incarnation {
     let mut hasher = FxHasher::default();
--- a/crates/entry/src/relay/plain.rs
+++ b/crates/entry/src/relay/plain.rs
@@ -89,7 +89,7 @@
                     "attempt failed"
                 );
                 if matches!(error, AttemptError::Lost(_)) {
-                    check_for_crash(relay, request, &attempt.record);
+                    check_for_crash(relay, request, &attempt.record, 0);
                 }
                 attempt.fail();
                 if request.remaining_ms(relay.now_ms()) == 0 {
--- a/crates/entry/src/relay/stream.rs
+++ b/crates/entry/src/relay/stream.rs
@@ -85,6 +85,8 @@
     framing: BodyFraming,
     meta: ResponseMeta,
     body: Incoming,
+    /// Number of whole events so far.
+    events: u64,
 }
 
 impl Source {
@@ -209,7 +211,7 @@
                 Err(error) => {
                     warn!(id:% = request.id, error:% = error; "attempt failed");
                     if matches!(error, AttemptError::Lost(_)) {
-                        check_for_crash(&relay, &request, &upstream);
+                        check_for_crash(&relay, &request, &upstream, 0);
                     }
                     if !matches!(error, AttemptError::Unreachable(_)) {
                         (self.runs, reached) = (self.runs + 1, reached + 1);
@@ -281,7 +283,7 @@
         };
         first_event.arrived();
         let headers = forwarded_headers(&parts.headers);
-        let source = Source { attempt, status: parts.status, framing, meta, body };
+        let source = Source { attempt, status: parts.status, framing, meta, body, events: 0 };
         let open = OpenedSource { source, headers, first_bytes };
         Ok(OpenOutcome::Open(Box::new(open)))
     }
@@ -326,8 +328,10 @@
 
     /// Processes received bytes and returns those to forward; of a stream only whole events.
     fn accept_bytes(&mut self, bytes: &Bytes) -> Option<Bytes> {
-        let passed = if self.source.as_ref().is_some_and(Source::is_event_stream) {
+        let source = self.source.as_mut().filter(|it| it.is_event_stream());
+        let passed = if let Some(source) = source {
             let events = self.framer.push(bytes)?;
+            source.events += events.count;
             self.last_id = events.last_id.or(self.last_id);
             events.bytes
         } else {
@@ -348,7 +352,8 @@
                 detail = detail;
                 "stream interrupted"
             );
-            check_for_crash(&self.call.relay, &request, &source.attempt.record);
+            let upstream = &source.attempt.record;
+            check_for_crash(&self.call.relay, &request, upstream, source.events);
             source.attempt.fail();
         }
         if !request.authorized.route.is_resumable {
