Count crashes of upstreams against the parts of prompts

Crashes were counted against whole requests, and no two of these requests were alike, so no count passed one.

Each part that requests may share now gets strikes of its own, from requests that had not begun to be answered, and every answered request clears its parts. As the requests with the deadly part may have their other parts in common too, a request is refused only if it has all parts that explain the crashes; else it is tried, which tells them apart. The strikes travel with those of requests, in the same messages. A request whose part has two strikes is not resumed elsewhere.

--- a/crates/core/src/quarantine/crashes.rs
+++ b/crates/core/src/quarantine/crashes.rs
@@ -9,6 +9,25 @@
 //!
 //! A request that always crashes its upstream crashes [`CRASH_LIMIT`] of them, and one more for
 //! each copy that is sent before the last strike has reached its entry.
+//!
+//! # Parts of prompts
+//!
+//! A part of a prompt may crash every upstream that begins to answer a request with it, whatever else
+//! the request holds. No two of these requests need be alike, so each part that several requests may
+//! share gets strikes of its own. Only a request that had not begun to be answered gives them, see
+//! [`SOUND_EVENTS`], which leaves out most of those that only shared the upstream. A request that was
+//! answered shows that all its parts are sound: their strikes before that time no longer count.
+//!
+//! The requests with a deadly part may have all their other parts in common as well, and share these with
+//! sound requests. Parts with the same strikes explain the same crashes, so a request is refused for a
+//! part only if it has all parts that explain its crashes. A request that lacks one of them runs; if it
+//! is answered, its parts are sound, and if not, they have one crash more than the one that it lacks.
+//! Each part that the first requests had in common can thus cost one more upstream.
+//!
+//! Once the strikes of a part that alone explained its crashes have expired, a single crash is enough to
+//! refuse it again.
+
+mod parts;
 
 use crate::{
     FastMap,
@@ -17,6 +36,8 @@
     switch::MechanismSwitch,
 };
 
+pub use self::parts::{PartVerdict, SOUND_EVENTS};
+
 /// Number of upstream crashes after which a request is refused: as many as the requirements on the
 /// service allow.
 pub const CRASH_LIMIT: u32 = 3;
@@ -34,12 +55,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct RequestHash(pub u64);
 
-/// Crashes and completions of requests, as known to one entry.
+/// Crashes and completions of requests, and of the parts of their prompts, as known to one entry.
 #[derive(Clone, Debug)]
 pub struct CrashTracker {
     quarantine: Quarantine,
     /// Time of the last completion of each request, in milliseconds.
     completed_ms_by_request: FastMap<RequestHash, u64>,
+    parts: parts::PartHistory,
     mechanisms: MechanismSwitch<CrashSabotage>,
 }
 
@@ -52,6 +74,10 @@
     EarlierCompletion,
     /// A completion after a crash has no effect.
     LaterCompletion,
+    /// Strikes against parts of prompts are not recorded.
+    PartStrikes,
+    /// An answered request does not show that its parts are sound.
+    SoundParts,
 }
 
 impl Default for CrashTracker {
@@ -71,6 +97,7 @@
         Self {
             quarantine: Quarantine::new(limits),
             completed_ms_by_request: FastMap::default(),
+            parts: parts::PartHistory::default(),
             mechanisms: MechanismSwitch::new(),
         }
     }
@@ -129,8 +156,14 @@
 
     /// Merges strikes received from another entry.
     pub fn merge(&mut self, strikes: &[Strike], now_ms: u64) {
-        if !self.mechanisms.is_disabled(CrashSabotage::Merge) {
-            self.quarantine.merge(strikes, now_ms);
+        if self.mechanisms.is_disabled(CrashSabotage::Merge) {
+            return;
+        }
+        for &strike in strikes {
+            let crashed_ms = now_ms.saturating_sub(strike.age_ms);
+            let cleared =
+                strike.cleared || self.parts.was_sound_since(strike.fingerprint, crashed_ms);
+            self.quarantine.merge(&[Strike { cleared, ..strike }], now_ms);
         }
     }
 
@@ -139,9 +172,10 @@
         self.quarantine.recent_strikes(now_ms)
     }
 
-    /// Removes expired strikes.
+    /// Removes what has expired.
     pub fn expire(&mut self, now_ms: u64) {
         self.quarantine.expire(now_ms);
+        self.parts.expire(now_ms);
     }
 }
 
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -50,7 +50,7 @@
 mod suspects;
 
 pub use self::{
-    crashes::{CRASH_LIMIT, CrashSabotage, CrashTracker, RequestHash},
+    crashes::{CRASH_LIMIT, CrashSabotage, CrashTracker, PartVerdict, RequestHash, SOUND_EVENTS},
     registry::{Admission, Quarantine, QuarantineLimits},
     strike::Strike,
     suspects::{SuspectTracker, exclusive_upstream},
--- a/crates/core/src/quarantine/registry.rs
+++ b/crates/core/src/quarantine/registry.rs
@@ -191,7 +191,33 @@
         strikes
     }
 
+    /// Returns the number of strikes that count against a request.
+    pub fn strike_count(&self, fingerprint: Digest, now_ms: u64) -> u32 {
+        let stored = self.strikes.get(&fingerprint).into_iter().flat_map(BTreeMap::values);
+        stored.filter(|it| !it.cleared && it.expires_ms > now_ms).count() as u32
+    }
+
+    /// Returns the other fingerprints that have every strike which counts against this one.
+    ///
+    /// Each of them explains the same crashes.
+    pub fn equal_suspects(&self, fingerprint: Digest, now_ms: u64) -> Vec<Digest> {
+        let Some(own) = self.strikes.get(&fingerprint) else { return Vec::new() };
+        let counts = |it: &StoredStrike| !it.cleared && it.expires_ms > now_ms;
+        let mut suspects = Vec::new();
+        for (&other, stored) in &self.strikes {
+            let explains = |crash: &CrashId| stored.get(crash).is_some_and(counts);
+            let mut own_crashes = own.iter().filter(|(_, it)| counts(it)).map(|(crash, _)| crash);
+            if other != fingerprint && own_crashes.all(explains) {
+                suspects.push(other);
+            }
+        }
+        suspects
+    }
+
     /// Returns the strikes to propagate to peers, newest first.
+    ///
+    /// If there are too many for one message, those of the fingerprints with most strikes are kept,
+    /// which are the most likely to be refused; of each the newest ones.
     pub fn recent_strikes(&self, now_ms: u64) -> Vec<Strike> {
         let max_age_ms = self.limits.retention_ms / GOSSIP_RETENTION_DIVISOR;
         let mut recent = Vec::new();
@@ -204,7 +230,19 @@
             }
         }
         recent.sort_by_key(|it| (it.age_ms, it.fingerprint, it.agent, it.number));
+        if recent.len() <= MAX_STRIKES_PER_MESSAGE {
+            return recent;
+        }
+        let mut counts: FastMap<Digest, usize> = FastMap::default();
+        let max_per_fingerprint = self.limits.strikes as usize * 2;
+        recent.retain(|it| {
+            let count = counts.entry(it.fingerprint).or_default();
+            *count += 1;
+            *count <= max_per_fingerprint
+        });
+        recent.sort_by_key(|it| std::cmp::Reverse(counts[&it.fingerprint]));
         recent.truncate(MAX_STRIKES_PER_MESSAGE);
+        recent.sort_by_key(|it| (it.age_ms, it.fingerprint, it.agent, it.number));
         recent
     }
 
--- a/crates/entry/src/relay/crashes.rs
+++ b/crates/entry/src/relay/crashes.rs
@@ -11,9 +11,10 @@
 use log::info;
 use rustc_hash::FxHasher;
 use tokio::net::TcpStream;
+use yuccatrail_adapter::CallerHeaders;
 use yuccatrail_core::{
     ids::{Digest, Incarnation},
-    quarantine::{CrashTracker, RequestHash, Strike},
+    quarantine::{CrashTracker, PartVerdict, RequestHash, SOUND_EVENTS, Strike},
     upstreams::UpstreamRecord,
 };
 
@@ -41,6 +42,23 @@
         !tracker.is_empty() && tracker.is_refused(request_digest(request), now_ms)
     }
 
+    /// Decides about a request by the crashes counted against the parts of its prompt.
+    pub(crate) fn judge_parts(&self, request: &CallerRequest, now_ms: u64) -> PartVerdict {
+        let mut tracker = lock(&self.tracker);
+        if tracker.is_empty() {
+            return PartVerdict::Clear;
+        }
+        tracker.judge_parts(&request.part_digests, || request_digest(request), now_ms)
+    }
+
+    /// Records that an upstream has begun to answer a request, so that the parts of its prompt are
+    /// sound.
+    pub(crate) fn record_sound(&self, request: &CallerRequest, now_ms: u64) {
+        if !request.part_digests.is_empty() {
+            lock(&self.tracker).on_parts_sound(&request.part_digests, now_ms);
+        }
+    }
+
     /// Records that an upstream completed a request.
     pub(crate) fn record_completed(&self, request: &CallerRequest, now_ms: u64) {
         lock(&self.tracker).on_complete(request_hash(request), || request_digest(request), now_ms);
@@ -64,36 +82,67 @@
     }
 }
 
-/// Checks in the background whether an upstream whose response was lost after `events` whole events has
-/// crashed, and if so counts the crash against the request.
-pub(crate) fn check_for_crash(
-    relay: &Arc<Relay>,
-    request: &Arc<CallerRequest>,
-    upstream: &UpstreamRecord,
-    events: u64,
-) {
-    let (relay, request, upstream) = (relay.clone(), request.clone(), upstream.clone());
-    tokio::spawn(async move {
+/// A response that was lost, maybe because its upstream crashed.
+pub(crate) struct LostResponse {
+    pub(crate) relay: Arc<Relay>,
+    pub(crate) request: Arc<CallerRequest>,
+    pub(crate) upstream: UpstreamRecord,
+    /// Number of whole events that had arrived.
+    pub(crate) events: u64,
+}
+
+impl LostResponse {
+    /// Checks in the background whether the upstream has crashed, and if so counts the crash against the
+    /// request and the parts of its prompt.
+    pub(crate) fn check_in_background(self) {
+        tokio::spawn(self.check());
+    }
+
+    /// Tells whether the request may be sent to another upstream.
+    ///
+    /// Waits for the result of the check only if a part of the prompt has strikes already.
+    pub(crate) async fn allows_retry(self) -> bool {
+        let (relay, request) = (self.relay.clone(), self.request.clone());
+        if relay.crashes.judge_parts(&request, relay.now_ms()) == PartVerdict::Clear {
+            self.check_in_background();
+            return true;
+        }
+        self.check().await;
+        relay.crashes.judge_parts(&request, relay.now_ms()) < PartVerdict::NoRetry
+    }
+
+    async fn check(self) {
+        let Self { relay, request, upstream, events } = self;
         if !has_crashed(upstream.address).await {
             return;
         }
         let now_ms = relay.now_ms();
         let incarnation = incarnation_of(&upstream);
-        let counts = lock(&relay.crashes.tracker).on_crash(
-            incarnation,
-            request_digest(&request),
-            request_hash(&request),
-            now_ms,
-        );
+        let counts = {
+            let mut tracker = lock(&relay.crashes.tracker);
+            if events < SOUND_EVENTS {
+                tracker.on_part_crash(incarnation, &request.part_digests, now_ms);
+            }
+            let digest = request_digest(&request);
+            tracker.on_crash(incarnation, digest, request_hash(&request), now_ms)
+        };
         info!(
             id:% = request.id,
             upstream:% = upstream.id,
             counts = counts,
             events = events,
-            prompt_parts:% = shared_parts(&request).collect::<Vec<_>>().join(",");
+            prompt_parts:% = shared_parts(&request.head).collect::<Vec<_>>().join(",");
             "upstream crashed while it ran the request"
         );
-    });
+    }
+}
+
+/// Returns the digests of the parts of a prompt that other requests may have too, for the model that
+/// reads them.
+pub(crate) fn part_digests(service: &str, head: &CallerHeaders) -> Vec<Digest> {
+    let model = head.model.as_deref().unwrap_or_default();
+    let digest = |part: &str| Digest::of(format!("{service}\n{model}\n{part}").as_bytes());
+    shared_parts(head).map(digest).collect()
 }
 
 /// Tells whether nothing listens at the address; a live process accepts connections even if one of
@@ -108,8 +157,8 @@
 }
 
 /// Returns the identifiers of the prompt parts that other requests may have too: all but the last.
-fn shared_parts(request: &CallerRequest) -> impl Iterator<Item = &str> {
-    let parts = &request.head.prompt_parts;
+fn shared_parts(head: &CallerHeaders) -> impl Iterator<Item = &str> {
+    let parts = &head.prompt_parts;
     parts[..parts.len().saturating_sub(1)].iter().map(|(id, _)| id.as_str())
 }
 
--- a/crates/entry/src/relay/plain.rs
+++ b/crates/entry/src/relay/plain.rs
@@ -12,7 +12,7 @@
 
 use crate::relay::{
     attempt::{Attempt, AttemptError, check_seal},
-    crashes::check_for_crash,
+    crashes::LostResponse,
     metrics::ServiceLabels,
     request::{CallerRequest, Refusal, ResponseBody, no_upstream_refusal},
     sabotage::Mechanism,
@@ -89,7 +89,9 @@
                     "attempt failed"
                 );
                 if matches!(error, AttemptError::Lost(_)) {
-                    check_for_crash(relay, request, &attempt.record, 0);
+                    let (relay, request) = (relay.clone(), request.clone());
+                    let upstream = attempt.record.clone();
+                    LostResponse { relay, request, upstream, events: 0 }.check_in_background();
                 }
                 attempt.fail();
                 if request.remaining_ms(relay.now_ms()) == 0 {
--- a/crates/entry/src/relay/request.rs
+++ b/crates/entry/src/relay/request.rs
@@ -16,7 +16,9 @@
     AddedHeaders, CallerHeaders, ResponseMeta, decode_caller_headers, retry_after, upstream_headers,
 };
 use yuccatrail_core::{
+    ids::Digest,
     outcome::Execution,
+    quarantine::PartVerdict,
     route_table::{AuthorizedRequest, Denial, RouteKind, RouteTable},
     upstreams::UpstreamRecord,
 };
@@ -25,6 +27,7 @@
     caller::problem::Problem,
     relay::{
         attempt::{Attempt, AttemptError, UpstreamRequest},
+        crashes::part_digests,
         metrics::RequestLabels,
         model, plain,
         sabotage::Mechanism,
@@ -67,6 +70,8 @@
     uri: Uri,
     headers: HeaderMap,
     body: Bytes,
+    /// Digests of the parts of the prompt that other requests may have too.
+    pub(crate) part_digests: Vec<Digest>,
     /// Number of calls that may have run, including those about to be sent.
     possible_runs: AtomicUsize,
 }
@@ -89,6 +94,11 @@
         Self { reason, retry_after_ms: Some(retry_after_ms), status }
     }
 
+    /// Refusal of a request that is known to crash upstreams.
+    pub(crate) fn crashing(reason: &'static str) -> Self {
+        Self::busy(reason, CRASHING_RETRY_MS)
+    }
+
     /// Refusal of a request whose deadline has passed.
     pub(crate) fn timed_out(reason: &'static str) -> Self {
         Self { reason, retry_after_ms: None, status: StatusCode::GATEWAY_TIMEOUT }
@@ -257,8 +267,10 @@
         return reject(&relay, &id, &problem);
     };
     relay.retries().count_request(&service, arrived_ms);
+    let part_digests = part_digests(&service, &head);
     let request = Arc::new(CallerRequest {
         id,
+        part_digests,
         head,
         authorized,
         service,
@@ -271,7 +283,10 @@
         possible_runs: AtomicUsize::new(0),
     });
     if relay.crashes.is_refused(&request, arrived_ms) {
-        return request.refuse(&relay, &Refusal::busy("crashes_upstreams", CRASHING_RETRY_MS));
+        return request.refuse(&relay, &Refusal::crashing("crashes_upstreams"));
+    }
+    if relay.crashes.judge_parts(&request, arrived_ms) == PartVerdict::Refused {
+        return request.refuse(&relay, &Refusal::crashing("part_crashes_upstreams"));
     }
     serve(&relay, &request, in_progress).await
 }
--- a/crates/entry/src/relay/stream.rs
+++ b/crates/entry/src/relay/stream.rs
@@ -17,6 +17,7 @@
 use yuccatrail_adapter::{ResponseMeta, forwarded_headers};
 use yuccatrail_core::{
     event_stream::{EventFramer, EventId},
+    quarantine::{PartVerdict, SOUND_EVENTS},
     stage_graph::ResultHandle,
     upstreams::{Affinity, FirstEventKey, UpstreamKey},
 };
@@ -24,7 +25,7 @@
 
 use crate::relay::{
     attempt::{Attempt, AttemptError, check_seal},
-    crashes::check_for_crash,
+    crashes::LostResponse,
     model::{model_ms, selection_criteria},
     plain::take_retry,
     release::HeldResults,
@@ -190,6 +191,9 @@
         let mut reached = self.runs;
         while self.tried.len() < MAX_TRIES && self.runs < max_runs {
             relay.wait_until_fresh().await;
+            if relay.crashes.judge_parts(&request, relay.now_ms()) == PartVerdict::Refused {
+                return Err(OpenError::Refused(Refusal::crashing("part_crashes_upstreams")));
+            }
             let Some(attempt) = self.begin_next_attempt() else { break };
             if reached > 0 && !take_retry(&relay, &request) {
                 break;
@@ -210,12 +214,16 @@
                 Ok(OpenOutcome::Lost) => (self.runs, reached) = (self.runs + 1, reached + 1),
                 Err(error) => {
                     warn!(id:% = request.id, error:% = error; "attempt failed");
-                    if matches!(error, AttemptError::Lost(_)) {
-                        check_for_crash(&relay, &request, &upstream, 0);
-                    }
                     if !matches!(error, AttemptError::Unreachable(_)) {
                         (self.runs, reached) = (self.runs + 1, reached + 1);
                     }
+                    if matches!(error, AttemptError::Lost(_)) {
+                        let (relay, request) = (relay.clone(), request.clone());
+                        let lost = LostResponse { relay, request, upstream, events: 0 };
+                        if !lost.allows_retry().await {
+                            break;
+                        }
+                    }
                 }
             }
         }
@@ -331,7 +339,12 @@
         let source = self.source.as_mut().filter(|it| it.is_event_stream());
         let passed = if let Some(source) = source {
             let events = self.framer.push(bytes)?;
+            let is_sound = source.events >= SOUND_EVENTS;
             source.events += events.count;
+            if !is_sound && source.events >= SOUND_EVENTS {
+                let relay = &self.call.relay;
+                relay.crashes.record_sound(&self.call.request, relay.now_ms());
+            }
             self.last_id = events.last_id.or(self.last_id);
             events.bytes
         } else {
@@ -352,12 +365,20 @@
                 detail = detail;
                 "stream interrupted"
             );
-            let upstream = &source.attempt.record;
-            check_for_crash(&self.call.relay, &request, upstream, source.events);
+            let lost = LostResponse {
+                relay: self.call.relay.clone(),
+                request: request.clone(),
+                upstream: source.attempt.record.clone(),
+                events: source.events,
+            };
             source.attempt.fail();
-        }
-        if !request.authorized.route.is_resumable {
-            return Err(self.abort("upstream_lost"));
+            if !request.authorized.route.is_resumable {
+                lost.check_in_background();
+                return Err(self.abort("upstream_lost"));
+            }
+            if !lost.allows_retry().await {
+                return Err(self.abort("crashes_upstreams"));
+            }
         }
         self.framer = EventFramer::new();
         if Mechanism::ResumePosition.is_off() {
@@ -380,10 +401,13 @@
     }
 
     fn finish(&mut self) {
+        let relay = &self.call.relay;
         if let Some(source) = self.source.take() {
+            if source.is_event_stream() {
+                relay.crashes.record_sound(&self.call.request, relay.now_ms());
+            }
             source.attempt.finish(&source.meta);
         }
-        let relay = &self.call.relay;
         relay.crashes.record_completed(&self.call.request, relay.now_ms());
         self.log_end("complete");
     }
