--- a/crates/core/src/quarantine/crashes/parts.rs
+++ b/crates/core/src/quarantine/crashes/parts.rs
@@ -10,6 +10,9 @@
 pub const SOUND_EVENTS: u64 = 4;
 /// Strikes from which on a request with the part is not sent to a second upstream after a crash.
 const RETRY_LIMIT: u32 = 2;
+/// Time in which all entries learn of a strike, in milliseconds; before that another part may turn out
+/// to explain the same crashes.
+const SETTLING_MS: u64 = 5_000;
 /// Time for which it is known that a part was sound, in milliseconds.
 const SOUND_RETENTION_MS: u64 = 60_000;
 /// Maximum number of sound parts held.
@@ -38,7 +41,7 @@
 pub(super) struct PartHistory {
     sound_ms: FastMap<Digest, u64>,
     /// Time at which each part was last known to be refused.
-    refused_ms: FastMap<Digest, u64>,
+    pub(super) refused_ms: FastMap<Digest, u64>,
 }
 
 impl PartHistory {
@@ -113,7 +116,8 @@
             let fingerprint = fingerprint();
             for part in suspected {
                 let equal_suspects = self.quarantine.equal_suspects(part, now_ms);
-                if equal_suspects.is_empty() {
+                let has_settled = self.quarantine.has_settled(part, SETTLING_MS, now_ms);
+                if equal_suspects.is_empty() && has_settled {
                     self.parts.remember_refusal(part, now_ms);
                 }
                 if equal_suspects.iter().all(|it| parts.contains(it) || *it == fingerprint) {
--- a/crates/core/src/quarantine/registry.rs
+++ b/crates/core/src/quarantine/registry.rs
@@ -197,6 +197,13 @@
         stored.filter(|it| !it.cleared && it.expires_ms > now_ms).count() as u32
     }
 
+    /// Tells whether all strikes that count against a request are at least as old as `age_ms`.
+    pub fn has_settled(&self, fingerprint: Digest, age_ms: u64, now_ms: u64) -> bool {
+        let newest_expiry_ms = now_ms + self.limits.retention_ms.saturating_sub(age_ms);
+        let mut stored = self.strikes.get(&fingerprint).into_iter().flat_map(BTreeMap::values);
+        stored.all(|it| it.cleared || it.expires_ms <= newest_expiry_ms)
+    }
+
     /// Returns the other fingerprints that have every strike which counts against this one.
     ///
     /// Each of them explains the same crashes.
