--- a/crates/core/src/event_stream/mod.rs
+++ b/crates/core/src/event_stream/mod.rs
@@ -8,6 +8,9 @@
 /// Identifier of an event; each event's is one higher than that of the event before it.
 pub type EventId = u64;
 
+/// Length of the longest end of an event, a line feed and an empty line with carriage return, in bytes.
+const LONGEST_EVENT_END: usize = 3;
+
 /// Complete events that may be forwarded.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CompleteEvents {
@@ -33,13 +36,20 @@
 
     /// Adds received bytes and returns the events that are complete now; none if there are none.
     pub fn push(&mut self, bytes: &[u8]) -> Option<CompleteEvents> {
+        // Everything before was searched when it arrived; a line end may have been split.
+        let searched = self.pending.len().saturating_sub(LONGEST_EVENT_END);
         self.pending.extend_from_slice(bytes);
-        let end = end_of_last_event(&self.pending)?;
+        let end = searched + end_of_last_event(&self.pending[searched..])?;
         let bytes = self.pending.split_to(end).freeze();
         let (last_id, count) = (last_id(&bytes), count_events(&bytes));
         Some(CompleteEvents { bytes, last_id, count })
     }
 
+    /// Returns the size of the incomplete event, in bytes.
+    pub fn buffered_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Tells whether no part of an event is buffered, so that the stream is at an event boundary.
     pub fn is_empty(&self) -> bool {
         self.pending.is_empty()
