Limit the response bodies of upstreams that never end

An upstream in trouble may send bytes without end. The relay read rejections, stage calls and events of streams into memory without a limit, and failures of streams were forwarded until the deadline; several such responses ended the process, with all its callers.

Every body that is read whole has a limit, lower where its length is not stated, and all larger ones together have one that fits the smallest instances. A rejection that does not end at once costs its connection instead of the caller's time. An event that is too long breaks the stream off, and so does a failure that is.

Endless heads were cut off already.

--- a/crates/entry/src/relay/attempt.rs
+++ b/crates/entry/src/relay/attempt.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming};
 use log::{info, warn};
 use yuccatrail_adapter::{ResponseMeta, decode_response_meta, system_headers};
@@ -142,11 +142,16 @@
             body,
             request_id: None,
         };
-        let (response, meta) = self.send(&request).await?;
+        let (response, mut meta) = self.send(&request).await?;
         let status = response.status();
-        let body = response.into_body().collect().await;
+        if meta.is_not_run {
+            let is_whole = self.relay.response_buffers.skip(response.into_body()).await;
+            meta.closes_connection |= !is_whole;
+            return Ok((status, meta, Bytes::new()));
+        }
+        let body = self.relay.response_buffers.read_own(response.into_body()).await;
         let body = body.map_err(|error| AttemptError::Lost(error.to_string()))?;
-        Ok((status, meta, body.to_bytes()))
+        Ok((status, meta, body))
     }
 
     /// Ends the call after its complete response was read, and keeps the connection for reuse.
--- a/crates/entry/src/relay/mod.rs
+++ b/crates/entry/src/relay/mod.rs
@@ -1,6 +1,7 @@
 //! The `relay` subcommand: an entry that forwards requests directly to upstreams without agents.
 
 mod attempt;
+mod buffers;
 mod crashes;
 mod feed;
 mod metrics;
--- a/crates/entry/src/relay/plain.rs
+++ b/crates/entry/src/relay/plain.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::{Response, StatusCode};
 use log::{info, warn};
 use yuccatrail_adapter::{ResponseMeta, forwarded_headers};
@@ -19,8 +19,6 @@
     state::Relay,
 };
 
-/// Maximum size of a response body, in bytes; a response is buffered before it is forwarded.
-pub(crate) const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 /// Minimum timeout of an attempt before another upstream is called, in milliseconds.
 const MIN_TRY_TIMEOUT_MS: u64 = 200;
 /// Multiple of the route's target latency after which an idempotent call is retried at another
@@ -164,13 +162,14 @@
     attempt: &mut Attempt,
 ) -> Result<(TryOutcome, ResponseMeta), AttemptError> {
     let upstream_request = request.upstream_request(&attempt.record, relay.now_ms(), None, None);
-    let (response, meta) = request.send(attempt, &upstream_request).await?;
+    let (response, mut meta) = request.send(attempt, &upstream_request).await?;
     let (parts, body) = response.into_parts();
-    let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-    let body = body.map_err(|error| AttemptError::Lost(error.to_string()))?.to_bytes();
     if meta.is_not_run {
+        meta.closes_connection |= !relay.response_buffers.skip(body).await;
         return Ok((TryOutcome::NotRun, meta));
     }
+    let body = relay.response_buffers.read(body).await;
+    let body = body.map_err(|error| AttemptError::Lost(error.to_string()))?;
     check_seal(parts.status, &meta)?;
     let response = forward_response(parts.status, &parts.headers, body);
     let outcome = if parts.status.is_server_error() {
--- a/crates/entry/src/relay/server.rs
+++ b/crates/entry/src/relay/server.rs
@@ -20,7 +20,7 @@
 };
 
 use crate::relay::{
-    plain::MAX_RESPONSE_BYTES,
+    buffers::MAX_RESPONSE_BYTES,
     pool::set_socket_options,
     request::{ResponseBody, handle_request},
     state::Relay,
--- a/crates/entry/src/relay/state.rs
+++ b/crates/entry/src/relay/state.rs
@@ -23,6 +23,7 @@
 use yuccatrail_runtime::clock::Clock;
 
 use crate::relay::{
+    buffers::ResponseBuffers,
     crashes::RequestCrashes,
     metrics::RelayMetrics,
     peers::Peers,
@@ -46,6 +47,8 @@
     pub(crate) clock: Clock,
     /// Idle connections to upstreams.
     pub(crate) pool: ConnectionPool,
+    /// Limits on the response bodies that are read at the same time.
+    pub(crate) response_buffers: ResponseBuffers,
     /// Queues of the stage services.
     pub(crate) stages: StageQueues,
     /// The other entries.
@@ -110,6 +113,7 @@
         Arc::new(Self {
             clock,
             pool: ConnectionPool::default(),
+            response_buffers: ResponseBuffers::default(),
             stages: StageQueues::default(),
             peers: Peers::new(own),
             updates: Updates::new(),
--- a/crates/entry/src/relay/stream.rs
+++ b/crates/entry/src/relay/stream.rs
@@ -36,6 +36,10 @@
 
 /// Number of upstreams to try before a request is refused.
 const MAX_TRIES: usize = 6;
+/// Maximum size of an event, in bytes.
+const MAX_EVENT_BYTES: usize = 64 * 1024;
+/// Maximum size of the body of a failure, in bytes.
+const MAX_FAILURE_BYTES: u64 = 1024 * 1024;
 /// Retry-After when no upstream accepts the request, in milliseconds.
 const BUSY_RETRY_MS: u64 = 300;
 
@@ -262,12 +266,11 @@
         let framing = BodyFraming::of(parts.status, &parts.headers);
         if meta.is_not_run {
             // The connection can be reused only after a complete response.
-            let is_whole = body.collect().await.is_ok();
-            let outcome =
-                if meta.is_input_gone { OpenOutcome::InputGone } else { OpenOutcome::NotRun };
-            if is_whole {
+            if relay.response_buffers.skip(body).await {
                 attempt.finish(&meta);
             }
+            let outcome =
+                if meta.is_input_gone { OpenOutcome::InputGone } else { OpenOutcome::NotRun };
             return Ok(outcome);
         }
         check_seal(parts.status, &meta)?;
@@ -312,8 +315,16 @@
                 Ok(Some(Ok(frame))) => {
                     let Ok(bytes) = frame.into_data() else { continue };
                     if let Some(bytes) = self.accept_bytes(&bytes) {
+                        if self.is_endless_failure() {
+                            return Some(Err(self.abort("failure_too_long")));
+                        }
                         return Some(Ok(bytes));
                     }
+                    if self.framer.buffered_bytes() > MAX_EVENT_BYTES
+                        && let Err(error) = self.resume("event is too long").await
+                    {
+                        return Some(Err(error));
+                    }
                 }
                 Ok(None) if self.framer.is_empty() => {
                     self.finish();
@@ -334,6 +345,12 @@
         }
     }
 
+    /// Tells whether the body of a failure is so long that its end is not awaited.
+    fn is_endless_failure(&self) -> bool {
+        let is_event_stream = self.source.as_ref().is_some_and(Source::is_event_stream);
+        !is_event_stream && self.events_bytes > MAX_FAILURE_BYTES
+    }
+
     /// Processes received bytes and returns those to forward; of a stream only whole events.
     fn accept_bytes(&mut self, bytes: &Bytes) -> Option<Bytes> {
         let source = self.source.as_mut().filter(|it| it.is_event_stream());
