Agent: limit responses of an upstream that never end

Plain responses, health responses and events of streams were read without a limit: an upstream in trouble could end the agent beside it.

endless_responses_are_cut_off failed before (no result within 10 s).

--- a/crates/agent/src/upstream.rs
+++ b/crates/agent/src/upstream.rs
@@ -9,14 +9,17 @@
     hash::{Hash, Hasher},
     io,
     net::SocketAddr,
-    sync::{Mutex, PoisonError},
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
 use bytes::Bytes;
 use eventsource_stream::Eventsource;
 use futures::{Stream, StreamExt};
-use http_body_util::{BodyExt, BodyStream, Full};
+use http_body_util::{BodyExt, BodyStream, Full, Limited};
 use hyper::{Request, Response, Uri, body::Incoming, header};
 use hyper_util::{
     client::{
@@ -40,6 +43,12 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Maximum size of a plain response, in bytes.
+const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+/// Maximum size of a response of the health endpoint, in bytes.
+const MAX_HEALTH_BYTES: usize = 64 * 1024;
+/// Maximum number of bytes of a stream without a complete event.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
 /// Data of the event that marks the end of a complete stream, as in the completions protocol.
 const STREAM_END: &str = "[DONE]";
 
@@ -151,7 +160,8 @@
         if !response.status().is_success() {
             return Err(CallError::Status(response.status().as_u16()));
         }
-        let body = response.into_body().collect().await.map_err(|_| CallError::Lost)?.to_bytes();
+        let body = Limited::new(response.into_body(), MAX_HEALTH_BYTES).collect().await;
+        let body = body.map_err(|_| CallError::Lost)?.to_bytes();
         serde_json::from_slice(&body).map_err(|_| CallError::Truncated)
     }
 }
@@ -188,7 +198,8 @@
             return Ok(head);
         }
         let framing = BodyFraming::of(response.status(), response.headers());
-        let body = response.into_body().collect().await.map_err(|_| CallError::Lost)?.to_bytes();
+        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await;
+        let body = body.map_err(|_| CallError::Lost)?.to_bytes();
         if framing == BodyFraming::Close && !self.is_running().await {
             return Err(CallError::Lost);
         }
@@ -293,9 +304,18 @@
     chunks: impl Stream<Item = Result<Bytes, hyper::Error>>,
     mut on_chunk: impl FnMut(Bytes),
 ) -> Result<(), CallError> {
+    let unfinished_bytes = AtomicUsize::new(0);
+    let chunks = chunks.map(|chunk| {
+        let chunk = chunk.map_err(|_| CallError::Lost)?;
+        match unfinished_bytes.fetch_add(chunk.len(), Ordering::Relaxed) {
+            MAX_EVENT_BYTES.. => Err(CallError::Lost),
+            _ => Ok(chunk),
+        }
+    });
     let mut events = std::pin::pin!(chunks.eventsource());
     while let Some(event) = events.next().await {
         let Ok(event) = event else { return Err(CallError::Lost) };
+        unfinished_bytes.store(0, Ordering::Relaxed);
         if event.data == STREAM_END {
             return Ok(());
         }
--- a/crates/agent/src/upstream/connect.rs
+++ b/crates/agent/src/upstream/connect.rs
@@ -10,13 +10,13 @@
 
 use bytes::Bytes;
 use futures::future::join;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, StatusCode, Uri, client::conn::http1, header};
 use hyper_util::{client::legacy::connect::HttpConnector, rt::TokioIo};
 use tokio::net::TcpStream;
 use tower_service::Service;
 
-use super::Health;
+use super::{Health, MAX_HEALTH_BYTES};
 
 type Connection = TokioIo<TcpStream>;
 type Connecting = Pin<Box<dyn Future<Output = io::Result<Connection>> + Send>>;
@@ -85,7 +85,8 @@
                 "the upstream's health endpoint did not return status 200",
             ));
         }
-        let body = response.into_body().collect().await.map_err(io::Error::other)?;
+        let body = Limited::new(response.into_body(), MAX_HEALTH_BYTES).collect().await;
+        let body = body.map_err(io::Error::other)?;
         serde_json::from_slice::<Health>(&body.to_bytes()).map_err(io::Error::other)
     };
     // The driver finishes and returns the connection once the sender is dropped.
--- a/crates/agent/src/upstream/tests.rs
+++ b/crates/agent/src/upstream/tests.rs
@@ -1,9 +1,6 @@
 use std::{
     convert::Infallible,
-    sync::{
-        Arc,
-        atomic::{AtomicU64, AtomicUsize, Ordering},
-    },
+    sync::{Arc, atomic::AtomicU64},
 };
 
 use http_body_util::StreamBody;
@@ -168,3 +165,51 @@
         assert_eq!(result.is_ok(), !crashes, "{result:?}");
     }
 }
+
+/// Engine whose responses never end, but for those of its health endpoint.
+async fn start_endless_engine() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let service = service_fn(move |request: Request<Incoming>| async move {
+                let is_whole = request.uri().path() == "/health" && request.method() == "GET";
+                let start =
+                    Bytes::from_static(if is_whole { br#"{"boot_id":"1"}"# } else { b"data: a" });
+                let block = Bytes::from(vec![b'a'; 64 * 1024]);
+                let blocks =
+                    futures::stream::repeat(block).take(if is_whole { 0 } else { 1 << 20 });
+                let frames = futures::stream::once(async { start }).chain(blocks);
+                let frames = frames.map(|it| Ok::<_, Infallible>(Frame::data(it)));
+                Ok::<_, Infallible>(Response::new(StreamBody::new(Box::pin(frames))))
+            });
+            tokio::spawn(
+                hyper::server::conn::http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service),
+            );
+        }
+    });
+    address
+}
+
+#[tokio::test]
+async fn endless_responses_are_cut_off() {
+    let client = UpstreamClient::new(start_endless_engine().await);
+    probe_until_answered(&client).await;
+    let boot = client.current_boot();
+    let plain = tokio::time::timeout(Duration::from_secs(10), call(&boot));
+    assert_eq!(plain.await.expect("cut off"), Err(CallError::Lost));
+    let attempt =
+        AttemptId { request: RequestId(8), stage: StageIndex(0), number: 0, entry: Incarnation(1) };
+    let events = UpstreamCall {
+        method: "POST".to_owned(),
+        path: "/v1/completions".to_owned(),
+        content_type: None,
+        idempotency_key: None,
+        body: Bytes::new(),
+        response: ResponseForm::Events,
+    };
+    let streamed =
+        tokio::time::timeout(Duration::from_secs(10), boot.call(attempt, events, |_| {}));
+    assert_eq!(streamed.await.expect("cut off"), Err(CallError::Lost));
+}
