Count crashes of upstreams against the prompt prefixes of pipelines

An entry now counts the crashes of requests that had no output against the prefix that it routes by, and clears them when a request with the prefix completes. After two a request is not tried again, from three on none runs.

streams_that_share_a_prompt_prefix_that_crashes_upstreams_are_quarantined_together failed before (16 upstreams crashed, 5 allowed).

--- a/crates/entry/src/run/stage.rs
+++ b/crates/entry/src/run/stage.rs
@@ -7,7 +7,7 @@
 use yuccatrail_core::{
     accounting::{StageLabel, WorkOutcome},
     hedge::{HedgeDecision, HedgeQuery, decide},
-    ids::{AttemptId, StageIndex},
+    ids::{AttemptId, Digest, StageIndex},
     membership::UpstreamKey,
     outcome::{Execution, Reason, Refusal},
     routing::{ChoiceContext, RandomNumbers},
@@ -49,6 +49,14 @@
     pub(crate) sink: Option<ChunkSink>,
 }
 
+impl StageWork<'_> {
+    /// Returns the digest of the prompt prefix for the pool that reads it.
+    fn prefix_digest(&self) -> Option<Digest> {
+        let prefix = self.prefix?;
+        Some(Digest::of(format!("{}\n{prefix}", self.demand.pool.name).as_bytes()))
+    }
+}
+
 /// State of a running stage.
 struct StageRun<'a> {
     entry: &'a Arc<Entry>,
@@ -90,8 +98,13 @@
     let mut execution = Execution::NotRun;
     let mut last = Refusal::not_run(Reason::NoUpstream, NO_UPSTREAM_RETRY_AFTER_MS);
     while run.next_attempt_number < MAX_ATTEMPTS {
-        let exclusive = match entry.strikes.admit_attempt(request.fingerprint, entry.clock.now_ms())
-        {
+        let (now_ms, is_retry) = (entry.clock.now_ms(), run.next_attempt_number > 0);
+        let prefix = work.prefix_digest();
+        let admitted = entry
+            .strikes
+            .admit_prefix(prefix, request.fingerprint, is_retry, now_ms)
+            .and_then(|()| entry.strikes.admit_attempt(request.fingerprint, now_ms));
+        let exclusive = match admitted {
             Ok(exclusive) => exclusive,
             Err(refusal) => {
                 last = refusal;
@@ -292,10 +305,15 @@
                     let usage = output.completion.usage;
                     entry.policy.on_complete(work.demand, usage, latency_ms);
                     entry.strikes.complete(request.fingerprint);
+                    entry.strikes.complete_prefix(work.prefix_digest(), entry.clock.now_ms());
                     entry.retry_budget().on_completed(true);
                 }
                 Err(failure) => {
                     record_failure(entry, request, work, id, failure);
+                    if !failure.delivered && failure.refusal.execution != Execution::NotRun {
+                        let (prefix, now_ms) = (work.prefix_digest(), entry.clock.now_ms());
+                        entry.strikes.strike_prefix(prefix, request.fingerprint, now_ms);
+                    }
                     // The caller may resend the request through another entry as soon as it has the
                     // response, so the agents have to know the strikes before.
                     if !entry.strikes.against(request.fingerprint, entry.clock.now_ms()).is_empty()
--- a/crates/entry/src/strikes.rs
+++ b/crates/entry/src/strikes.rs
@@ -1,11 +1,13 @@
-//! Quarantine of requests during which upstreams crashed.
+//! Quarantine of requests during which upstreams crashed, and of the beginnings of their prompts.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use yuccatrail_core::{
     ids::Digest,
     outcome::{Reason, Refusal},
-    quarantine::{Admission, Quarantine, QuarantineLimits, Strike, SuspectTracker},
+    quarantine::{
+        Admission, CrashTracker, PartVerdict, Quarantine, QuarantineLimits, Strike, SuspectTracker,
+    },
 };
 
 /// Time until a strike expires, in milliseconds.
@@ -27,6 +29,8 @@
 struct State {
     quarantine: Quarantine,
     tracker: SuspectTracker,
+    /// Strikes against the prompt prefixes that requests share, beside those against requests.
+    prefixes: CrashTracker,
 }
 
 impl Strikes {
@@ -37,7 +41,11 @@
             retention_ms: STRIKE_RETENTION_MS,
             max_strikes: MAX_STRIKES,
         };
-        let state = State { quarantine: Quarantine::new(limits), tracker: SuspectTracker::new() };
+        let state = State {
+            quarantine: Quarantine::new(limits),
+            tracker: SuspectTracker::new(),
+            prefixes: CrashTracker::new(),
+        };
         Arc::new(Self { state: Mutex::new(state) })
     }
 
@@ -80,6 +88,44 @@
         }
     }
 
+    /// Decides about an attempt of a request by the strikes against the prefix of its prompt.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if requests with the prefix are quarantined, or if the prefix has strikes and
+    /// an earlier attempt has failed.
+    pub(crate) fn admit_prefix(
+        &self,
+        prefix: Option<Digest>,
+        fingerprint: Digest,
+        is_retry: bool,
+        now_ms: u64,
+    ) -> Result<(), Refusal> {
+        let Some(prefix) = prefix else { return Ok(()) };
+        match self.lock().prefixes.judge_parts(&[prefix], || fingerprint, now_ms) {
+            PartVerdict::Refused => Err(refusal_for(Admission::Refused)),
+            PartVerdict::NoRetry if is_retry => Err(refusal_for(Admission::Exclusive)),
+            _ => Ok(()),
+        }
+    }
+
+    /// Counts the crashes against a request, whose output had not begun, against the prefix of its prompt
+    /// too.
+    pub(crate) fn strike_prefix(&self, prefix: Option<Digest>, fingerprint: Digest, now_ms: u64) {
+        let Some(prefix) = prefix else { return };
+        let mut state = self.lock();
+        for strike in state.quarantine.strikes_against(fingerprint, now_ms) {
+            state.prefixes.merge(&[Strike { fingerprint: prefix, ..strike }], now_ms);
+        }
+    }
+
+    /// Records that an upstream completed a request with this prefix of its prompt.
+    pub(crate) fn complete_prefix(&self, prefix: Option<Digest>, now_ms: u64) {
+        if let Some(prefix) = prefix {
+            self.lock().prefixes.on_parts_sound(&[prefix], now_ms);
+        }
+    }
+
     /// Returns the strikes that count against a request, to be sent with its submits.
     pub(crate) fn against(&self, fingerprint: Digest, now_ms: u64) -> Vec<Strike> {
         self.lock().quarantine.strikes_against(fingerprint, now_ms)
@@ -93,18 +139,35 @@
     /// Merges strikes received from an agent or another entry.
     pub(crate) fn merge(&self, strikes: &[Strike], now_ms: u64) {
         if !strikes.is_empty() {
-            self.lock().quarantine.merge(strikes, now_ms);
+            let mut state = self.lock();
+            state.quarantine.merge(strikes, now_ms);
+            state.prefixes.merge(strikes, now_ms);
         }
     }
 
     /// Returns the strikes to send to agents and other entries.
     pub(crate) fn recent(&self, now_ms: u64) -> Vec<Strike> {
-        self.lock().quarantine.recent_strikes(now_ms)
+        let state = self.lock();
+        let mut strikes = state.quarantine.recent_strikes(now_ms);
+        for strike in state.prefixes.recent_strikes(now_ms) {
+            let is_same = |it: &Strike| {
+                (it.fingerprint, it.agent, it.number)
+                    == (strike.fingerprint, strike.agent, strike.number)
+            };
+            match strikes.iter_mut().find(|it| is_same(it)) {
+                // Either registry may know that the strike no longer counts.
+                Some(known) => known.cleared |= strike.cleared,
+                None => strikes.push(strike),
+            }
+        }
+        strikes
     }
 
     /// Removes expired strikes.
     pub(crate) fn expire(&self, now_ms: u64) {
-        self.lock().quarantine.expire(now_ms);
+        let mut state = self.lock();
+        state.quarantine.expire(now_ms);
+        state.prefixes.expire(now_ms);
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/crates/fakes/tests/poison.rs
+++ b/crates/fakes/tests/poison.rs
@@ -103,6 +103,11 @@
     (last, crashes)
 }
 
+/// Requests that share the crashing beginning of their prompts.
+const ALIKE: usize = 8;
+/// Upstreams that they may crash all together.
+const MAX_CRASHES_ALIKE: usize = 5;
+
 /// Sends the crashing request among others; checks that it is quarantined and the others complete.
 async fn check_quarantine(
     mut stack: Stack,
@@ -152,3 +157,35 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_that_share_a_prompt_prefix_that_crashes_upstreams_are_quarantined_together() {
+    let mut stack = start(&[("encoders", 1), ("engines", 4)], "engines").await;
+    let prefix = format!("{CRASH_MARKER} {}", "shared ".repeat(100));
+    let mut crashes = 0;
+    let mut last = Value::Null;
+    for number in 0..ALIKE {
+        let (caller, entry) = (stack.caller.clone(), stack.entry(number % 2));
+        let text = format!("{prefix}{number}");
+        let mut call = std::pin::pin!(caller.pipeline_stream(entry, "explain", &text));
+        let response = loop {
+            match select(call, std::pin::pin!(replace_crashed(&mut stack))).await {
+                Either::Left((response, replacing)) => {
+                    crashes += replacing.await;
+                    break response.expect("a response");
+                }
+                Either::Right((count, pending)) => {
+                    crashes += count;
+                    call = pending;
+                }
+            }
+        };
+        last = response.problem.expect("a problem");
+        crashes += replace_crashed(&mut stack).await;
+    }
+    assert_eq!(last["reason"], "quarantined", "{last}");
+    assert!((1..=MAX_CRASHES_ALIKE).contains(&crashes), "{crashes} upstreams crashed");
+    let other = format!("{}{}", "sound ".repeat(100), "end");
+    let response = stack.caller.pipeline(stack.entry(0), "explain", &other).await;
+    assert_eq!(response.expect("a response").status, 200);
+}
