--- a/crates/fakes/src/stack/fault_proxy.rs
+++ b/crates/fakes/src/stack/fault_proxy.rs
@@ -166,6 +166,9 @@
             _ = state.wait_for(|it| *it == ProxyState::Reset) => {}
         }
     }
+    // Dropping them would close both connections properly before the reset.
+    writer.forget();
+    target_writer.forget();
     reader.as_ref().set_zero_linger()?;
     target_reader.as_ref().set_zero_linger()
 }
--- a/crates/fakes/src/stack/fault_proxy/tests.rs
+++ b/crates/fakes/src/stack/fault_proxy/tests.rs
@@ -89,3 +89,20 @@
     assert!(stream.read_u8().await.is_err());
     assert!(TcpStream::connect(address).await.is_err());
 }
+
+#[tokio::test]
+async fn a_reset_of_the_target_reaches_the_caller_as_a_reset() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let proxy = FaultProxy::open(listener.local_addr().unwrap()).await.unwrap();
+    for _ in 0..20 {
+        let mut caller = TcpStream::connect(proxy.address()).await.unwrap();
+        let (mut target, _) = listener.accept().await.unwrap();
+        target.write_all(b"half").await.unwrap();
+        let mut received = [0; 4];
+        caller.read_exact(&mut received).await.unwrap();
+        target.set_zero_linger().unwrap();
+        drop(target);
+        let end = caller.read(&mut received).await;
+        assert_eq!(end.unwrap_err().kind(), io::ErrorKind::ConnectionReset);
+    }
+}
