--- a/crates/entry/src/relay/stream.rs
+++ b/crates/entry/src/relay/stream.rs
@@ -37,7 +37,7 @@
 /// Number of upstreams to try before a request is refused.
 const MAX_TRIES: usize = 6;
 /// Maximum size of an event, in bytes.
-const MAX_EVENT_BYTES: usize = 64 * 1024;
+const MAX_EVENT_BYTES: usize = 256 * 1024;
 /// Maximum size of the body of a failure, in bytes.
 const MAX_FAILURE_BYTES: u64 = 1024 * 1024;
 /// Retry-After when no upstream accepts the request, in milliseconds.
@@ -420,7 +420,7 @@
     fn finish(&mut self) {
         let relay = &self.call.relay;
         if let Some(source) = self.source.take() {
-            if source.is_event_stream() {
+            if source.events > 0 {
                 relay.crashes.record_sound(&self.call.request, relay.now_ms());
             }
             source.attempt.finish(&source.meta);
