Plain requests whose prompts have parts follow the same rules as streams

Found by reading for the same cause elsewhere: an answered plain request did not show that its parts are sound, and a plain request whose part has two strikes was still sent to a second upstream. No test failed before; plain_requests_that_share_a_deadly_part_stop_crashing_upstreams covers the path.

--- a/crates/entry/src/relay/plain.rs
+++ b/crates/entry/src/relay/plain.rs
@@ -7,7 +7,10 @@
 use hyper::{Response, StatusCode};
 use log::{info, warn};
 use yuccatrail_adapter::{ResponseMeta, forwarded_headers};
-use yuccatrail_core::upstreams::{SelectionCriteria, UpstreamKey};
+use yuccatrail_core::{
+    quarantine::PartVerdict,
+    upstreams::{SelectionCriteria, UpstreamKey},
+};
 use yuccatrail_runtime::http::BodyFraming;
 
 use crate::relay::{
@@ -52,6 +55,9 @@
     let mut failure = None;
     while tried.len() < MAX_TRIES && (runs == 0 || runs < max_runs) {
         relay.wait_until_fresh().await;
+        if relay.crashes.judge_parts(request, relay.now_ms()) == PartVerdict::Refused {
+            return Err(Refusal::crashing("part_crashes_upstreams"));
+        }
         let Some(mut attempt) = begin_next_attempt(relay, request, &tried) else { break };
         if reached > 0 && !take_retry(relay, request) {
             break;
@@ -69,7 +75,11 @@
                 reached += 1;
                 match result {
                     TryOutcome::Response(response) => {
-                        relay.crashes.record_completed(request, relay.now_ms());
+                        let now_ms = relay.now_ms();
+                        relay.crashes.record_completed(request, now_ms);
+                        if response.status().is_success() {
+                            relay.crashes.record_sound(request, now_ms);
+                        }
                         return Ok(response);
                     }
                     TryOutcome::Failure(response) => {
@@ -86,18 +96,21 @@
                     error:% = error;
                     "attempt failed"
                 );
+                let upstream = attempt.record.clone();
+                attempt.fail();
+                if !matches!(error, AttemptError::Unreachable(_)) {
+                    (runs, reached) = (runs + 1, reached + 1);
+                }
                 if matches!(error, AttemptError::Lost(_)) {
                     let (relay, request) = (relay.clone(), request.clone());
-                    let upstream = attempt.record.clone();
-                    LostResponse { relay, request, upstream, events: 0 }.check_in_background();
+                    let lost = LostResponse { relay, request, upstream, events: 0 };
+                    if !lost.allows_retry().await {
+                        break;
+                    }
                 }
-                attempt.fail();
                 if request.remaining_ms(relay.now_ms()) == 0 {
                     return Err(Refusal::timed_out("time_over"));
                 }
-                if !matches!(error, AttemptError::Unreachable(_)) {
-                    (runs, reached) = (runs + 1, reached + 1);
-                }
             }
         }
     }
