--- a/crates/entry/src/relay/crashes.rs
+++ b/crates/entry/src/relay/crashes.rs
@@ -84,8 +84,11 @@
 
 /// A response that was lost, maybe because its upstream crashed.
 pub(crate) struct LostResponse {
+    /// Relay that sent the request.
     pub(crate) relay: Arc<Relay>,
+    /// The request.
     pub(crate) request: Arc<CallerRequest>,
+    /// Upstream that it was sent to.
     pub(crate) upstream: UpstreamRecord,
     /// Number of whole events that had arrived.
     pub(crate) events: u64,
--- a/crates/entry/src/strikes.rs
+++ b/crates/entry/src/strikes.rs
@@ -20,6 +20,9 @@
 const SUSPECT_RETRY_AFTER_MS: u64 = 1_000;
 /// Retry-After of a quarantined request, in milliseconds.
 const QUARANTINED_RETRY_AFTER_MS: u64 = STRIKE_RETENTION_MS;
+/// Retry-After of a request whose prompt prefix is quarantined, in milliseconds: the time for which
+/// strikes against a prefix count.
+const PREFIX_RETRY_AFTER_MS: u64 = 120_000;
 
 /// Strikes known to the entry, and its requests in progress.
 pub(crate) struct Strikes {
@@ -103,7 +106,9 @@
     ) -> Result<(), Refusal> {
         let Some(prefix) = prefix else { return Ok(()) };
         match self.lock().prefixes.judge_parts(&[prefix], || fingerprint, now_ms) {
-            PartVerdict::Refused => Err(refusal_for(Admission::Refused)),
+            PartVerdict::Refused => {
+                Err(Refusal::not_run(Reason::Quarantined, PREFIX_RETRY_AFTER_MS))
+            }
             PartVerdict::NoRetry if is_retry => Err(refusal_for(Admission::Exclusive)),
             _ => Ok(()),
         }
