--- a/crates/entry/src/relay/attempt.rs
+++ b/crates/entry/src/relay/attempt.rs
@@ -208,6 +208,9 @@
         if meta.is_leaving && upstreams.observe_leaving(self.key, now_ms) {
             info!(upstream:% = self.record.id; "upstream leaves, according to its response");
         }
+        if let Some(per_s) = meta.request_limit_per_s {
+            info!(upstream:% = self.record.id, per_s = per_s; "upstream states a request limit");
+        }
         if let Some(seconds) = meta.requested_rest_s
             && let Some(request) = upstreams.observe_rest(self.key, seconds, now_ms)
         {
