Keep the request limits that upstreams state, all entries together

What callers saw: an upstream that stated how many requests a second it takes got as many as before from every entry. Cause: no code read the statement; the choice of an upstream knew only the rest that it asks for, its load and its cold limit. Class: a limit of an upstream that all entries share, stated in responses, without an owner in the code.

An entry applies the statement of each response at once. Each has a share of the limit by its rank for the upstream, so that the sum stays within the users' bound also while entries differ by one in the others that they know; entries without a share, or without a token, choose another upstream, and refuse at once with the time of the next token if there is none. Stage upstreams give most of the limit to the owner of the queue. A limit ends with a response to a request that was sent after the last statement; four entries go on sending a request now and then however low it is, or nobody would learn of its end. It outlives a gap in the platform's list.

Ruled out: limits of each entry alone (five entries would send five times as much), and the late head of a stream (the users count only entries that have passed a statement on).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod upstreams;
 
 mod switch;
+mod token_bucket;
 
 /// Hash map with a fast, non-cryptographic hasher.
 pub type FastMap<K, V> = rustc_hash::FxHashMap<K, V>;
--- a/crates/core/src/upstreams/calls.rs
+++ b/crates/core/src/upstreams/calls.rs
@@ -5,6 +5,19 @@
     directory::cold_start,
 };
 
+/// Time after which a caller may return whose entry has no share of any upstream's limit, in
+/// milliseconds; callers return to other entries.
+const NO_SHARE_WAIT_MS: u64 = 500;
+
+/// When the upstreams of a service take calls again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EarliestReturn {
+    /// Time until the first one does, in milliseconds.
+    pub wait_ms: u64,
+    /// Whether that one rests; otherwise it states a limit that is reached.
+    pub is_resting: bool,
+}
+
 impl Upstreams {
     /// Tells whether a call may be sent to an upstream now.
     pub fn is_usable(&self, key: UpstreamKey, now_ms: u64) -> bool {
@@ -19,6 +32,9 @@
         if self.evacuations.contains(record.data_centre.as_ref()) {
             return false;
         }
+        if self.limit_wait_ms(upstream, now_ms) != Some(0) {
+            return false;
+        }
         if !upstream.is_cold(now_ms) {
             return true;
         }
@@ -36,11 +52,13 @@
             return false;
         }
         let Some(upstream) = self.all.get(key) else { return false };
-        let limit = if upstream.is_cold(now_ms) { self.cold_limit(upstream) } else { None };
+        let cold_limit = if upstream.is_cold(now_ms) { self.cold_limit(upstream) } else { None };
+        let limit_share = self.limit_share(upstream);
         let Some(upstream) = self.all.get_mut(key) else { return false };
-        if let Some(limit) = limit {
-            upstream.cold_share.take_token(limit, now_ms);
+        if let Some(cold_limit) = cold_limit {
+            upstream.cold_share.take_token(cold_limit, now_ms);
         }
+        upstream.request_limit.take(limit_share, now_ms);
         upstream.in_flight += 1;
         true
     }
@@ -111,17 +129,34 @@
         Some(self.all.get_mut(key)?.rest.extend(seconds, now_ms))
     }
 
-    /// Returns the time until the first upstream of a service that rests takes calls again, in
-    /// milliseconds; none if one takes calls now, or none of them rests.
-    pub fn earliest_return_ms(&self, service: &str, now_ms: u64) -> Option<u64> {
+    /// Tells whether an upstream has asked for a rest, or states a limit under which this entry may not
+    /// send the next request yet.
+    pub fn wants_no_calls(&self, key: UpstreamKey, now_ms: u64) -> bool {
+        self.all.get(key).is_some_and(|it| self.demanded_wait_ms(it, now_ms) > 0)
+    }
+
+    /// Returns the time until the first upstream of a service that wants no calls now takes some again;
+    /// none if one takes calls now, or none of them is kept from it by its own demand.
+    pub fn earliest_return(&self, service: &str, now_ms: u64) -> Option<EarliestReturn> {
         if self.of_service(service).any(|(key, _)| self.is_usable(key, now_ms)) {
             return None;
         }
-        let resting = self.of_service(service).filter(|(_, it)| {
+        let waiting = self.of_service(service).filter(|(_, it)| {
             let is_out = self.evacuations.contains(it.record.data_centre.as_ref());
-            it.is_resting(now_ms) && !it.leaves() && !is_out
+            self.demanded_wait_ms(it, now_ms) > 0 && !it.leaves() && !is_out
+        });
+        let returns = waiting.map(|(_, it)| EarliestReturn {
+            wait_ms: self.demanded_wait_ms(it, now_ms),
+            is_resting: it.is_resting(now_ms),
         });
-        resting.map(|(_, it)| it.rest.remaining_ms(now_ms)).min()
+        returns.min_by_key(|it| it.wait_ms)
+    }
+
+    /// Returns the time for which an upstream wants no call of this entry, in milliseconds.
+    fn demanded_wait_ms(&self, upstream: &Upstream, now_ms: u64) -> u64 {
+        // Another entry has to be asked where this one has no share of the limit.
+        let limit_ms = self.limit_wait_ms(upstream, now_ms).unwrap_or(NO_SHARE_WAIT_MS);
+        upstream.rest.remaining_ms(now_ms).max(limit_ms)
     }
 
     fn cold_limit(&self, upstream: &Upstream) -> Option<ColdLimit> {
--- a/crates/core/src/upstreams/cold.rs
+++ b/crates/core/src/upstreams/cold.rs
@@ -5,6 +5,8 @@
 //! the limit even while entries disagree on the set of entries. Where the limit is too low to be
 //! divided among all, only the entries that rank first for the upstream have a share.
 
+use crate::token_bucket::{FillRate, TokenBucket};
+
 /// Largest number of entries that may call one cold upstream; bounds the sum of their bursts.
 const MAX_SHARING_ENTRIES: usize = 4;
 /// Smallest number of entries that is assumed, in case others are not known yet.
@@ -31,35 +33,32 @@
         }
         self.per_s / self.entries.clamp(MIN_ASSUMED_ENTRIES, MAX_SHARING_ENTRIES) as f64
     }
+
+    fn fill_rate(self) -> FillRate {
+        FillRate { per_s: self.share_per_s(), burst: BURST }
+    }
 }
 
 /// Token bucket of one entry for one cold upstream.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ColdShare {
-    tokens: f64,
-    updated_ms: u64,
+    bucket: TokenBucket,
 }
 
 impl ColdShare {
     /// Creates a full bucket, which lets one request through.
     pub fn new() -> Self {
-        Self { tokens: BURST, updated_ms: 0 }
+        Self { bucket: TokenBucket::new() }
     }
 
     /// Tells whether a request may be sent.
     pub fn has_token(&self, limit: ColdLimit, now_ms: u64) -> bool {
-        limit.share_per_s() > 0.0 && self.refilled(limit, now_ms) >= 1.0
+        limit.share_per_s() > 0.0 && self.bucket.wait_ms(limit.fill_rate(), now_ms) == Some(0)
     }
 
     /// Takes the token of a request that is sent.
     pub fn take_token(&mut self, limit: ColdLimit, now_ms: u64) {
-        self.tokens = self.refilled(limit, now_ms) - 1.0;
-        self.updated_ms = now_ms;
-    }
-
-    fn refilled(&self, limit: ColdLimit, now_ms: u64) -> f64 {
-        let elapsed_s = now_ms.saturating_sub(self.updated_ms) as f64 / 1_000.0;
-        (self.tokens + elapsed_s * limit.share_per_s()).min(BURST)
+        self.bucket.take(limit.fill_rate(), now_ms);
     }
 }
 
--- a/crates/core/src/upstreams/departure.rs
+++ b/crates/core/src/upstreams/departure.rs
@@ -6,7 +6,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{FastMap, upstreams::UpstreamRecord};
+use crate::{
+    FastMap,
+    upstreams::{RequestLimit, Rest, UpstreamRecord},
+};
 
 /// Time for which a departure is remembered, in milliseconds; copies from which the platform is
 /// restored are some seconds old.
@@ -27,12 +30,21 @@
     pub outdated_sequence: u64,
 }
 
+/// What an upstream has asked of this entry; still holds if it is listed again.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Demands {
+    /// Rest that it asked for.
+    pub(crate) rest: Rest,
+    /// Limit that it states on the requests of all entries.
+    pub(crate) request_limit: RequestLimit,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Departure {
     /// Era of the platform in which the upstream left.
     era: u64,
     outdated_sequence: u64,
-    rest_until_ms: u64,
+    demands: Demands,
     at_ms: u64,
     /// Other entries may not know of it.
     is_shared: bool,
@@ -62,20 +74,20 @@
         &mut self,
         record: &UpstreamRecord,
         era: u64,
-        rest_until_ms: u64,
+        demands: Demands,
         now_ms: u64,
     ) {
         let key = (record.id.clone(), record.started_unix_ms);
         let departure = self.all.entry(key).or_insert(Departure {
             era,
             outdated_sequence: 0,
-            rest_until_ms,
+            demands,
             at_ms: now_ms,
             is_shared: false,
         });
         departure.era = era;
         departure.outdated_sequence = departure.outdated_sequence.max(record.sequence);
-        departure.rest_until_ms = departure.rest_until_ms.max(rest_until_ms);
+        departure.demands = demands;
     }
 
     /// Tells whether a record is outdated, so that its upstream receives no calls; `era` is that of the
@@ -103,10 +115,10 @@
         true
     }
 
-    /// Returns the time until which an upstream that is listed again wants no calls, in milliseconds.
-    pub(crate) fn rest_until_ms(&self, record: &UpstreamRecord) -> u64 {
+    /// Returns what an upstream that is listed again had asked for.
+    pub(crate) fn demands(&self, record: &UpstreamRecord) -> Option<Demands> {
         let key = (record.id.clone(), record.started_unix_ms);
-        self.all.get(&key).map_or(0, |it| it.rest_until_ms)
+        self.all.get(&key).map(|it| it.demands)
     }
 
     /// Returns the departures that other entries may not know of.
@@ -132,7 +144,7 @@
         let departure = Departure {
             era: known.map_or(0, |it| it.era),
             outdated_sequence: leaving.outdated_sequence,
-            rest_until_ms: known.map_or(0, |it| it.rest_until_ms),
+            demands: known.map(|it| it.demands).unwrap_or_default(),
             at_ms: now_ms,
             is_shared: true,
         };
--- a/crates/core/src/upstreams/directory.rs
+++ b/crates/core/src/upstreams/directory.rs
@@ -9,7 +9,8 @@
     revision::Revision,
     switch::MechanismSwitch,
     upstreams::{
-        Departures, Evacuations, ListRevisions, Pace, Rest, Upstream, UpstreamKey, UpstreamRecord,
+        Demands, Departures, Evacuations, ListRevisions, Pace, Upstream, UpstreamKey,
+        UpstreamRecord,
     },
 };
 
@@ -70,6 +71,8 @@
     /// For each service, the time for which an upstream is cold after its start, in milliseconds, and
     /// the requests a second that a cold upstream tolerates; 0 if it needs no limit.
     pub(super) cold_starts: FastMap<Arc<str>, (u64, f64)>,
+    /// Services whose work passes the queue of one entry, each with whether that is this one.
+    pub(super) owned_services: FastMap<Arc<str>, bool>,
     pub(super) entries: Vec<String>,
     own_name: String,
     /// Whether the other entries are known; until then, cold upstreams with a limit receive no calls.
@@ -347,7 +350,10 @@
         }
         let mut upstream = Upstream::new(record);
         upstream.listed_era = era;
-        upstream.rest = Rest::until(self.departures.rest_until_ms(&upstream.record));
+        if let Some(demands) = self.departures.demands(&upstream.record) {
+            upstream.rest = demands.rest;
+            upstream.request_limit = demands.request_limit;
+        }
         let is_outdated = self.departures.is_outdated(&upstream.record, listed_in, now_ms);
         upstream.is_leaving =
             is_outdated && !self.mechanisms.is_disabled(RestoreSabotage::Departures);
@@ -377,8 +383,8 @@
 
     fn remove(&mut self, key: UpstreamKey, now_ms: u64) {
         let Some(upstream) = self.all.remove(key) else { return };
-        let (record, rest_until_ms) = (&upstream.record, upstream.rest.until_ms());
-        self.departures.unlist(record, self.revisions.upstreams.era, rest_until_ms, now_ms);
+        let demands = Demands { rest: upstream.rest, request_limit: upstream.request_limit };
+        self.departures.unlist(&upstream.record, self.revisions.upstreams.era, demands, now_ms);
         self.by_id.remove(&upstream.record.id);
         if let Some(keys) = self.by_service.get_mut(&upstream.record.service) {
             keys.retain(|it| *it != key);
--- a/crates/core/src/upstreams/mod.rs
+++ b/crates/core/src/upstreams/mod.rs
@@ -14,12 +14,14 @@
 mod pace;
 mod platform_lists;
 mod record;
+mod request_limit;
 mod rest;
 
+pub use calls::EarliestReturn;
 pub use choose::{Affinity, SelectionCriteria};
 pub use cold::{ColdLimit, ColdShare};
-pub(crate) use departure::Departures;
 pub use departure::LeavingUpstream;
+pub(crate) use departure::{Demands, Departures};
 pub(crate) use directory::rendezvous_weight;
 pub use directory::{ListUpdate, RestoreSabotage, Upstreams, UpstreamsSettings};
 pub(crate) use evacuation::Evacuations;
@@ -28,6 +30,8 @@
 pub use pace::{FirstEventKey, SlowUpstream};
 pub use platform_lists::{ListCorrections, ListRevisions, PlatformLists};
 pub use record::{CallEnd, Load, Upstream, UpstreamKey, UpstreamRecord};
+pub(crate) use request_limit::RequestLimit;
+pub use request_limit::{LimitChange, ReportedLimit};
 pub(crate) use rest::Rest;
 pub use rest::RestRequest;
 
--- a/crates/core/src/upstreams/platform_lists.rs
+++ b/crates/core/src/upstreams/platform_lists.rs
@@ -9,8 +9,8 @@
 use crate::{
     revision::Revision,
     upstreams::{
-        Evacuation, HeldEvacuation, LeavingUpstream, ListUpdate, RestoreSabotage, SlowUpstream,
-        UpstreamRecord, Upstreams,
+        Evacuation, HeldEvacuation, LeavingUpstream, ListUpdate, ReportedLimit, RestoreSabotage,
+        SlowUpstream, UpstreamRecord, Upstreams,
     },
 };
 
@@ -31,7 +31,7 @@
 }
 
 /// The platform's lists as held by one entry.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PlatformLists {
     /// Revisions of the lists.
     pub revisions: ListRevisions,
@@ -46,7 +46,7 @@
 }
 
 /// What an entry knows beyond the platform's lists.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ListCorrections {
     /// Upstreams that leave although the platform may list them as ready.
     pub leaving: Vec<LeavingUpstream>,
@@ -54,6 +54,9 @@
     pub held_evacuations: Vec<HeldEvacuation>,
     /// Upstreams that are passed over because their streams begin late.
     pub slow: Vec<SlowUpstream>,
+    /// Limits that upstreams have stated or lifted.
+    #[serde(default)]
+    pub limits: Vec<ReportedLimit>,
 }
 
 impl Upstreams {
@@ -176,6 +179,7 @@
             leaving: self.departures.recent(now_ms),
             held_evacuations: self.evacuations.held(now_ms),
             slow: self.slow_upstreams(now_ms),
+            limits: self.limits_to_report(now_ms),
         }
     }
 
@@ -199,6 +203,7 @@
             }
         }
         self.merge_slow(&corrections.slow, now_ms);
+        self.merge_limits(&corrections.limits, now_ms);
         self.evacuations.adopt_held(&corrections.held_evacuations, now_ms)
     }
 }
--- a/crates/core/src/upstreams/record.rs
+++ b/crates/core/src/upstreams/record.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
 
-use crate::upstreams::{ColdShare, Rest};
+use crate::upstreams::{ColdShare, RequestLimit, Rest};
 
 new_key_type! {
     /// Identifies one incarnation of an upstream; a restarted upstream gets a new key.
@@ -107,6 +107,8 @@
     pub(crate) slow_until_ms: u64,
     /// Rest that the upstream asked for.
     pub(crate) rest: Rest,
+    /// Limit that it states on the requests of all entries.
+    pub(crate) request_limit: RequestLimit,
 }
 
 impl Upstream {
@@ -129,6 +131,7 @@
             is_leaving: false,
             slow_until_ms: 0,
             rest: Rest::default(),
+            request_limit: RequestLimit::default(),
         }
     }
 
--- a/crates/core/src/upstreams/rest.rs
+++ b/crates/core/src/upstreams/rest.rs
@@ -28,11 +28,6 @@
 }
 
 impl Rest {
-    /// Creates a rest until the given time, in milliseconds.
-    pub(crate) fn until(until_ms: u64) -> Self {
-        Self { until_ms }
-    }
-
     /// Extends the rest to `seconds` from now.
     pub(crate) fn extend(&mut self, seconds: f64, now_ms: u64) -> RestRequest {
         let (rest_ms, request) = if seconds.is_nan() || seconds < 0.0 {
@@ -46,11 +41,6 @@
         request
     }
 
-    /// Returns the end of the rest, in milliseconds.
-    pub(crate) fn until_ms(self) -> u64 {
-        self.until_ms
-    }
-
     /// Returns the remaining time of the rest, in milliseconds; 0 if it has ended.
     pub(crate) fn remaining_ms(self, now_ms: u64) -> u64 {
         self.until_ms.saturating_sub(now_ms)
--- a/crates/entry/src/relay/attempt.rs
+++ b/crates/entry/src/relay/attempt.rs
@@ -8,7 +8,9 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming};
 use log::{info, warn};
 use yuccatrail_adapter::{ResponseMeta, decode_response_meta, system_headers};
-use yuccatrail_core::upstreams::{CallEnd, RestRequest, UpstreamKey, UpstreamRecord};
+use yuccatrail_core::upstreams::{
+    CallEnd, LimitChange, RestRequest, UpstreamKey, UpstreamRecord, Upstreams,
+};
 
 use crate::relay::{
     pool::{Connection, SendError},
@@ -113,9 +115,10 @@
         let now_ms = self.relay.now_ms();
         self.latency_ms = now_ms.saturating_sub(self.started_ms) as f64;
         let meta = decode_response_meta(response.status(), response.headers());
-        self.observe(&meta, now_ms);
         let is_other = meta.request_id.is_some() && meta.request_id != request.request_id;
-        if request.request_id.is_some() && is_other && !Mechanism::OwnAnswer.is_off() {
+        let is_foreign = request.request_id.is_some() && is_other;
+        self.observe(&meta, is_foreign, now_ms);
+        if is_foreign && !Mechanism::OwnAnswer.is_off() {
             self.end(CallEnd::Failed);
             return Err(AttemptError::Damaged("it belongs to another request".to_owned()));
         }
@@ -197,7 +200,7 @@
         connection.send(request.to_http_request()).await
     }
 
-    fn observe(&self, meta: &ResponseMeta, now_ms: u64) {
+    fn observe(&self, meta: &ResponseMeta, is_foreign: bool, now_ms: u64) {
         let mut upstreams = self.relay.upstreams();
         if let Some(load) = meta.load {
             upstreams.observe_load(self.key, load, now_ms);
@@ -208,8 +211,8 @@
         if meta.is_leaving && upstreams.observe_leaving(self.key, now_ms) {
             info!(upstream:% = self.record.id; "upstream leaves, according to its response");
         }
-        if let Some(per_s) = meta.request_limit_per_s {
-            info!(upstream:% = self.record.id, per_s = per_s; "upstream states a request limit");
+        if let Some(change) = self.observe_limit(meta, is_foreign, &mut upstreams, now_ms) {
+            log_limit(&self.record, change);
         }
         if let Some(seconds) = meta.requested_rest_s
             && let Some(request) = upstreams.observe_rest(self.key, seconds, now_ms)
@@ -218,6 +221,22 @@
         }
     }
 
+    /// Records whether the upstream states a request limit. A response to another request does not show
+    /// that a limit is over.
+    fn observe_limit(
+        &self,
+        meta: &ResponseMeta,
+        is_foreign: bool,
+        upstreams: &mut Upstreams,
+        now_ms: u64,
+    ) -> Option<LimitChange> {
+        let stated_per_s = meta.request_limit_per_s;
+        if meta.is_replaced || is_foreign && stated_per_s.is_none() {
+            return None;
+        }
+        upstreams.observe_request_limit(self.key, stated_per_s, self.started_ms, now_ms)
+    }
+
     fn end(&mut self, end: CallEnd) {
         if !self.is_counted {
             return;
@@ -228,6 +247,19 @@
     }
 }
 
+fn log_limit(upstream: &UpstreamRecord, change: LimitChange) {
+    let id = &upstream.id;
+    match change {
+        LimitChange::Stated(per_s) => {
+            info!(upstream:% = id, per_s = per_s; "upstream states a request limit");
+        }
+        LimitChange::Unreadable(per_s) => {
+            warn!(upstream:% = id, per_s = per_s; "upstream states a request limit that can't be read, another one is used");
+        }
+        LimitChange::Lifted => info!(upstream:% = id; "upstream states no request limit any more"),
+    }
+}
+
 fn log_rest(upstream: &UpstreamRecord, seconds: f64, request: RestRequest) {
     match request {
         RestRequest::Stated => {
--- a/crates/entry/src/relay/mod.rs
+++ b/crates/entry/src/relay/mod.rs
@@ -168,8 +168,10 @@
         relay.crashes.expire(now_ms);
         relay.peers.update_polled_entries(&relay);
         relay.reading.update(&relay);
-        relay.stages.tick(&relay);
+        relay.update_owned_services();
+        // Before new stage calls, which would take the requests that a limited upstream permits.
         relay.releases.flush(&relay);
+        relay.stages.tick(&relay);
         let upstreams = relay.upstreams();
         relay.pool.expire(|it| upstreams.get(it).is_some(), now_ms);
     }
--- a/crates/entry/src/relay/release.rs
+++ b/crates/entry/src/relay/release.rs
@@ -91,9 +91,7 @@
         for (holder, handles) in delegated {
             // Results do not outlive the upstream that holds them.
             let Some(key) = relay.upstreams().at_address(holder) else { continue };
-            let is_resting =
-                relay.upstreams().get(key).is_some_and(|it| it.is_resting(relay.now_ms()));
-            if is_resting {
+            if relay.upstreams().wants_no_calls(key, relay.now_ms()) {
                 self.add_delegated(handles);
                 continue;
             }
@@ -138,7 +136,12 @@
             return;
         }
     };
-    let Some(mut attempt) = Attempt::begin(&relay, key) else { return };
+    let Some(mut attempt) = Attempt::begin(&relay, key) else {
+        if relay.upstreams().wants_no_calls(key, relay.now_ms()) {
+            relay.releases.add_delegated(handles);
+        }
+        return;
+    };
     match attempt.post(RELEASE_PATH, body).await {
         Ok((_, meta, _)) => {
             attempt.finish(&meta);
--- a/crates/entry/src/relay/request.rs
+++ b/crates/entry/src/relay/request.rs
@@ -107,16 +107,17 @@
 
 /// Returns the refusal of a request that no upstream of its service accepts.
 ///
-/// `has_tried` tells whether an upstream was called. If all of them rest, the caller is told when the
-/// first one takes calls again, but not to return before `busy_retry_ms`.
+/// `has_tried` tells whether an upstream was called. If all of them rest or have reached their limits,
+/// the caller is told when the first one takes calls again, but not to return before `busy_retry_ms`.
 pub(crate) fn no_upstream_refusal(
     relay: &Relay,
     service: &str,
     has_tried: bool,
     busy_retry_ms: u64,
 ) -> Refusal {
-    if let Some(rest_ms) = relay.upstreams().earliest_return_ms(service, relay.now_ms()) {
-        return Refusal::busy("upstreams_rest", rest_ms.max(busy_retry_ms));
+    if let Some(first) = relay.upstreams().earliest_return(service, relay.now_ms()) {
+        let reason = if first.is_resting { "upstreams_rest" } else { "upstreams_limited" };
+        return Refusal::busy(reason, first.wait_ms.max(busy_retry_ms));
     }
     let reason = if has_tried { "upstreams_failed" } else { "no_upstream" };
     Refusal::busy(reason, busy_retry_ms)
--- a/crates/entry/src/relay/stages.rs
+++ b/crates/entry/src/relay/stages.rs
@@ -212,11 +212,12 @@
     ) -> Option<f64> {
         let now_ms = relay.now_ms();
         let available = available_upstreams(relay, service, now_ms).len();
-        let rest_ms = relay.upstreams().earliest_return_ms(service, now_ms).unwrap_or(0);
+        let first_return = relay.upstreams().earliest_return(service, now_ms);
+        let wait_ms = first_return.map_or(0, |it| it.wait_ms);
         let queues = lock(&self.queues);
         let batcher = &queues.get(service)?.batcher;
         let work_ms = batcher.estimate_ms(pieces, soft_deadline_ms, available, now_ms);
-        Some(rest_ms as f64 + work_ms)
+        Some(wait_ms as f64 + work_ms)
     }
 
     /// Returns the configured duration of a call with this many pieces, in milliseconds.
--- a/crates/entry/src/relay/state.rs
+++ b/crates/entry/src/relay/state.rs
@@ -26,7 +26,7 @@
     buffers::ResponseBuffers,
     crashes::RequestCrashes,
     metrics::RelayMetrics,
-    peers::Peers,
+    peers::{Owner, Peers},
     pool::ConnectionPool,
     reading::Reading,
     release::ResultReleases,
@@ -179,6 +179,17 @@
         log_evacuations(&changed);
     }
 
+    /// Records which stage services this entry owns now.
+    pub(crate) fn update_owned_services(&self) {
+        let services = self.stages.services().into_iter();
+        let owned = services.map(|it| {
+            let is_own = matches!(self.peers.owner(self, &it), Owner::Local);
+            (it, is_own)
+        });
+        let owned = owned.collect();
+        self.upstreams().set_owned_services(owned);
+    }
+
     /// Locks the retry share; the guard must not be held across an await.
     pub(crate) fn retries(&self) -> MutexGuard<'_, RetryShare> {
         lock(&self.retries)
