Agent: keep the request limit that the upstream states

A response or a health response may now state it in x-request-limit.

The agent is the only caller of its upstream, so it has the whole limit. It refuses at once what the limit does not permit now, also what it had queued before, and reports no room meanwhile, so that entries choose other upstreams. A restart of the upstream ends the limit. The fuzz of the agent states and lifts limits and notices when they are ignored.

The state of a limit moves to a module that agents and entries share.

--- a/crates/agent/src/executor.rs
+++ b/crates/agent/src/executor.rs
@@ -1,5 +1,7 @@
 //! Execution of attempts on the upstream, whose output entries read by polling.
 
+mod state;
+
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -11,10 +13,9 @@
 use yuccatrail_core::{
     FastMap, FastSet,
     agent::{AgentCore, CallResult, Dispatch, ProbeResult, Submission},
-    attempt::{AttemptKey, AttemptLookup, Progress},
+    attempt::{AttemptLookup, Progress},
     control::{ControlUpdate, Versions},
     ids::{AttemptId, Incarnation},
-    membership::InstanceState,
 };
 use yuccatrail_rpc::messages::{
     Ages, AttemptReply, AttemptState, CancelRequest, Echo, Feedback, ReadRequest, SubmitRequest,
@@ -22,10 +23,11 @@
 };
 use yuccatrail_runtime::{clock::Clock, control::SharedControl};
 
+use self::state::{PendingCall, State};
 use crate::{
     listed::ListedState,
     metrics::Metrics,
-    upstream::{BootClient, CallError, ResponseHead, UpstreamClient},
+    upstream::{BootClient, CallError, ProbeReply, ResponseHead, UpstreamClient},
 };
 
 /// Maximum size of the output in one reply, in bytes.
@@ -37,53 +39,6 @@
 /// Time for which further output is collected before a reply, so that fast streams need few calls.
 const COALESCE_TIME: Duration = Duration::from_millis(20);
 
-/// State shared by the tasks of the executor.
-struct State {
-    core: AgentCore,
-    /// Calls of attempts that wait for dispatch.
-    pending_calls: FastMap<AttemptId, PendingCall>,
-    /// Notifies readers of attempts that have not ended about changes.
-    notifiers: FastMap<AttemptId, Arc<Notify>>,
-    /// Abort those running calls that may be aborted.
-    abort_tokens: FastMap<AttemptKey, CancellationToken>,
-    /// Attempts that have ended and whose final state no entry has read yet.
-    unread: FastSet<AttemptId>,
-    /// State of the upstream in the platform's instance list.
-    listed: ListedState,
-    /// Whether a probe on which queued attempts wait is in progress.
-    is_probing: bool,
-    /// Value of the last logged cold state.
-    logged_cold: bool,
-}
-
-impl State {
-    /// Applies a change of the upstream's state in the instance list to the core.
-    fn set_listed(&mut self, change: Option<(u64, InstanceState)>, now_ms: u64) {
-        let Some((version, state)) = change else { return };
-        info!(version = version; "upstream listed as {state:?}");
-        self.core.set_listed(version, state, now_ms);
-    }
-
-    /// Logs when the upstream has become cold or warm.
-    fn log_cold_change(&mut self) {
-        let load = self.core.load();
-        if load.cold == self.logged_cold {
-            return;
-        }
-        self.logged_cold = load.cold;
-        let (running, limit, doubts_probes) =
-            (load.running, load.limit, self.core.distrusts_probes());
-        info!(cold = load.cold, running = running, limit = limit, doubts_probes = doubts_probes; "upstream's cold state changed");
-    }
-}
-
-/// Call of an attempt that waits for dispatch.
-struct PendingCall {
-    call: UpstreamCall,
-    /// Whether the call may be aborted at the upstream when the attempt is cancelled.
-    may_abort: bool,
-}
-
 /// Runs attempts on the agent's upstream.
 pub(crate) struct Executor {
     incarnation: Incarnation,
@@ -185,7 +140,7 @@
         let (lookup, running) =
             state.core.cancel(request.attempt, request.agent, request.dispatch_by_ms, now_ms);
         // An aborted call loads the upstream until it notices the abort; a cold one completes it.
-        let may_abort = !state.core.load().cold;
+        let may_abort = !state.core.load(now_ms).cold;
         let abort = running.and_then(|it| state.abort_tokens.get(&it));
         if let Some(abort) = abort.filter(|_| may_abort) {
             abort.cancel();
@@ -208,7 +163,7 @@
         // An entry that no longer exists never reads its attempts.
         unread.retain(|it| core.has_record(*it));
         self.notify_readers(&mut state);
-        self.metrics.set_load(state.core.load());
+        self.metrics.set_load(state.core.load(now_ms));
         drop(state);
         self.dispatch_ready();
     }
@@ -221,14 +176,20 @@
 
     async fn probe_upstream(&self) {
         let ticket = self.lock().core.begin_probe(self.clock.now_ms());
-        let result = self.upstream.probe().await;
+        let ProbeReply { result, request_limit_per_s } = self.upstream.probe().await;
         let strikes = {
             let mut state = self.lock();
             // One lock for both, so that no call reaches a boot unknown to its dispatch decision.
             if let ProbeResult::Answered { boot_id: Some(boot_id), .. } = result {
                 self.upstream.set_boot_id(boot_id);
             }
-            state.core.on_probe(ticket, result, self.clock.now_ms())
+            let now_ms = self.clock.now_ms();
+            let strikes = state.core.on_probe(ticket, result, now_ms);
+            if matches!(result, ProbeResult::Answered { .. }) {
+                state.observe_request_limit(request_limit_per_s, ticket.sent_ms(), now_ms);
+            }
+            self.notify_readers(&mut state);
+            strikes
         };
         for strike in strikes {
             self.metrics.strikes.inc();
@@ -257,7 +218,7 @@
             incarnation: self.incarnation,
             now_ms,
             versions: self.control.versions(),
-            load: state.core.load(),
+            load: state.core.load(now_ms),
             strikes: state.core.recent_strikes(now_ms),
         }
     }
@@ -337,13 +298,19 @@
         call: UpstreamCall,
         abort: CancellationToken,
     ) {
+        let sent_ms = self.clock.now_ms();
+        let on_limit = |stated_per_s| {
+            let mut state = self.lock();
+            state.observe_request_limit(stated_per_s, sent_ms, self.clock.now_ms());
+            self.notify_readers(&mut state);
+        };
         let on_chunk = |chunk| {
             let mut state = self.lock();
             state.core.push_chunk(dispatch.key, chunk);
             self.notify_readers(&mut state);
         };
         let response = tokio::select! {
-            response = client.call(dispatch.attempt, call, on_chunk) => Some(response),
+            response = client.call(dispatch.attempt, call, on_limit, on_chunk) => Some(response),
             () = abort.cancelled() => None,
         };
         let result = match response {
@@ -415,7 +382,7 @@
 
     /// Notifies the readers of changed attempts, and removes the resources of ended attempts.
     fn notify_readers(&self, state: &mut State) {
-        state.log_cold_change();
+        state.log_cold_change(self.clock.now_ms());
         for attempt in state.core.take_changed() {
             if let Some(notify) = state.notifiers.get(&attempt) {
                 notify.notify_waiters();
--- a/crates/agent/src/upstream.rs
+++ b/crates/agent/src/upstream.rs
@@ -52,6 +52,9 @@
 /// Data of the event that marks the end of a complete stream, as in the completions protocol.
 const STREAM_END: &str = "[DONE]";
 
+/// Header of a response that states how many requests a second the upstream takes, a decimal number.
+const REQUEST_LIMIT_HEADER: &str = "x-request-limit";
+
 /// Why a call ended without a complete response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CallError {
@@ -93,6 +96,15 @@
     }
 }
 
+/// Result of a probe, and what its response states.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct ProbeReply {
+    /// Result of the probe.
+    pub(crate) result: ProbeResult,
+    /// Request limit that the response states, in requests a second; not a number if it can't be read.
+    pub(crate) request_limit_per_s: Option<f64>,
+}
+
 /// Client of the upstream; sends probes, and provides clients for calls.
 #[derive(Debug)]
 pub(crate) struct UpstreamClient {
@@ -142,21 +154,27 @@
     }
 
     /// Sends a health probe to the upstream.
-    pub(crate) async fn probe(&self) -> ProbeResult {
-        match tokio::time::timeout(PROBE_TIMEOUT, self.fetch_health()).await {
+    pub(crate) async fn probe(&self) -> ProbeReply {
+        let mut request_limit_per_s = None;
+        let fetched = self.fetch_health(&mut request_limit_per_s);
+        let result = match tokio::time::timeout(PROBE_TIMEOUT, fetched).await {
             Ok(Ok(health)) => {
-                let boot_id = Some(hash_boot_id(&health.boot_id));
-                ProbeResult::Answered { boot_id, warm: health.warm }
+                ProbeResult::Answered { boot_id: Some(health.boot_id()), warm: health.warm }
             }
             Ok(Err(CallError::Refused)) => ProbeResult::Refused,
             Ok(Err(_)) | Err(_) => ProbeResult::NoAnswer,
-        }
+        };
+        ProbeReply { result, request_limit_per_s }
     }
 
-    async fn fetch_health(&self) -> Result<Health, CallError> {
+    async fn fetch_health(
+        &self,
+        request_limit_per_s: &mut Option<f64>,
+    ) -> Result<Health, CallError> {
         let request = Request::get(format!("http://{}/health", self.address)).body(Full::default());
         let Ok(request) = request else { return Err(CallError::NotConnected) };
         let response = map_send_error(self.probes.request(request).await)?;
+        *request_limit_per_s = stated_limit(&response);
         if !response.status().is_success() {
             return Err(CallError::Status(response.status().as_u16()));
         }
@@ -173,11 +191,13 @@
         Self { address, boot_id, connector, client }
     }
 
-    /// Makes a call and passes each chunk of the response to `on_chunk`.
+    /// Makes a call and passes the request limit that its response states to `on_limit`, and each chunk
+    /// of the response to `on_chunk`.
     pub(crate) async fn call(
         &self,
         attempt: AttemptId,
         call: UpstreamCall,
+        on_limit: impl FnOnce(Option<f64>),
         mut on_chunk: impl FnMut(Bytes),
     ) -> Result<ResponseHead, CallError> {
         let form = call.response;
@@ -185,6 +205,7 @@
             return Err(CallError::NotConnected);
         };
         let response = map_send_error(self.client.request(request).await)?;
+        on_limit(stated_limit(&response));
         let head = ResponseHead {
             status: response.status().as_u16(),
             content_type: content_type(&response),
@@ -285,6 +306,14 @@
     status >= 500
 }
 
+/// Returns the request limit that a response states, in requests a second; not a number if it can't be
+/// read.
+fn stated_limit(response: &Response<Incoming>) -> Option<f64> {
+    let value = response.headers().get(REQUEST_LIMIT_HEADER)?;
+    let per_s = value.to_str().ok().and_then(|it| it.trim().parse().ok());
+    Some(per_s.unwrap_or(f64::NAN))
+}
+
 fn content_type(response: &Response<Incoming>) -> Option<String> {
     Some(response.headers().get(header::CONTENT_TYPE)?.to_str().ok()?.to_owned())
 }
--- a/crates/agent/src/upstream/tests.rs
+++ b/crates/agent/src/upstream/tests.rs
@@ -83,14 +83,14 @@
         body: Bytes::new(),
         response: ResponseForm::Whole,
     };
-    client.call(attempt, call, |_| {}).await
+    client.call(attempt, call, |_| {}, |_| {}).await
 }
 
 /// Probes until the engine answers, and sets the boot that answered.
 async fn probe_until_answered(client: &UpstreamClient) {
     loop {
         // The first probe after a restart may use a pooled connection that the restart has broken.
-        if let ProbeResult::Answered { boot_id: Some(boot_id), .. } = client.probe().await {
+        if let ProbeResult::Answered { boot_id: Some(boot_id), .. } = client.probe().await.result {
             client.set_boot_id(boot_id);
             return;
         }
@@ -210,6 +210,6 @@
         response: ResponseForm::Events,
     };
     let streamed =
-        tokio::time::timeout(Duration::from_secs(10), boot.call(attempt, events, |_| {}));
+        tokio::time::timeout(Duration::from_secs(10), boot.call(attempt, events, |_| {}, |_| {}));
     assert_eq!(streamed.await.expect("cut off"), Err(CallError::Lost));
 }
--- a/crates/core/src/agent/core.rs
+++ b/crates/core/src/agent/core.rs
@@ -20,6 +20,7 @@
     outcome::Reason,
     quarantine::{Admission, Quarantine, Strike},
     queue::{EntryKey, Queue, QueueEntry},
+    request_limit::RequestLimit,
     routing::LoadReport,
 };
 
@@ -93,6 +94,10 @@
     pub(super) gate: Gate,
     pub(super) quarantine: Quarantine,
     pub(super) crash_detector: CrashDetector,
+    /// Limit that the upstream states on its requests.
+    pub(super) request_limit: RequestLimit,
+    /// Boot of the upstream that the limit belongs to, if it is known.
+    pub(super) limited_boot_id: Option<u64>,
     pub(super) waiting: FastMap<AttemptKey, AcceptedAttempt>,
     pub(super) keys_by_queue_entry: FastMap<EntryKey, AttemptKey>,
     pub(super) calls: FastMap<AttemptKey, RunningCall>,
@@ -106,6 +111,8 @@
     pub(super) skips_probe_check: bool,
     #[cfg(feature = "sabotage")]
     pub(super) skips_arrival_check: bool,
+    #[cfg(feature = "sabotage")]
+    pub(super) skips_request_limit: bool,
     /// Time by which the entry that was asked for newer control state has to send it, in
     /// milliseconds.
     pub(super) fetch_deadline_ms: u64,
@@ -122,6 +129,8 @@
             gate: Gate::new(settings.gate.clone(), now_ms),
             quarantine: Quarantine::new(settings.quarantine),
             crash_detector: CrashDetector::default(),
+            request_limit: RequestLimit::default(),
+            limited_boot_id: None,
             waiting: FastMap::default(),
             keys_by_queue_entry: FastMap::default(),
             calls: FastMap::default(),
@@ -133,6 +142,8 @@
             skips_probe_check: false,
             #[cfg(feature = "sabotage")]
             skips_arrival_check: false,
+            #[cfg(feature = "sabotage")]
+            skips_request_limit: false,
             fetch_deadline_ms: 0,
             settings,
         }
@@ -149,6 +160,7 @@
             }
             super::Sabotage::ProbeBeforeStart => self.skips_probe_check = true,
             super::Sabotage::ProbeAfterArrival => self.skips_arrival_check = true,
+            super::Sabotage::RequestLimit => self.skips_request_limit = true,
         }
     }
 
@@ -299,11 +311,15 @@
     }
 
     /// Returns the load to report with every reply.
-    pub fn load(&self) -> LoadReport {
+    pub fn load(&self, now_ms: u64) -> LoadReport {
+        let running = self.calls.len() as u32;
+        // Entries choose other upstreams until the next request is permitted.
+        let is_limited = self.limit_wait_ms(now_ms) > 0;
+        let limit = if is_limited { running } else { self.capacity.limit() };
         LoadReport {
-            running: self.calls.len() as u32,
+            running,
             queued: self.queue.queued(),
-            limit: self.capacity.limit(),
+            limit,
             projected_limit: self.capacity.projected_limit(),
             cold: self.capacity.is_cold(),
             draining: self.gate.is_draining(),
@@ -356,6 +372,11 @@
         now_ms: u64,
     ) -> Result<(), Reason> {
         self.gate.may_accept(now_ms)?;
+        // Another upstream may take the attempt at once.
+        if self.is_request_limited() && (self.limit_wait_ms(now_ms) > 0 || self.queue.queued() > 0)
+        {
+            return Err(Reason::Busy);
+        }
         if submission.pool != self.settings.pool {
             return Err(Reason::WrongUpstream);
         }
--- a/crates/core/src/agent/crash_detection.rs
+++ b/crates/core/src/agent/crash_detection.rs
@@ -69,6 +69,13 @@
     pub(crate) number: u64,
 }
 
+impl ProbeTicket {
+    /// Returns the time at which the probe was sent, in milliseconds.
+    pub fn sent_ms(&self) -> u64 {
+        self.sent_ms
+    }
+}
+
 /// Detects crashes and restarts of the upstream, here both called crashes, and counts each of them
 /// once.
 #[derive(Clone, Debug, Default)]
--- a/crates/core/src/agent/dispatch.rs
+++ b/crates/core/src/agent/dispatch.rs
@@ -12,6 +12,7 @@
     outcome::{Reason, Refusal},
     quarantine::Admission,
     queue::{Dropped, EntryKey, Popped, QueueEntry},
+    request_limit::LimitShare,
 };
 
 /// Shortest retry delay suggested for a busy upstream, in milliseconds.
@@ -37,7 +38,7 @@
                     return None;
                 }
             }
-            if self.crash_detector.is_suspected() {
+            if self.crash_detector.is_suspected() || self.limit_wait_ms(now_ms) > 0 {
                 return None;
             }
             self.capacity.on_tick(now_ms);
@@ -123,6 +124,7 @@
             self.changed.push(waiting.attempt);
             return None;
         }
+        self.request_limit.take(LimitShare::Sole, now_ms);
         self.waiting.remove(&key);
         let queued_ms = popped.queued_ms;
         let started = RunningCall {
@@ -176,7 +178,7 @@
     }
 
     pub(super) fn refuse(&mut self, key: AttemptKey, reason: Reason, now_ms: u64) {
-        let refusal = Refusal::not_run(reason, self.retry_after_ms(reason));
+        let refusal = Refusal::not_run(reason, self.retry_after_ms(reason, now_ms));
         self.ledger.refuse(key, refusal, now_ms);
         let Some(waiting) = self.waiting.get(&key).copied() else { return };
         self.untrack_queued(key, waiting.queue_key);
@@ -196,11 +198,12 @@
         self.keys_by_queue_entry.remove(&entry);
     }
 
-    pub(super) fn retry_after_ms(&self, reason: Reason) -> u64 {
+    pub(super) fn retry_after_ms(&self, reason: Reason, now_ms: u64) -> u64 {
         match reason {
             Reason::Busy | Reason::CustomerShare | Reason::Cold | Reason::DeadlineUnreachable => {
                 let slots = u64::from(self.capacity.limit().max(1));
-                BUSY_RETRY_AFTER_MS.max(self.queue.queued_work_ms() / slots)
+                let work_ms = self.queue.queued_work_ms() / slots;
+                BUSY_RETRY_AFTER_MS.max(work_ms).max(self.limit_wait_ms(now_ms))
             }
             _ => CLOSED_RETRY_AFTER_MS,
         }
--- a/crates/core/src/agent/mod.rs
+++ b/crates/core/src/agent/mod.rs
@@ -9,6 +9,7 @@
 mod core;
 mod dispatch;
 mod probing;
+mod request_limit;
 mod settings;
 mod crash_detection;
 
--- a/crates/core/src/agent/probing.rs
+++ b/crates/core/src/agent/probing.rs
@@ -4,7 +4,7 @@
     core::{AgentCore, fingerprints},
     crash_detection::{ProbeResult, ProbeTicket},
 };
-use crate::{capacity::Probe, quarantine::Strike};
+use crate::{capacity::Probe, quarantine::Strike, request_limit::RequestLimit};
 
 impl AgentCore {
     /// Records that the response to a call broke off; called before the result of the call is
@@ -48,6 +48,11 @@
         let crash = self.crash_detector.on_probe(epoch, result, in_progress);
         match result {
             ProbeResult::Answered { boot_id, warm } => {
+                let known = self.limited_boot_id;
+                self.limited_boot_id = boot_id.or(known);
+                if known.is_some() && known != self.limited_boot_id {
+                    self.request_limit = RequestLimit::default();
+                }
                 self.capacity.on_probe(Probe { epoch, boot_id, warm });
                 // Results of concurrent probes may arrive out of order.
                 let is_newest = self.confirming_probe.is_none_or(|it| it.number < ticket.number);
--- a/crates/core/src/agent/settings.rs
+++ b/crates/core/src/agent/settings.rs
@@ -48,6 +48,8 @@
     ProbeBeforeStart,
     /// The probe that permits a start beyond the cold limit was sent after the attempt arrived.
     ProbeAfterArrival,
+    /// The request limit that the upstream states is ignored.
+    RequestLimit,
 }
 
 impl AgentSettings {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod platform_updates;
 pub mod quarantine;
 pub mod queue;
+pub mod request_limit;
 pub mod retry_share;
 pub mod revision;
 pub mod route_table;
--- a/crates/core/src/upstreams/departure.rs
+++ b/crates/core/src/upstreams/departure.rs
@@ -8,7 +8,8 @@
 
 use crate::{
     FastMap,
-    upstreams::{RequestLimit, Rest, UpstreamRecord},
+    request_limit::RequestLimit,
+    upstreams::{Rest, UpstreamRecord},
 };
 
 /// Time for which a departure is remembered, in milliseconds; copies from which the platform is
--- a/crates/core/src/upstreams/mod.rs
+++ b/crates/core/src/upstreams/mod.rs
@@ -14,7 +14,7 @@
 mod pace;
 mod platform_lists;
 mod record;
-mod request_limit;
+mod request_limits;
 mod rest;
 
 pub use calls::EarliestReturn;
@@ -30,8 +30,7 @@
 pub use pace::{FirstEventKey, SlowUpstream};
 pub use platform_lists::{ListCorrections, ListRevisions, PlatformLists};
 pub use record::{CallEnd, Load, Upstream, UpstreamKey, UpstreamRecord};
-pub(crate) use request_limit::RequestLimit;
-pub use request_limit::{LimitChange, ReportedLimit};
+pub use request_limits::ReportedLimit;
 pub(crate) use rest::Rest;
 pub use rest::RestRequest;
 
--- a/crates/core/src/upstreams/record.rs
+++ b/crates/core/src/upstreams/record.rs
@@ -5,7 +5,10 @@
 use serde::{Deserialize, Serialize};
 use slotmap::new_key_type;
 
-use crate::upstreams::{ColdShare, RequestLimit, Rest};
+use crate::{
+    request_limit::RequestLimit,
+    upstreams::{ColdShare, Rest},
+};
 
 new_key_type! {
     /// Identifies one incarnation of an upstream; a restarted upstream gets a new key.
--- a/crates/core/tests/agent_fuzz/main.rs
+++ b/crates/core/tests/agent_fuzz/main.rs
@@ -54,6 +54,8 @@
     AnswerProbe { boot_id: u64, warm: bool },
     Probe { boot_id: u64, warm: bool },
     RefuseProbe,
+    StateLimit(f64),
+    LiftLimit,
     ChangeOperations { out: bool, leaving: bool },
     Confirm,
     Stop,
@@ -78,6 +80,8 @@
         30 => (0..60_u64, prop::bool::weighted(0.95))
             .prop_map(|(number, warm)| Event::Probe { boot_id: number / 58, warm }),
         1 => Just(Event::RefuseProbe),
+        1 => (0.0..8.0).prop_map(Event::StateLimit),
+        2 => Just(Event::LiftLimit),
         2 => (prop::bool::weighted(0.3), prop::bool::weighted(0.2))
             .prop_map(|(out, leaving)| Event::ChangeOperations { out, leaving }),
         3 => Just(Event::Confirm),
@@ -161,6 +165,15 @@
                 let ticket = self.core.begin_probe(self.now_ms);
                 self.core.on_probe(ticket, ProbeResult::Refused, self.now_ms);
             }
+            Event::StateLimit(per_s) => {
+                self.core.observe_request_limit(Some(per_s), self.now_ms, self.now_ms);
+                self.oracle.limit = Some((per_s, self.oracle.dispatch_times_ms.len()));
+            }
+            Event::LiftLimit => {
+                self.now_ms += 1;
+                self.core.observe_request_limit(None, self.now_ms, self.now_ms);
+                self.oracle.limit = None;
+            }
             Event::ChangeOperations { out, leaving } => self.change_operations(out, leaving),
             Event::Confirm => {
                 self.core.confirm_control(self.now_ms, 0);
@@ -271,6 +284,9 @@
         self.boot_id = Some(boot_id);
         let result = ProbeResult::Answered { boot_id: Some(boot_id), warm: Some(warm) };
         self.core.on_probe(ticket, result, self.now_ms);
+        if is_restart {
+            self.oracle.limit = None;
+        }
         if is_restart || !warm {
             self.oracle.turn_cold();
         } else if is_current {
@@ -288,7 +304,7 @@
         };
         self.control.adopt(ControlUpdate { config: None, operations: Some(record) });
         self.core.set_control(&self.control, self.now_ms);
-        let is_stopping = self.core.load().draining && !out && !leaving;
+        let is_stopping = self.core.load(self.now_ms).draining && !out && !leaving;
         self.oracle.is_closed = out || leaving || is_stopping;
     }
 
@@ -318,7 +334,7 @@
                 "the progress of {attempt} disagrees with its dispatch"
             );
         }
-        let load = self.core.load();
+        let load = self.core.load(self.now_ms);
         assert_eq!(load.running as usize, self.oracle.running.len());
         if self.oracle.is_closed {
             assert_eq!(load.queued, 0, "attempts are still queued after the gate closed");
@@ -400,6 +416,7 @@
     let mechanisms = [
         Sabotage::ProbeBeforeStart,
         Sabotage::ProbeAfterArrival,
+        Sabotage::RequestLimit,
         Sabotage::Capacity(capacity::Sabotage::IgnoreBootId),
         Sabotage::Capacity(capacity::Sabotage::IgnoreReset),
         Sabotage::Gate(drain::Sabotage::Operations),
@@ -435,7 +452,7 @@
         sut.apply_event(Event::Finish { index: 0, result: 9 });
     }
     sut.apply_event(Event::Probe { boot_id: 0, warm: true });
-    assert!(sut.core.load().limit > COLD_LIMIT as u32);
+    assert!(sut.core.load(sut.now_ms).limit > COLD_LIMIT as u32);
     // The upstream becomes cold without notice while the last probe is still recent.
     sut.apply_event(Event::Advance(MAX_PROBE_AGE_MS / 2));
     for request in 10..14 {
--- a/crates/core/tests/agent_fuzz/oracle.rs
+++ b/crates/core/tests/agent_fuzz/oracle.rs
@@ -12,6 +12,9 @@
 
 use crate::{COLD_LIMIT, CONCURRENCY, MAX_PROBE_AGE_MS};
 
+/// Window in which the users count the requests to a limited upstream, in milliseconds.
+const LIMIT_WINDOW_MS: u64 = 4_000;
+
 /// Time and step at which a probe was sent.
 #[derive(Clone, Copy)]
 pub(crate) struct SentProbe {
@@ -31,6 +34,9 @@
     pub(crate) turned_cold_since_probe: bool,
     /// Latest probe that showed the upstream warm, until it becomes cold.
     pub(crate) warm_probe: Option<SentProbe>,
+    /// Limit that the upstream states, in requests a second, and the number of calls before it did.
+    pub(crate) limit: Option<(f64, usize)>,
+    pub(crate) dispatch_times_ms: Vec<u64>,
     pub(crate) is_closed: bool,
     pub(crate) is_unconfirmed: bool,
 }
@@ -57,6 +63,13 @@
             now_ms <= submission.dispatch_by_ms,
             "an attempt was dispatched after its dispatch limit"
         );
+        self.dispatch_times_ms.push(now_ms);
+        if let Some((per_s, first)) = self.limit {
+            let is_recent = |it: &&u64| now_ms < **it + LIMIT_WINDOW_MS;
+            let recent = self.dispatch_times_ms[first..].iter().filter(is_recent).count();
+            let allowed = 1.5 * per_s * LIMIT_WINDOW_MS as f64 / 1_000.0 + 5.0;
+            assert!(recent as f64 <= allowed, "{recent} calls under a limit of {per_s} a second");
+        }
         if self.running.len() >= COLD_LIMIT {
             let shown = self.warm_probe.expect("a start beyond the cold limit needs a probe");
             assert!(
--- a/crates/entry/src/relay/attempt.rs
+++ b/crates/entry/src/relay/attempt.rs
@@ -8,8 +8,9 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming};
 use log::{info, warn};
 use yuccatrail_adapter::{ResponseMeta, decode_response_meta, system_headers};
-use yuccatrail_core::upstreams::{
-    CallEnd, LimitChange, RestRequest, UpstreamKey, UpstreamRecord, Upstreams,
+use yuccatrail_core::{
+    request_limit::LimitChange,
+    upstreams::{CallEnd, RestRequest, UpstreamKey, UpstreamRecord, Upstreams},
 };
 
 use crate::relay::{
--- a/crates/fakes/src/upstream/server.rs
+++ b/crates/fakes/src/upstream/server.rs
@@ -71,6 +71,15 @@
 }
 
 async fn handle(upstream: Arc<Upstream>, request: Request<Incoming>) -> Response<Body> {
+    let limit = upstream.switches().request_limit;
+    let mut response = dispatch(upstream, request).await;
+    if let Some(limit) = limit.and_then(|it| it.parse().ok()) {
+        response.headers_mut().insert("x-request-limit", limit);
+    }
+    response
+}
+
+async fn dispatch(upstream: Arc<Upstream>, request: Request<Incoming>) -> Response<Body> {
     let path = request.uri().path().to_owned();
     if path == "/health" {
         let record = upstream.record();
--- a/crates/fakes/src/upstream/state.rs
+++ b/crates/fakes/src/upstream/state.rs
@@ -23,6 +23,8 @@
     pub cut_after_tokens: Option<u32>,
     /// HTTP status with which every call fails.
     pub fail_status: Option<u16>,
+    /// Requests a second that every response states as the limit of the upstream.
+    pub request_limit: Option<String>,
     /// Logs a line for each call before it starts, so that calls are known even after a crash.
     pub log_calls: bool,
 }
