--- a/crates/entry/src/relay/attempt.rs
+++ b/crates/entry/src/relay/attempt.rs
@@ -235,6 +235,9 @@
         if meta.is_replaced || is_foreign && stated_per_s.is_none() {
             return None;
         }
+        if Mechanism::RequestLimits.is_off() {
+            return None;
+        }
         upstreams.observe_request_limit(self.key, stated_per_s, self.started_ms, now_ms)
     }
 
--- a/crates/entry/src/relay/sabotage.rs
+++ b/crates/entry/src/relay/sabotage.rs
@@ -25,6 +25,8 @@
     WholeEvents,
     /// A graceful shutdown waits for the requests in progress.
     PatientStop,
+    /// The request limits that upstreams state are kept.
+    RequestLimits,
 }
 
 impl Mechanism {
