--- a/crates/agent/src/upstream.rs
+++ b/crates/agent/src/upstream.rs
@@ -52,7 +52,7 @@
 /// Data of the event that marks the end of a complete stream, as in the completions protocol.
 const STREAM_END: &str = "[DONE]";
 
-/// Header of a response that states how many requests a second the upstream takes, a decimal number.
+/// Header of any response that states how many requests a second the upstream takes, a decimal number.
 const REQUEST_LIMIT_HEADER: &str = "x-request-limit";
 
 /// Why a call ended without a complete response.
