--- a/crates/core/src/upstreams/record.rs
+++ b/crates/core/src/upstreams/record.rs
@@ -39,6 +39,9 @@
     pub started_unix_ms: Option<i64>,
     /// Models that it has loaded; empty if it does not state any.
     pub models: Vec<String>,
+    /// Version of its software. What two versions of one service write does not fit together.
+    #[serde(default)]
+    pub version: Arc<str>,
 }
 
 /// Load that an upstream reports with a response.
--- a/crates/core/src/upstreams/request_limits/tests.rs
+++ b/crates/core/src/upstreams/request_limits/tests.rs
@@ -25,6 +25,7 @@
         sequence: 1,
         started_unix_ms: Some(1),
         models: Vec::new(),
+        version: "v1".into(),
     }
 }
 
--- a/crates/core/src/upstreams/tests.rs
+++ b/crates/core/src/upstreams/tests.rs
@@ -23,6 +23,7 @@
         sequence: 1,
         started_unix_ms: Some(1),
         models: Vec::new(),
+        version: "v1".into(),
     }
 }
 
--- a/crates/core/tests/restore_fuzz.rs
+++ b/crates/core/tests/restore_fuzz.rs
@@ -121,6 +121,7 @@
         sequence: 1,
         started_unix_ms: Some(started),
         models: Vec::new(),
+        version: "v1".into(),
     }
 }
 
--- a/crates/core/tests/slow_upstreams_load.rs
+++ b/crates/core/tests/slow_upstreams_load.rs
@@ -48,6 +48,7 @@
         sequence: 1,
         started_unix_ms: Some(1),
         models: Vec::new(),
+        version: "v1".into(),
     }
 }
 
--- a/crates/entry/src/relay/stream.rs
+++ b/crates/entry/src/relay/stream.rs
@@ -245,6 +245,9 @@
         info!(
             id:% = request.id,
             upstream:% = attempt.record.id,
+            version:% = attempt.record.version,
+            last_event_id = self.last_id.unwrap_or(0),
+            resumes = request.head.resumed_request_id.as_deref().unwrap_or(""),
             prefix = self.call.affinity.as_ref().map_or("", |it| it.prefix.as_str()),
             list_sequence = attempt.record.sequence,
             waited_ms = now_ms.saturating_sub(request.arrived_ms),
--- a/crates/entry/src/relay/updates.rs
+++ b/crates/entry/src/relay/updates.rs
@@ -213,6 +213,7 @@
             info!(
                 upstream:% = record.id,
                 service:% = record.service,
+                version:% = record.version,
                 address:% = record.address,
                 is_draining = record.is_draining,
                 cold_remaining_ms = record.cold_remaining_ms,
