Let streams go on only at the software version that began them

Cause: a broken stream, or one that a caller takes up at any entry, was sent on like a new request; no code knew versions, nor where a stream had begun. Class: state of one request that outlives the process which held it, while others may be asked for it.

Within one response, an entry resumes at the version that began. For a stream that a caller takes up, it asks itself, then the registrars (the entries that may own a stage service, which all poll anyway), whom each entry tells of the streams that it has begun, with the questions that it asks anyway. If nobody knows it but all upstreams of the service have had one version for as long as a stream lasts, it is that one. Otherwise, or when the version has gone, the request is refused at once as not run.

Ruled out: writing each stream to the platform (a call for each), telling all entries (grows with their square), and choosing the version by a hash of the identifier (differs while a release moves the weights).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod routing;
 pub mod sabotage;
 pub mod stage_graph;
+pub mod stream_origin;
 pub mod upstreams;
 
 mod switch;
--- a/crates/core/src/ownership/view.rs
+++ b/crates/core/src/ownership/view.rs
@@ -18,6 +18,8 @@
 /// Largest number of entries that are polled for each shared work while few of them accept work, as
 /// when all start at once.
 const MAX_OWNERS_POLLED: usize = 6;
+/// Subject whose owners are registrars where there is no shared work.
+const NO_SHARED_WORK: &str = "registrars";
 /// Number of ring neighbours that are polled; each entry is polled by as many.
 const NEIGHBOURS_POLLED: usize = 2;
 /// Largest number of ring neighbours that are polled while few of them are useful.
@@ -138,29 +140,42 @@
 
     /// Returns the names of the entries to poll, where `subjects` are the names of the shared work.
     pub fn peers_to_poll(&mut self, subjects: &[Arc<str>], own: OwnState) -> FastSet<String> {
-        let mut polled = FastSet::default();
-        for subject in subjects {
-            self.rank(subject);
-            let ranking = self.rankings.get(subject).map_or(&[][..], Vec::as_slice);
-            let (mut not_lost, mut likely_owners) = (0, 0);
-            for name in ranking {
-                if likely_owners >= OWNERS_POLLED || not_lost >= MAX_OWNERS_POLLED {
-                    break;
-                }
-                let Some(listed) = self.listed.get(name) else {
-                    likely_owners += usize::from(own.takes_work);
-                    continue;
-                };
-                not_lost += usize::from(listed.state != PeerState::Lost);
-                likely_owners += usize::from(listed.may_accept_work());
-                polled.insert(name.clone());
-            }
-        }
+        let mut polled = self.registrars(subjects, own);
         self.add_neighbours(&mut polled, own);
         polled.extend(self.reader_plan(own).watched);
         polled
     }
 
+    /// Returns the names of the other entries that may own shared work, which also keep what all entries
+    /// have to find again; `subjects` are the names of the shared work.
+    pub fn registrars(&mut self, subjects: &[Arc<str>], own: OwnState) -> FastSet<String> {
+        if subjects.is_empty() {
+            return self.likely_owners(NO_SHARED_WORK, own);
+        }
+        subjects.iter().flat_map(|it| self.likely_owners(it, own)).collect()
+    }
+
+    /// Returns the names of the first other entries that may own a shared work.
+    fn likely_owners(&mut self, subject: &str, own: OwnState) -> FastSet<String> {
+        self.rank(subject);
+        let ranking = self.rankings.get(subject).map_or(&[][..], Vec::as_slice);
+        let mut owners = FastSet::default();
+        let (mut not_lost, mut likely_owners) = (0, 0);
+        for name in ranking {
+            if likely_owners >= OWNERS_POLLED || not_lost >= MAX_OWNERS_POLLED {
+                break;
+            }
+            let Some(listed) = self.listed.get(name) else {
+                likely_owners += usize::from(own.takes_work);
+                continue;
+            };
+            not_lost += usize::from(listed.state != PeerState::Lost);
+            likely_owners += usize::from(listed.may_accept_work());
+            owners.insert(name.clone());
+        }
+        owners
+    }
+
     fn add_neighbours(&mut self, polled: &mut FastSet<String>, own: OwnState) {
         let (own_name, listed) = (&self.own.name, &self.listed);
         let ring = self.ring.get_or_insert_with(|| ring_after(own_name, listed));
--- a/crates/core/src/upstreams/choose.rs
+++ b/crates/core/src/upstreams/choose.rs
@@ -39,6 +39,8 @@
     pub service: &'a str,
     /// Model that has to be loaded.
     pub model: Option<&'a str>,
+    /// Version of the software that a stream has to go on at.
+    pub version: Option<&'a str>,
     /// Data centre to prefer.
     pub data_centre: Option<&'a str>,
     /// Shared prompt prefix, for a choice by prefix.
@@ -98,6 +100,9 @@
 
 impl Upstream {
     fn fits(&self, criteria: &SelectionCriteria<'_>) -> bool {
+        if criteria.version.is_some_and(|it| it != self.record.version.as_ref()) {
+            return false;
+        }
         let Some(model) = criteria.model else { return true };
         self.record.models.is_empty() || self.record.models.iter().any(|it| it == model)
     }
--- a/crates/core/src/upstreams/directory.rs
+++ b/crates/core/src/upstreams/directory.rs
@@ -10,7 +10,7 @@
     switch::MechanismSwitch,
     upstreams::{
         Demands, Departures, Evacuations, ListRevisions, Pace, Upstream, UpstreamKey,
-        UpstreamRecord,
+        UpstreamRecord, VersionHistory,
     },
 };
 
@@ -68,6 +68,7 @@
     pub(crate) evacuations: Evacuations,
     pub(crate) departures: Departures,
     pub(crate) pace: Pace,
+    pub(super) versions: VersionHistory,
     /// For each service, the time for which an upstream is cold after its start, in milliseconds, and
     /// the requests a second that a cold upstream tolerates; 0 if it needs no limit.
     pub(super) cold_starts: FastMap<Arc<str>, (u64, f64)>,
@@ -262,6 +263,7 @@
     /// centres whose evacuation changed, each with whether it is evacuated now.
     pub fn expire(&mut self, now_ms: u64) -> Vec<(String, bool)> {
         self.departures.expire(now_ms);
+        self.versions.expire(now_ms);
         let changed = self.evacuations.expire(now_ms);
         let is_due = |it: &Upstream| it.remove_at_ms.is_some_and(|at_ms| at_ms <= now_ms);
         let due: Vec<UpstreamKey> =
@@ -295,6 +297,7 @@
         }
         let has_earlier_list = self.has_list;
         self.has_list = true;
+        self.versions.begin(now_ms);
         for record in records {
             self.upsert(record, source, has_earlier_list, now_ms);
         }
@@ -343,7 +346,10 @@
                     upstream.cold_until_ms =
                         upstream.cold_until_ms.max(now_ms + record.cold_remaining_ms);
                 }
-                upstream.record = record;
+                let former = std::mem::replace(&mut upstream.record, record);
+                if former.version != upstream.record.version {
+                    self.versions.record_left(&former.service, &former.version, now_ms);
+                }
                 return;
             }
             self.remove(key, now_ms);
@@ -385,6 +391,8 @@
         let Some(upstream) = self.all.remove(key) else { return };
         let demands = Demands { rest: upstream.rest, request_limit: upstream.request_limit };
         self.departures.unlist(&upstream.record, self.revisions.upstreams.era, demands, now_ms);
+        let record = &upstream.record;
+        self.versions.record_left(&record.service, &record.version, now_ms);
         self.by_id.remove(&upstream.record.id);
         if let Some(keys) = self.by_service.get_mut(&upstream.record.service) {
             keys.retain(|it| *it != key);
--- a/crates/core/src/upstreams/mod.rs
+++ b/crates/core/src/upstreams/mod.rs
@@ -16,6 +16,7 @@
 mod record;
 mod request_limits;
 mod rest;
+mod version_history;
 
 pub use calls::EarliestReturn;
 pub use choose::{Affinity, SelectionCriteria};
@@ -33,6 +34,8 @@
 pub use request_limits::ReportedLimit;
 pub(crate) use rest::Rest;
 pub use rest::RestRequest;
+pub(crate) use version_history::VersionHistory;
+pub use version_history::{FormerVersion, ReportedVersions};
 
 #[cfg(test)]
 mod tests;
--- a/crates/entry/src/relay/mod.rs
+++ b/crates/entry/src/relay/mod.rs
@@ -13,6 +13,7 @@
 mod reading;
 mod release;
 mod request;
+mod resumption;
 mod sabotage;
 mod server;
 mod settings;
@@ -166,6 +167,7 @@
         log_evacuations(&changed);
         relay.expire_entries();
         relay.crashes.expire(now_ms);
+        relay.streams().expire(now_ms);
         relay.peers.update_polled_entries(&relay);
         relay.reading.update(&relay);
         relay.update_owned_services();
--- a/crates/entry/src/relay/model.rs
+++ b/crates/entry/src/relay/model.rs
@@ -88,22 +88,26 @@
 /// there.
 fn predicted_data_centre(relay: &Relay, request: &CallerRequest) -> Option<Arc<str>> {
     let affinity = affinity(request);
-    let criteria = selection_criteria(relay, request, affinity.as_ref(), &[]);
+    let version = request.origin.as_ref().map(|it| it.version.as_ref());
+    let criteria = selection_criteria(relay, request, affinity.as_ref(), version, &[]);
     let upstreams = relay.upstreams();
     let key = upstreams.choose(&criteria, relay.now_ms())?;
     upstreams.get(key).map(|it| it.record.data_centre.clone())
 }
 
-/// Returns the criteria for choosing a model upstream.
+/// Returns the criteria for choosing a model upstream; `version` is the software version that began the
+/// stream, if it has begun.
 pub(crate) fn selection_criteria<'a>(
     relay: &'a Relay,
     request: &'a CallerRequest,
     affinity: Option<&'a Affinity>,
+    version: Option<&'a str>,
     excluded: &'a [UpstreamKey],
 ) -> SelectionCriteria<'a> {
     SelectionCriteria {
         service: &request.service,
         model: request.head.model.as_deref(),
+        version,
         data_centre: Some(&relay.settings.data_centre),
         affinity,
         excluded,
--- a/crates/entry/src/relay/peers.rs
+++ b/crates/entry/src/relay/peers.rs
@@ -15,7 +15,7 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use yuccatrail_core::{
-    FastMap,
+    FastMap, FastSet,
     ownership::{Candidate, EntryAddress, EntryView, OwnState, PeerState, ReaderPlan},
 };
 use yuccatrail_rpc::entries::{EntryPeerClient, HelloReply, QueueState};
@@ -67,6 +67,8 @@
     polled_for: Option<OwnState>,
     /// Which entries read the platform, as of the last choice of polled entries.
     plan: ReaderPlan,
+    /// Names of the entries that are told of new streams, as of that choice.
+    registrars: FastSet<String>,
 }
 
 /// Owner of a stage service.
@@ -94,6 +96,7 @@
             known: FastMap::default(),
             polled_for: None,
             plan: ReaderPlan::default(),
+            registrars: FastSet::default(),
         };
         Self {
             directory: Mutex::new(directory),
@@ -141,9 +144,10 @@
         }
         let services = relay.stages.services();
         let mut directory = lock(&self.directory);
-        let Directory { view, known, polled_for, plan } = &mut *directory;
+        let Directory { view, known, polled_for, plan, registrars } = &mut *directory;
         *polled_for = Some(own);
         *plan = view.reader_plan(own);
+        *registrars = view.registrars(&services, own);
         let to_poll = view.peers_to_poll(&services, own);
         for (name, entry) in known.iter_mut() {
             if to_poll.contains(name) == entry.polling.is_some() {
@@ -267,6 +271,18 @@
         sources
     }
 
+    /// Tells whether an entry is told of the streams that this one begins.
+    fn is_registrar(&self, name: &str) -> bool {
+        lock(&self.directory).registrars.contains(name)
+    }
+
+    /// Returns the connections to the entries that are told of new streams.
+    pub(crate) fn registrars(&self) -> Vec<Peer> {
+        let directory = lock(&self.directory);
+        let Directory { known, registrars, .. } = &*directory;
+        registrars.iter().filter_map(|it| known.get(it)?.peer.clone()).collect()
+    }
+
     /// Returns the addresses of all other entries.
     pub(crate) fn addresses(&self) -> Vec<EntryAddress> {
         lock(&self.directory).known.values().map(|it| it.address.clone()).collect()
--- a/crates/entry/src/relay/peers/hello.rs
+++ b/crates/entry/src/relay/peers/hello.rs
@@ -93,17 +93,27 @@
     let client = EntryPeerClient::new(Config::default(), Box::pin(transport)).spawn();
     let peer = Peer { name: name.to_owned(), client, lost: CancellationToken::new() };
     let mut has_entries = false;
+    // Position of the last own stream that the entry was told of.
+    let mut told_streams = 0;
     loop {
         let strikes = relay.crashes.recent(relay.now_ms());
         let corrections = relay.upstreams().corrections(relay.now_ms());
         let context = context_for(HELLO_TIMEOUT_MS);
-        let hello = peer.client.hello(context, own_address(relay), strikes, corrections);
+        let (begun, told) = match relay.peers.is_registrar(name) {
+            true => relay.streams().begun_after(told_streams),
+            false => (Vec::new(), told_streams),
+        };
+        let hello = peer.client.hello(context, own_address(relay), strikes, corrections, begun);
         match tokio::time::timeout(limit, hello).await {
             Ok(Ok(reply)) => {
                 fetch_newer_configuration(relay, &peer, reply.config_version).await;
                 fetch_newer_lists(relay, &peer, reply.list_revisions).await;
                 relay.crashes.merge(&reply.strikes, relay.now_ms());
                 relay.merge_corrections(&reply.corrections);
+                if let Some(versions) = &reply.versions {
+                    relay.upstreams().merge_versions(versions, relay.now_ms());
+                }
+                told_streams = told;
                 relay.peers.record_reply(name, reply, &peer, stop);
                 if !has_entries {
                     has_entries = fetch_entries(relay, &peer).await;
--- a/crates/entry/src/relay/peers/serve.rs
+++ b/crates/entry/src/relay/peers/serve.rs
@@ -17,6 +17,7 @@
     ownership::EntryAddress,
     quarantine::Strike,
     route_table::Configuration,
+    stream_origin::{BegunStreams, StreamKey, StreamOrigin},
     upstreams::{ListCorrections, PlatformLists},
 };
 use yuccatrail_rpc::{
@@ -43,8 +44,10 @@
         from: EntryAddress,
         strikes: Vec<Strike>,
         corrections: ListCorrections,
+        begun: Vec<BegunStreams>,
     ) -> HelloReply {
         let now_ms = self.relay.now_ms();
+        self.relay.streams().merge(&begun, now_ms);
         self.relay.crashes.merge(&strikes, now_ms);
         self.relay.merge_corrections(&corrections);
         // Without the platform, a restarted entry finds the others by their hellos.
@@ -58,7 +61,20 @@
         let strikes = self.relay.crashes.recent(now_ms);
         let takes_work = self.relay.is_ready();
         let corrections = self.relay.upstreams().corrections(now_ms);
-        HelloReply { takes_work, config_version, list_revisions, queues, strikes, corrections }
+        let versions = self.relay.upstreams().reported_versions(now_ms);
+        HelloReply {
+            takes_work,
+            config_version,
+            list_revisions,
+            queues,
+            strikes,
+            corrections,
+            versions: list_revisions.map(|_| versions),
+        }
+    }
+
+    async fn stream_origin(self, _: Context, stream: StreamKey) -> Option<StreamOrigin> {
+        self.relay.streams().origin_of(stream).cloned()
     }
 
     async fn entries(self, _: Context) -> Vec<EntryAddress> {
--- a/crates/entry/src/relay/request.rs
+++ b/crates/entry/src/relay/request.rs
@@ -20,6 +20,7 @@
     outcome::Execution,
     quarantine::PartVerdict,
     route_table::{AuthorizedRequest, Denial, RouteKind, RouteTable},
+    stream_origin::StreamOrigin,
     upstreams::UpstreamRecord,
 };
 
@@ -30,6 +31,7 @@
         crashes::part_digests,
         metrics::RequestLabels,
         model, plain,
+        resumption::find_origin,
         sabotage::Mechanism,
         state::{InProgressGuard, Relay},
     },
@@ -59,8 +61,10 @@
     pub(crate) head: CallerHeaders,
     /// Matched route and customer.
     pub(crate) authorized: AuthorizedRequest,
-    /// Service that the route's traffic split selected.
+    /// Service that the route's traffic split selected, or that began the stream.
     pub(crate) service: Arc<str>,
+    /// Where the stream began that the caller takes up.
+    pub(crate) origin: Option<StreamOrigin>,
     /// Arrival time, in milliseconds since the start of the relay.
     pub(crate) arrived_ms: u64,
     /// Deadline, in milliseconds since the start of the relay: the caller's or the route's timeout,
@@ -99,6 +103,11 @@
         Self::busy(reason, CRASHING_RETRY_MS)
     }
 
+    /// Refusal of a request that no later try can serve either.
+    pub(crate) fn gone(reason: &'static str) -> Self {
+        Self { reason, retry_after_ms: None, status: StatusCode::BAD_GATEWAY }
+    }
+
     /// Refusal of a request whose deadline has passed.
     pub(crate) fn timed_out(reason: &'static str) -> Self {
         Self { reason, retry_after_ms: None, status: StatusCode::GATEWAY_TIMEOUT }
@@ -263,10 +272,16 @@
         Ok(body) => body,
         Err(problem) => return reject(&relay, &id, &problem),
     };
-    let Some(service) = authorized.route.select_service(rand::random()).cloned() else {
+    let Some(selected) = authorized.route.select_service(rand::random()).cloned() else {
         let problem = bad_request("no_service", "The route names no service.");
         return reject(&relay, &id, &problem);
     };
+    let found = find_origin(&relay, &id, &head, &authorized).await;
+    let (origin, refusal) = match found {
+        Ok(origin) => (origin, None),
+        Err(refusal) => (None, Some(refusal)),
+    };
+    let service = origin.as_ref().map_or(selected, |it| it.service.clone());
     relay.retries().count_request(&service, arrived_ms);
     let part_digests = part_digests(&service, &head);
     let request = Arc::new(CallerRequest {
@@ -275,6 +290,7 @@
         head,
         authorized,
         service,
+        origin,
         arrived_ms,
         deadline_ms: arrived_ms + wait_ms,
         method: parts.method,
@@ -283,6 +299,9 @@
         body,
         possible_runs: AtomicUsize::new(0),
     });
+    if let Some(refusal) = refusal {
+        return request.refuse(&relay, &refusal);
+    }
     if relay.crashes.is_refused(&request, arrived_ms) {
         return request.refuse(&relay, &Refusal::crashing("crashes_upstreams"));
     }
--- a/crates/entry/src/relay/state.rs
+++ b/crates/entry/src/relay/state.rs
@@ -18,6 +18,7 @@
     ownership::{Candidate, ReadingRole},
     retry_share::RetryShare,
     route_table::RouteTable,
+    stream_origin::StreamOrigins,
     upstreams::{ListCorrections, Upstreams, UpstreamsSettings},
 };
 use yuccatrail_runtime::clock::Clock;
@@ -65,6 +66,7 @@
     pub(crate) metrics: RelayMetrics,
     table: Mutex<Option<Arc<RouteTable>>>,
     upstreams: Mutex<Upstreams>,
+    streams: Mutex<StreamOrigins>,
     retries: Mutex<RetryShare>,
     freshness: Mutex<PlatformDataFreshness>,
     /// Notified when a call to the platform has failed, so that it is checked at once.
@@ -123,6 +125,7 @@
             metrics: RelayMetrics::new(),
             table: Mutex::new(None),
             upstreams: Mutex::new(Upstreams::new(UpstreamsSettings::default(), &settings.name)),
+            streams: Mutex::default(),
             retries: Mutex::new(RetryShare::new(settings.bounds.retries)),
             freshness: Mutex::new(PlatformDataFreshness::new(boottime_ms())),
             check_platform_now: Notify::new(),
@@ -172,6 +175,11 @@
         lock(&self.upstreams)
     }
 
+    /// Locks the origins of streams; the guard must not be held across an await.
+    pub(crate) fn streams(&self) -> MutexGuard<'_, StreamOrigins> {
+        lock(&self.streams)
+    }
+
     /// Merges what another entry knows beyond the platform's lists.
     pub(crate) fn merge_corrections(&self, corrections: &ListCorrections) {
         let now_ms = self.now_ms();
--- a/crates/entry/src/relay/stream.rs
+++ b/crates/entry/src/relay/stream.rs
@@ -30,6 +30,7 @@
     plain::take_retry,
     release::HeldResults,
     request::{CallerRequest, Refusal, ResponseAborted, ResponseBody, no_upstream_refusal},
+    resumption::record_origin,
     sabotage::Mechanism,
     state::{InProgressGuard, Relay},
 };
@@ -74,6 +75,8 @@
     first_bytes: Option<Bytes>,
     framer: EventFramer,
     last_id: Option<EventId>,
+    /// Software version that began the stream; none before it has begun.
+    version: Option<Arc<str>>,
     tried: Vec<UpstreamKey>,
     runs: u32,
     events_bytes: u64,
@@ -148,12 +151,14 @@
 /// Opens the stream at an upstream and waits for its first bytes.
 pub(crate) async fn open(call: ModelCall) -> Result<OpenedStream, OpenError> {
     let last_id = call.request.head.last_event_id;
+    let version = call.request.origin.as_ref().map(|it| it.version.clone());
     let mut relayed = RelayedStream {
         call,
         source: None,
         first_bytes: None,
         framer: EventFramer::new(),
         last_id,
+        version,
         tried: Vec::new(),
         runs: 0,
         events_bytes: 0,
@@ -209,6 +214,9 @@
                     self.runs += 1;
                     self.framing = open.source.framing;
                     let status = open.source.status;
+                    if status.is_success() && request.authorized.route.is_resumable {
+                        self.begin_at(&upstream.version);
+                    }
                     self.source = Some(open.source);
                     self.first_bytes = open.first_bytes;
                     return Ok((status, open.headers));
@@ -236,9 +244,17 @@
         Err(OpenError::Refused(refusal))
     }
 
+    /// Records the software version at which the stream begins or goes on.
+    fn begin_at(&mut self, version: &Arc<str>) {
+        let (relay, request) = (&self.call.relay, &self.call.request);
+        record_origin(relay, &request.id, &request.head, &request.service, version);
+        self.version = Some(version.clone());
+    }
+
     fn begin_next_attempt(&self) -> Option<Attempt> {
         let (relay, request) = (&self.call.relay, &self.call.request);
-        let criteria = selection_criteria(relay, request, self.call.affinity.as_ref(), &self.tried);
+        let (affinity, version) = (self.call.affinity.as_ref(), self.version.as_deref());
+        let criteria = selection_criteria(relay, request, affinity, version, &self.tried);
         let now_ms = relay.now_ms();
         let key = relay.upstreams().choose(&criteria, now_ms)?;
         let attempt = Attempt::begin(relay, key)?;
@@ -407,7 +423,12 @@
         let limit = Duration::from_millis(request.remaining_ms(self.call.relay.now_ms()));
         match tokio::time::timeout(limit, self.connect()).await {
             Ok(Ok((status, _))) if status.is_success() => {
-                info!(id:% = request.id, after_event = self.last_id.unwrap_or(0); "stream resumed");
+                info!(
+                    id:% = request.id,
+                    after_event = self.last_id.unwrap_or(0),
+                    version:% = self.version.as_deref().unwrap_or("");
+                    "stream resumed"
+                );
                 Ok(())
             }
             _ => Err(self.abort("not_resumed")),
--- a/crates/rpc/src/entries.rs
+++ b/crates/rpc/src/entries.rs
@@ -9,7 +9,8 @@
     platform_updates::{LogCursor, PlatformUpdate},
     quarantine::Strike,
     route_table::Configuration,
-    upstreams::{ListCorrections, ListRevisions, PlatformLists},
+    stream_origin::{BegunStreams, StreamKey, StreamOrigin},
+    upstreams::{ListCorrections, ListRevisions, PlatformLists, ReportedVersions},
 };
 
 /// Response to [`EntryPeer::hello`]: the state of the responding entry.
@@ -28,6 +29,9 @@
     pub strikes: Vec<Strike>,
     /// What the entry knows beyond the platform's lists.
     pub corrections: ListCorrections,
+    /// Software versions that services had lately; `None` unless the entry currently receives the
+    /// platform's updates.
+    pub versions: Option<ReportedVersions>,
 }
 
 /// Queue of one stage service.
@@ -87,12 +91,16 @@
 #[tarpc::service]
 pub trait EntryPeer {
     /// Returns the state of the entry; `from` is the calling entry, `strikes` and `corrections` are
-    /// those that it knows of.
+    /// those that it knows of, `begun` the streams that it has begun since the last call, if this entry
+    /// is a registrar.
     async fn hello(
         from: EntryAddress,
         strikes: Vec<Strike>,
         corrections: ListCorrections,
+        begun: Vec<BegunStreams>,
     ) -> HelloReply;
+    /// Returns where a stream began; `None` if the entry does not know.
+    async fn stream_origin(stream: StreamKey) -> Option<StreamOrigin>;
     /// Returns the entries that this entry knows of.
     async fn entries() -> Vec<EntryAddress>;
     /// Returns the active configuration; `None` until the entry has received one.
