Relay: choose registrars only once a configuration is in force

An entry without a configuration polled two entries as registrars and stopped when the stage services were known, which changed the roles of readers at the start.

--- a/crates/core/src/ownership/view.rs
+++ b/crates/core/src/ownership/view.rs
@@ -18,8 +18,6 @@
 /// Largest number of entries that are polled for each shared work while few of them accept work, as
 /// when all start at once.
 const MAX_OWNERS_POLLED: usize = 6;
-/// Subject whose owners are registrars where there is no shared work.
-const NO_SHARED_WORK: &str = "registrars";
 /// Number of ring neighbours that are polled; each entry is polled by as many.
 const NEIGHBOURS_POLLED: usize = 2;
 /// Largest number of ring neighbours that are polled while few of them are useful.
@@ -149,9 +147,6 @@
     /// Returns the names of the other entries that may own shared work, which also keep what all entries
     /// have to find again; `subjects` are the names of the shared work.
     pub fn registrars(&mut self, subjects: &[Arc<str>], own: OwnState) -> FastSet<String> {
-        if subjects.is_empty() {
-            return self.likely_owners(NO_SHARED_WORK, own);
-        }
         subjects.iter().flat_map(|it| self.likely_owners(it, own)).collect()
     }
 
--- a/crates/entry/src/relay/peers.rs
+++ b/crates/entry/src/relay/peers.rs
@@ -36,6 +36,9 @@
 /// all other entries poll, answers at most 200 hellos a second.
 const HELLO_INTERVAL_PER_ENTRY_MS: u64 = 5;
 
+/// Subject whose owners are the registrars where a configuration has no stage services.
+const NO_SHARED_WORK: &str = "registrars";
+
 /// An entry that responds.
 #[derive(Clone)]
 pub(crate) struct Peer {
@@ -142,13 +145,16 @@
         if lock(&self.directory).polled_for == Some(own) {
             return;
         }
-        let services = relay.stages.services();
+        let mut subjects = relay.stages.services();
+        if subjects.is_empty() && relay.table().is_some() {
+            subjects.push(NO_SHARED_WORK.into());
+        }
         let mut directory = lock(&self.directory);
         let Directory { view, known, polled_for, plan, registrars } = &mut *directory;
         *polled_for = Some(own);
         *plan = view.reader_plan(own);
-        *registrars = view.registrars(&services, own);
-        let to_poll = view.peers_to_poll(&services, own);
+        *registrars = view.registrars(&subjects, own);
+        let to_poll = view.peers_to_poll(&subjects, own);
         for (name, entry) in known.iter_mut() {
             if to_poll.contains(name) == entry.polling.is_some() {
                 continue;
