--- a/crates/entry/src/relay/model.rs
+++ b/crates/entry/src/relay/model.rs
@@ -16,6 +16,7 @@
 use crate::relay::{
     release::HeldResults,
     request::{CallerRequest, Refusal, ResponseBody},
+    sabotage::Mechanism,
     state::{InProgressGuard, Relay},
     stream::{self, ModelCall},
 };
@@ -107,7 +108,7 @@
     SelectionCriteria {
         service: &request.service,
         model: request.head.model.as_deref(),
-        version,
+        version: version.filter(|_| !Mechanism::OwnVersion.is_off()),
         data_centre: Some(&relay.settings.data_centre),
         affinity,
         excluded,
--- a/crates/entry/src/relay/sabotage.rs
+++ b/crates/entry/src/relay/sabotage.rs
@@ -27,6 +27,8 @@
     PatientStop,
     /// The request limits that upstreams state are kept.
     RequestLimits,
+    /// A stream goes on only at the software version that began it.
+    OwnVersion,
 }
 
 impl Mechanism {
