--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -87,6 +87,13 @@
         use sha2::Digest as _;
         Self(sha2::Sha256::digest(bytes).into())
     }
+
+    /// Returns the first eight bytes as a number; the same in every process.
+    pub(crate) fn prefix(&self) -> u64 {
+        let mut first = [0; 8];
+        first.copy_from_slice(&self.0[..8]);
+        u64::from_le_bytes(first)
+    }
 }
 
 impl std::fmt::Display for Digest {
--- a/crates/core/src/stream_origin/mod.rs
+++ b/crates/core/src/stream_origin/mod.rs
@@ -4,8 +4,7 @@
 //! which streams it has begun, and an entry that does not know a stream asks them. What an entry tells
 //! is proportional to its own streams, however many entries there are.
 
-use std::collections::VecDeque;
-use std::sync::Arc;
+use std::{collections::VecDeque, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 use slotmap::{SlotMap, new_key_type};
@@ -28,10 +27,7 @@
 impl StreamKey {
     /// Returns the key of the stream that the attempt with this identifier began.
     pub fn of(request_id: &str) -> Self {
-        let digest = Digest::of(request_id.as_bytes());
-        let mut first = [0; 8];
-        first.copy_from_slice(&digest.0[..8]);
-        Self(u64::from_le_bytes(first))
+        Self(Digest::of(request_id.as_bytes()).prefix())
     }
 }
 
--- a/crates/core/src/upstreams/directory.rs
+++ b/crates/core/src/upstreams/directory.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     FastMap, FastSet,
+    ids::Digest,
     revision::Revision,
     switch::MechanismSwitch,
     upstreams::{
@@ -415,8 +416,5 @@
 
 /// Returns the weight of a candidate for a subject in rendezvous hashing; the same in every process.
 pub(crate) fn rendezvous_weight(candidate: &str, subject: &str) -> u64 {
-    let digest = crate::ids::Digest::of(format!("{candidate}\0{subject}").as_bytes());
-    let mut first = [0; 8];
-    first.copy_from_slice(&digest.0[..8]);
-    u64::from_le_bytes(first)
+    Digest::of(format!("{candidate}\0{subject}").as_bytes()).prefix()
 }
--- a/crates/core/src/upstreams/request_limits/tests.rs
+++ b/crates/core/src/upstreams/request_limits/tests.rs
@@ -43,6 +43,19 @@
     entry.choose(&criteria, now_ms).is_some_and(|key| entry.begin(key, now_ms))
 }
 
+/// Lets all entries send what they may for nine seconds; returns the times.
+fn send_all(entries: &mut [Upstreams]) -> Vec<u64> {
+    let mut sent_ms = Vec::new();
+    for now_ms in (10..9_000).step_by(STEP_MS as usize) {
+        for entry in &mut *entries {
+            while send(entry, now_ms) {
+                sent_ms.push(now_ms);
+            }
+        }
+    }
+    sent_ms
+}
+
 fn observe(entry: &mut Upstreams, stated: Option<f64>, sent_ms: u64, now_ms: u64) {
     let key = entry.key_of("a").unwrap();
     entry.observe_request_limit(key, stated, sent_ms, now_ms);
@@ -81,14 +94,7 @@
         for entry in &mut all {
             observe(entry, Some(per_s), 0, 1);
         }
-        let mut sent_ms = Vec::new();
-        for now_ms in (10..9_000).step_by(STEP_MS as usize) {
-            for entry in &mut all {
-                while send(entry, now_ms) {
-                    sent_ms.push(now_ms);
-                }
-            }
-        }
+        let sent_ms = send_all(&mut all);
         prop_assert!(most_in_window(&sent_ms) as f64 <= allowed(per_s));
         if entries >= 3 {
             prop_assert!(sent_ms.len() as f64 >= 9.0 * per_s * 0.8, "the limit is used");
@@ -107,14 +113,7 @@
             entry.set_owned_services([("s".into(), index < owners)].into_iter().collect());
             observe(entry, Some(per_s), 0, 1);
         }
-        let mut sent_ms = Vec::new();
-        for now_ms in (10..9_000).step_by(STEP_MS as usize) {
-            for entry in &mut all {
-                while send(entry, now_ms) {
-                    sent_ms.push(now_ms);
-                }
-            }
-        }
+        let sent_ms = send_all(&mut all);
         prop_assert!(most_in_window(&sent_ms) as f64 <= allowed(per_s));
     }
 
