--- a/crates/fakes/src/stack/fault_proxy.rs
+++ b/crates/fakes/src/stack/fault_proxy.rs
@@ -1,4 +1,4 @@
-//! TCP proxy on loopback that can delay, reset or stall its connections, or drop one direction.
+//! TCP proxy on loopback that can delay, throttle, reset or stall its connections, or drop one direction.
 
 #[cfg(test)]
 mod tests;
@@ -34,6 +34,8 @@
     Forwarding,
     /// Forwards bytes after a delay, in milliseconds.
     Delayed(u64),
+    /// Forwards this number of bytes a second in each direction of a connection.
+    Throttled(u64),
     /// Keeps connections open and forwards nothing.
     Stalled,
     /// Forwards only the bytes from the target.
@@ -193,8 +195,15 @@
         if read == 0 {
             return writer.shutdown().await;
         }
-        if let ProxyState::Delayed(delay_ms) = current {
-            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        match current {
+            ProxyState::Delayed(delay_ms) => {
+                tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+            }
+            ProxyState::Throttled(bytes_per_s) => {
+                let taken = Duration::from_secs_f64(read as f64 / bytes_per_s as f64);
+                tokio::time::sleep(taken).await;
+            }
+            _ => {}
         }
         writer.write_all(&buffer[..read]).await?;
     }
--- a/crates/fakes/src/stack/fault_proxy/tests.rs
+++ b/crates/fakes/src/stack/fault_proxy/tests.rs
@@ -106,3 +106,18 @@
         assert_eq!(end.unwrap_err().kind(), io::ErrorKind::ConnectionReset);
     }
 }
+
+#[tokio::test]
+async fn throttled_proxy_takes_as_long_as_its_rate_states() {
+    let proxy = proxy_to_echo_server().await;
+    proxy.set_state(ProxyState::Throttled(1_000_000));
+    let mut stream = TcpStream::connect(proxy.address()).await.unwrap();
+    let begun = tokio::time::Instant::now();
+    let (mut reader, mut writer) = stream.split();
+    let sent = vec![0; 300_000];
+    let mut received = vec![0; 300_000];
+    let (written, read) = tokio::join!(writer.write_all(&sent), reader.read_exact(&mut received));
+    written.unwrap();
+    read.unwrap();
+    assert!(begun.elapsed() >= Duration::from_millis(290), "{:?}", begun.elapsed());
+}
