Transfer configurations between entries in parts, and only what has changed

Callers of entries behind slow links were served by an old configuration: of 24 entries with 0.09 to 0.5 core, the sixteen behind 10 Mbit/s did not get a version of 830 kB within the 11 s that the logs cover (users' bound 3 s after the acknowledgement).

Cause: a follower asked for the whole configuration with one call, whose timeout of 700 ms was that of a hello, and began again from nothing. The logs show 265 calls that timed out, followers' links full all the time, and because the response delayed all other messages of the connection, 204 entries taken as lost and 195 stages run again for that.

Now an entry that has one of the last four versions gets the routes that were added or changed, compressed, in parts of 32 kB. Each part has its own timeout; a lost part is asked for again, at another entry if need be, and the parts so far are kept. A single task fetches, and the followed entry is asked first; others wait 600 ms for the platform as before. Routes are shared between configurations instead of copied.

--- a/crates/core/src/route_table/configuration.rs
+++ b/crates/core/src/route_table/configuration.rs
@@ -1,6 +1,9 @@
 //! Typed content of one configuration version.
 
-use std::sync::Arc;
+use std::{
+    hash::{Hash, Hasher},
+    sync::Arc,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -10,7 +13,7 @@
     /// Version number, which increases with each change.
     pub version: u64,
     /// Routes of all hosts.
-    pub routes: Vec<Route>,
+    pub routes: Vec<Arc<Route>>,
     /// Services referenced by routes and stages.
     pub services: Vec<Service>,
     /// Limits on the size and duration of callers' requests.
@@ -20,7 +23,7 @@
 }
 
 /// Retry semantics and response form of a route.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum RouteKind {
     /// Plain responses; a request may run more than once.
     Idempotent,
@@ -31,7 +34,7 @@
 }
 
 /// Settings for the requests to one host below one path prefix.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Hash, Serialize, Deserialize)]
 pub struct Route {
     /// Name in logs and metrics.
     pub name: String,
@@ -90,8 +93,15 @@
     pub weight: f64,
 }
 
+impl Hash for Target {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.service.hash(state);
+        self.weight.to_bits().hash(state);
+    }
+}
+
 /// Stage in the pipeline of a route.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Hash, Serialize, Deserialize)]
 pub struct StageSpec {
     /// Service whose upstreams run the stage.
     pub service: Arc<str>,
--- a/crates/core/src/route_table/table.rs
+++ b/crates/core/src/route_table/table.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     FastMap,
-    route_table::{CallerLimits, Configuration, Route, Service, Target},
+    route_table::{CallerLimits, Configuration, ConfigurationId, Route, Service, Target},
 };
 
 /// Reason for which a request is not authorized.
@@ -40,6 +40,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct RouteTable {
     configuration: Arc<Configuration>,
+    id: ConfigurationId,
     /// Routes of each host in lower case, longest path prefix first.
     routes_by_host: FastMap<String, Vec<Arc<Route>>>,
     owners_by_key: FastMap<String, KeyOwner>,
@@ -62,11 +63,12 @@
         }
         for route in &configuration.routes {
             let routes = table.routes_by_host.entry(route.host.to_ascii_lowercase()).or_default();
-            routes.push(Arc::new(route.clone()));
+            routes.push(route.clone());
         }
         for routes in table.routes_by_host.values_mut() {
             routes.sort_by_key(|it| std::cmp::Reverse(it.path_prefix.len()));
         }
+        table.id = configuration.id();
         table.configuration = Arc::new(configuration);
         table
     }
@@ -76,6 +78,11 @@
         self.configuration.version
     }
 
+    /// Returns the identifier of the configuration's content.
+    pub fn id(&self) -> ConfigurationId {
+        self.id
+    }
+
     /// Returns the complete configuration.
     pub fn configuration(&self) -> &Arc<Configuration> {
         &self.configuration
--- a/crates/core/src/route_table/tests.rs
+++ b/crates/core/src/route_table/tests.rs
@@ -26,9 +26,9 @@
     RouteTable::new(Configuration {
         version: 7,
         routes: vec![
-            route("a.example", "/x/", "short"),
-            route("a.example", "/x/deep/", "long"),
-            anonymous,
+            route("a.example", "/x/", "short").into(),
+            route("a.example", "/x/deep/", "long").into(),
+            anonymous.into(),
         ],
         customers: vec![CustomerKeys {
             name: "north".into(),
--- /dev/null
+++ b/crates/entry/src/relay/configurations.rs
@@ -0,0 +1,285 @@
+//! Configurations that entries pass on to one another, in parts.
+
+use std::{
+    collections::VecDeque,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use log::{info, warn};
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+use yuccatrail_core::{
+    FastMap,
+    route_table::{
+        ConfigurationChange, ConfigurationId, ConfigurationOffers, ConfigurationPart,
+        EncodedChange, IncomingTransfer, PartRequest, Received, RouteTable, TransferId,
+    },
+};
+use yuccatrail_rpc::document;
+
+use crate::relay::{
+    peers::{HELLO_TIMEOUT_MS, Peer, context_for},
+    reading::reads_lists,
+    state::{Relay, lock},
+};
+
+/// Number of configurations that are kept, so that entries which have one of them get the change only.
+const MAX_RECENT: usize = 4;
+/// Number of encoded changes that are kept.
+const MAX_ENCODED: usize = 8;
+/// Delay after a part that did not arrive, in milliseconds.
+const RETRY_MS: u64 = 50;
+/// Interval at which offers are looked at again while the platform may still deliver a configuration,
+/// in milliseconds.
+const OFFER_CHECK_MS: u64 = 50;
+
+/// Configurations that this entry can pass on, and those that other entries offer.
+#[derive(Default)]
+pub(crate) struct Configurations {
+    outgoing: Mutex<Outgoing>,
+    incoming: Mutex<Incoming>,
+    /// Notified when another entry offers a configuration.
+    offered: Notify,
+    /// Notified when a configuration is in force.
+    activated: Notify,
+}
+
+#[derive(Debug, Default)]
+struct Outgoing {
+    /// The latest configurations, the active one last.
+    recent: VecDeque<Arc<RouteTable>>,
+    /// Encoded changes, the one that was used last at the end.
+    encoded: VecDeque<EncodedChange>,
+}
+
+#[derive(Default)]
+struct Incoming {
+    offers: ConfigurationOffers,
+    peers: FastMap<String, Peer>,
+}
+
+impl Configurations {
+    /// Records the configuration that is in force from now on.
+    pub(crate) fn record_active(&self, table: Arc<RouteTable>) {
+        let mut outgoing = lock(&self.outgoing);
+        outgoing.recent.push_back(table);
+        if outgoing.recent.len() > MAX_RECENT {
+            outgoing.recent.pop_front();
+        }
+        drop(outgoing);
+        self.activated.notify_waiters();
+    }
+
+    /// Waits until a configuration is in force, or until the timeout in milliseconds.
+    pub(crate) async fn until_active(&self, relay: &Relay, limit_ms: u64) {
+        let activated = self.activated.notified();
+        tokio::pin!(activated);
+        activated.as_mut().enable();
+        if relay.table().is_none() {
+            let _ = tokio::time::timeout(Duration::from_millis(limit_ms), activated).await;
+        }
+    }
+
+    /// Records that another entry has a version; `is_source` tells whether this entry follows it.
+    pub(crate) fn offer(&self, relay: &Relay, peer: &Peer, version: Option<u64>, is_source: bool) {
+        let Some(version) = version else { return };
+        let own = relay.table().map(|it| it.version());
+        let mut incoming = lock(&self.incoming);
+        incoming.offers.offer(&peer.name, version, is_source, own, relay.now_ms());
+        if !incoming.offers.is_outdated(own) {
+            incoming.peers.clear();
+            return;
+        }
+        incoming.peers.insert(peer.name.clone(), peer.clone());
+        self.offered.notify_one();
+    }
+
+    /// Returns the part that another entry asks for; none if it has the newest configuration.
+    pub(crate) fn part(&self, request: PartRequest) -> Option<ConfigurationPart> {
+        let mut outgoing = lock(&self.outgoing);
+        let in_progress = request.transfer.and_then(|id| outgoing.position(|it| it == id));
+        if let Some(position) = in_progress {
+            return outgoing.use_encoded(position).map(|it| it.part(request.offset));
+        }
+        let target = outgoing.recent.back()?.clone();
+        if request.known.is_some_and(|it| it.version >= target.version()) {
+            return None;
+        }
+        let known = request.known.and_then(|id| outgoing.recent.iter().find(|it| it.id() == id));
+        let known = known.cloned();
+        let base = known.as_ref().map(|it| it.id());
+        let position = outgoing.position(|it| it.base == base && it.target == target.id());
+        if let Some(position) = position {
+            return outgoing.use_encoded(position).map(|it| it.part(0));
+        }
+        let encoded = encode(known.as_deref(), &target)?;
+        let part = encoded.part(0);
+        outgoing.encoded.push_back(encoded);
+        if outgoing.encoded.len() > MAX_ENCODED {
+            outgoing.encoded.pop_front();
+        }
+        Some(part)
+    }
+
+    fn entry_to_ask(&self, relay: &Relay) -> Option<Peer> {
+        let own = relay.table().map(|it| it.version());
+        let mut incoming = lock(&self.incoming);
+        let name = incoming.offers.entry_to_ask(own, relay.now_ms())?;
+        incoming.peers.get(&name).cloned()
+    }
+
+    fn is_outdated(&self, relay: &Relay) -> bool {
+        let own = relay.table().map(|it| it.version());
+        lock(&self.incoming).offers.is_outdated(own)
+    }
+
+    fn record_failure(&self, peer: &Peer) {
+        lock(&self.incoming).offers.record_failure(&peer.name);
+    }
+
+    fn withdraw(&self, peer: &Peer) {
+        lock(&self.incoming).offers.withdraw(&peer.name);
+    }
+}
+
+impl Outgoing {
+    fn position(&self, is_wanted: impl Fn(TransferId) -> bool) -> Option<usize> {
+        self.encoded.iter().position(|it| is_wanted(it.transfer()))
+    }
+
+    /// Moves an encoded change to the end, since it is used now, and returns it.
+    fn use_encoded(&mut self, position: usize) -> Option<&EncodedChange> {
+        let encoded = self.encoded.remove(position)?;
+        self.encoded.push_back(encoded);
+        self.encoded.back()
+    }
+}
+
+fn encode(base: Option<&RouteTable>, target: &RouteTable) -> Option<EncodedChange> {
+    let begun = Instant::now();
+    let known = base.map(|it| (it.id(), it.configuration().as_ref()));
+    let change = ConfigurationChange::between(known, target.configuration());
+    let bytes = match document::encode(&change) {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            warn!(version = target.version(), error:% = error; "failed to encode configuration");
+            return None;
+        }
+    };
+    info!(
+        version = target.version(),
+        base = base.map_or(0, |it| it.version()),
+        bytes = bytes.len(),
+        took_ms = begun.elapsed().as_millis() as u64;
+        "configuration encoded for other entries"
+    );
+    Some(EncodedChange::new(base.map(|it| it.id()), target.id(), bytes))
+}
+
+/// Fetches the configurations that other entries have and this one lacks, until `stop` is cancelled.
+pub(crate) async fn fetch_offered(relay: Arc<Relay>, stop: CancellationToken) {
+    let mut transfer = IncomingTransfer::default();
+    let mut begun: Option<Instant> = None;
+    while !stop.is_cancelled() {
+        let Some(peer) = relay.configurations.entry_to_ask(&relay) else {
+            let offered = relay.configurations.offered.notified();
+            match relay.configurations.is_outdated(&relay) {
+                true => {
+                    let check = Duration::from_millis(OFFER_CHECK_MS);
+                    let _ = tokio::time::timeout(check, offered).await;
+                }
+                false => {
+                    tokio::select! {
+                        () = offered => {}
+                        () = stop.cancelled() => return,
+                    }
+                }
+            }
+            continue;
+        };
+        let known = relay.table().map(|it| it.id());
+        let request = transfer.next_request(known);
+        if request.offset == 0 {
+            begun = None;
+        }
+        let begun = *begun.get_or_insert_with(Instant::now);
+        let limit = Duration::from_millis(HELLO_TIMEOUT_MS);
+        let call = peer.client.configuration_part(context_for(HELLO_TIMEOUT_MS), request);
+        let part = match tokio::time::timeout(limit, call).await {
+            Ok(Ok(Some(part))) => part,
+            Ok(Ok(None)) => {
+                relay.configurations.withdraw(&peer);
+                continue;
+            }
+            Ok(Err(error)) => {
+                let error = error.to_string();
+                warn!(entry:% = peer.name, offset = request.offset, error:% = error; "failed to fetch part of a configuration");
+                relay.configurations.record_failure(&peer);
+                tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
+                continue;
+            }
+            Err(_) => {
+                warn!(entry:% = peer.name, offset = request.offset; "part of a configuration did not arrive in time");
+                relay.configurations.record_failure(&peer);
+                tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
+                continue;
+            }
+        };
+        match transfer.receive(part) {
+            Received::Incomplete => {}
+            Received::Complete(bytes) => {
+                let took_ms = begun.elapsed().as_millis() as u64;
+                if !activate(&relay, &peer, known, &bytes, took_ms) {
+                    relay.configurations.withdraw(&peer);
+                }
+            }
+            Received::Invalid => {
+                warn!(entry:% = peer.name; "parts of a configuration do not fit, fetching it again");
+                relay.configurations.record_failure(&peer);
+                tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
+            }
+        }
+    }
+}
+
+/// Decodes a configuration and activates it; returns whether it could be decoded.
+fn activate(
+    relay: &Relay,
+    peer: &Peer,
+    known: Option<ConfigurationId>,
+    bytes: &[u8],
+    took_ms: u64,
+) -> bool {
+    let begun = Instant::now();
+    let change: ConfigurationChange = match document::decode(bytes) {
+        Ok(change) => change,
+        Err(error) => {
+            warn!(entry:% = peer.name, error:% = error; "configuration of another entry can't be decoded");
+            return false;
+        }
+    };
+    let base = change.base;
+    let table = relay.table();
+    let own = table.as_ref().map(|it| (it.id(), it.configuration().as_ref()));
+    let Some(configuration) = change.apply(own) else {
+        // The platform has delivered another one meanwhile.
+        return true;
+    };
+    info!(
+        entry:% = peer.name,
+        version = configuration.version,
+        base = base.map_or(0, |it| it.version),
+        bytes = bytes.len(),
+        took_ms = took_ms,
+        decode_ms = begun.elapsed().as_millis() as u64;
+        "configuration received"
+    );
+    let is_activated = relay.activate_configuration(RouteTable::new(configuration), &peer.name);
+    // The platform has not delivered it in time, so the pending long polls may never get a response.
+    if is_activated && known.is_some() && reads_lists(relay.reading.role()) {
+        warn!(entry:% = peer.name; "platform did not deliver a configuration in time, relisting");
+        relay.relist();
+    }
+    true
+}
--- a/crates/entry/src/relay/peers.rs
+++ b/crates/entry/src/relay/peers.rs
@@ -20,10 +20,7 @@
 };
 use yuccatrail_rpc::entries::{EntryPeerClient, HelloReply, QueueState};
 
-use crate::relay::{
-    peers::hello::MissingConfiguration,
-    state::{Relay, lock},
-};
+use crate::relay::state::{Relay, lock};
 
 pub(crate) use follow::follow_sources;
 pub(crate) use hello::{HELLO_TIMEOUT_MS, own_address};
@@ -85,7 +82,6 @@
 /// The other entries.
 pub(crate) struct Peers {
     directory: Mutex<Directory>,
-    missing_configuration: Mutex<MissingConfiguration>,
     /// Notified when the platform does not list this entry.
     unregistered: Notify,
 }
@@ -101,11 +97,7 @@
             plan: ReaderPlan::default(),
             registrars: FastSet::default(),
         };
-        Self {
-            directory: Mutex::new(directory),
-            missing_configuration: Mutex::default(),
-            unregistered: Notify::new(),
-        }
+        Self { directory: Mutex::new(directory), unregistered: Notify::new() }
     }
 
     /// Returns the owner of a stage service.
--- a/crates/entry/src/relay/peers/follow.rs
+++ b/crates/entry/src/relay/peers/follow.rs
@@ -8,10 +8,7 @@
 use yuccatrail_rpc::entries::FollowerState;
 
 use crate::relay::{
-    peers::{
-        Peer, context_for,
-        hello::{HELLO_TIMEOUT_MS, fetch_configuration},
-    },
+    peers::{HELLO_TIMEOUT_MS, Peer, context_for},
     state::Relay,
 };
 
@@ -44,6 +41,8 @@
 async fn follow(relay: &Arc<Relay>, peer: &Peer) -> &'static str {
     let mut relist_signal = relay.relist_signal();
     let mut cursor = None;
+    // Version that the source has offered.
+    let mut offered = None;
     let mut wait_ms = UPDATES_WAIT_MS;
     loop {
         let plan = relay.peers.reader_plan();
@@ -51,7 +50,7 @@
             return "the plan has changed";
         }
         let relists = relist_signal.borrow_and_update().relists;
-        let config_version = relay.table().map(|it| it.version());
+        let config_version = relay.table().map(|it| it.version()).max(offered);
         let state = FollowerState { cursor, config_version };
         let limit_ms = wait_ms + HELLO_TIMEOUT_MS;
         let corrections = relay.upstreams().corrections(relay.now_ms());
@@ -75,9 +74,9 @@
         }
         relay.merge_corrections(&reply.corrections);
         cursor = Some(next);
-        if reply.config_version > config_version {
-            fetch_configuration(relay, peer).await;
-        }
+        offered = reply.config_version;
+        relay.configurations.offer(relay, peer, offered, true);
+        relay.configurations.until_active(relay, HELLO_TIMEOUT_MS).await;
         if relay.table().is_none() {
             continue;
         }
--- a/crates/entry/src/relay/peers/hello.rs
+++ b/crates/entry/src/relay/peers/hello.rs
@@ -1,7 +1,4 @@
-//! Polls another entry with hellos, and fetches its configuration and lists where they are newer.
-
-#[cfg(test)]
-mod tests;
+//! Polls another entry with hellos, and fetches its lists where they are newer.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -10,7 +7,6 @@
 use tokio_util::sync::CancellationToken;
 use yuccatrail_core::{
     ownership::{EntryAddress, ReadingRole},
-    route_table::RouteTable,
     upstreams::ListRevisions,
 };
 use yuccatrail_rpc::{entries::EntryPeerClient, transport};
@@ -18,7 +14,7 @@
 use crate::relay::{
     peers::{Peer, context_for},
     rollouts,
-    state::{Relay, lock},
+    state::Relay,
     updates::log_evacuations,
 };
 
@@ -27,40 +23,6 @@
 pub(crate) const HELLO_TIMEOUT_MS: u64 = 700;
 /// Delay before reconnecting, in milliseconds.
 const RECONNECT_MS: u64 = 300;
-/// Time for the platform to deliver a configuration that another entry already has before it is
-/// fetched from there, in milliseconds. The platform collects changes for 250 ms before it
-/// responds; the upper bound for a change is two seconds.
-const PLATFORM_DELIVERY_GRACE_MS: u64 = 600;
-
-/// Decides when to fetch a configuration that another entry has and this one lacks.
-#[derive(Default)]
-pub(super) struct MissingConfiguration {
-    /// Version that another entry first reported, and the time of that, in milliseconds.
-    first_offer: Option<(u64, u64)>,
-    /// Time at which the fetch in progress times out, in milliseconds; 0 if there is none.
-    fetching_until_ms: u64,
-}
-
-impl MissingConfiguration {
-    /// Records that another entry has version `offered`; tells whether to fetch it now.
-    ///
-    /// Transferring a configuration takes tens of milliseconds on a slow link, so it is fetched
-    /// only if the platform has not delivered it in time, and from one entry at a time. An entry
-    /// without a configuration fetches one at once.
-    fn begin_fetch(&mut self, own: Option<u64>, offered: u64, now_ms: u64) -> bool {
-        let (_, since_ms) = match self.first_offer.filter(|(version, _)| own < Some(*version)) {
-            Some(first_offer) => first_offer,
-            None => *self.first_offer.insert((offered, now_ms)),
-        };
-        let is_within_grace = own.is_some() && now_ms < since_ms + PLATFORM_DELIVERY_GRACE_MS;
-        if is_within_grace || now_ms < self.fetching_until_ms {
-            return false;
-        }
-        self.fetching_until_ms = now_ms + HELLO_TIMEOUT_MS;
-        true
-    }
-}
-
 /// Keeps a connection to an entry and polls it until `stop` is cancelled.
 pub(super) async fn poll_entry(
     relay: Arc<Relay>,
@@ -107,7 +69,7 @@
         let hello = peer.client.hello(context, own_address(relay), strikes, corrections, begun);
         match tokio::time::timeout(limit, hello).await {
             Ok(Ok(reply)) => {
-                fetch_newer_configuration(relay, &peer, reply.config_version).await;
+                relay.configurations.offer(relay, &peer, reply.config_version, false);
                 fetch_newer_lists(relay, &peer, reply.list_revisions).await;
                 relay.crashes.merge(&reply.strikes, relay.now_ms());
                 relay.merge_corrections(&reply.corrections);
@@ -159,36 +121,6 @@
     }
 }
 
-/// Fetches and activates a newer configuration that the store has delivered to another entry.
-async fn fetch_newer_configuration(relay: &Relay, peer: &Peer, version: Option<u64>) {
-    let own = relay.table().map(|it| it.version());
-    let Some(offered) = version.filter(|it| Some(*it) > own) else { return };
-    if !lock(&relay.peers.missing_configuration).begin_fetch(own, offered, relay.now_ms()) {
-        return;
-    }
-    // The platform has not delivered it in time, so the pending long polls may never get a response.
-    if fetch_configuration(relay, peer).await && own.is_some() {
-        warn!(entry:% = peer.name; "platform did not deliver a configuration in time, relisting");
-        relay.relist();
-    }
-    lock(&relay.peers.missing_configuration).fetching_until_ms = 0;
-}
-
-/// Fetches the configuration of another entry and activates it if it is newer; returns whether it was.
-pub(super) async fn fetch_configuration(relay: &Relay, peer: &Peer) -> bool {
-    match peer.client.configuration(context_for(HELLO_TIMEOUT_MS)).await {
-        Ok(Some(configuration)) => {
-            let table = RouteTable::new(Arc::unwrap_or_clone(configuration));
-            relay.activate_configuration(table, &peer.name)
-        }
-        Ok(None) => false,
-        Err(error) => {
-            warn!(entry:% = peer.name, error:% = error; "failed to fetch configuration");
-            false
-        }
-    }
-}
-
 /// Fetches newer lists from an entry that follows the platform while this one does not.
 async fn fetch_newer_lists(relay: &Arc<Relay>, peer: &Peer, revisions: Option<ListRevisions>) {
     let is_newer = |it: ListRevisions| it.has_newer_than(relay.upstreams().revisions());
--- a/crates/entry/src/relay/peers/serve.rs
+++ b/crates/entry/src/relay/peers/serve.rs
@@ -17,7 +17,7 @@
     ownership::EntryAddress,
     quarantine::Strike,
     rollout::{RolloutDirective, RolloutReport},
-    route_table::Configuration,
+    route_table::{ConfigurationPart, PartRequest},
     stream_origin::{BegunStreams, StreamKey, StreamOrigin},
     upstreams::{ListCorrections, PlatformLists},
 };
@@ -106,8 +106,12 @@
         }
     }
 
-    async fn configuration(self, _: Context) -> Option<Arc<Configuration>> {
-        self.relay.table().map(|it| it.configuration().clone())
+    async fn configuration_part(
+        self,
+        _: Context,
+        request: PartRequest,
+    ) -> Option<ConfigurationPart> {
+        self.relay.configurations.part(request)
     }
 
     async fn beliefs(self, _: Context) -> Option<PlatformLists> {
--- a/crates/entry/src/relay/state.rs
+++ b/crates/entry/src/relay/state.rs
@@ -25,6 +25,7 @@
 
 use crate::relay::{
     buffers::ResponseBuffers,
+    configurations::Configurations,
     crashes::RequestCrashes,
     metrics::RelayMetrics,
     peers::{Owner, Peers},
@@ -55,6 +56,8 @@
     pub(crate) stages: StageQueues,
     /// The other entries.
     pub(crate) peers: Peers,
+    /// Configurations that entries pass on to one another.
+    pub(crate) configurations: Configurations,
     /// Updates for entries that follow this one.
     pub(crate) updates: Updates,
     /// Whether this entry reads the platform or follows another one.
@@ -123,6 +126,7 @@
             response_buffers: ResponseBuffers::default(),
             stages: StageQueues::default(),
             peers: Peers::new(own),
+            configurations: Configurations::default(),
             updates: Updates::new(),
             reading: Reading::new(clock.now_ms()),
             releases: ResultReleases::default(),
@@ -160,7 +164,12 @@
         if current.as_ref().is_some_and(|it| it.version() >= table.version()) {
             return false;
         }
-        info!(version = table.version(), source = source; "configuration in force");
+        info!(
+            version = table.version(),
+            routes = table.configuration().routes.len(),
+            source = source;
+            "configuration in force"
+        );
         let mut cold_starts = FastMap::default();
         let mut model_memory = FastMap::default();
         for service in table.services() {
@@ -178,7 +187,10 @@
         if self.settings.limits_upstream_memory {
             self.upstreams().set_model_memory(model_memory);
         }
-        *current = Some(Arc::new(table));
+        let table = Arc::new(table);
+        *current = Some(table.clone());
+        drop(current);
+        self.configurations.record_active(table);
         self.updates.notify();
         true
     }
--- a/crates/rpc/src/entries.rs
+++ b/crates/rpc/src/entries.rs
@@ -9,7 +9,7 @@
     platform_updates::{LogCursor, PlatformUpdate},
     quarantine::Strike,
     rollout::{RolloutDirective, RolloutReport},
-    route_table::Configuration,
+    route_table::{ConfigurationPart, PartRequest},
     stream_origin::{BegunStreams, StreamKey, StreamOrigin},
     upstreams::{ListCorrections, ListRevisions, PlatformLists, ReportedVersions},
 };
@@ -104,8 +104,9 @@
     async fn stream_origin(stream: StreamKey) -> Option<StreamOrigin>;
     /// Returns the entries that this entry knows of.
     async fn entries() -> Vec<EntryAddress>;
-    /// Returns the active configuration; `None` until the entry has received one.
-    async fn configuration() -> Option<Arc<Configuration>>;
+    /// Returns a part of the change to the active configuration; `None` if the caller has it already, or
+    /// the entry has none.
+    async fn configuration_part(request: PartRequest) -> Option<ConfigurationPart>;
     /// Returns the platform's lists as the entry knows them; `None` unless it currently receives
     /// the platform's updates.
     async fn beliefs() -> Option<PlatformLists>;
