Read large lists of the store as long as they arrive

A relay behind a slow link never became ready, or never got a new configuration, once a list took longer than a second: the timeout of a call to the store covered the whole body, and each failed list began again.

The timeout now covers the head of a response and each pause in its body, with an upper bound of 20 timeouts. A store that falls silent is noticed as before.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -261,6 +261,9 @@
 
     /// Reads `path`, whatever its format, and returns the undecoded body of the response and its era.
     ///
+    /// The request timeout applies to the head of the response and to each pause in its body, since a
+    /// large list takes longer over a slow link.
+    ///
     /// `object` names the object in errors. `wait_ms` is the time for which the platform may delay
     /// the response, in milliseconds, as in a long poll.
     ///
@@ -277,17 +280,17 @@
         wait_ms: u64,
     ) -> Result<ReadReply, PlatformError> {
         let context = CallContext::new(call_kind, object.to_owned());
-        let buffered = async {
-            let response = self.send(&context, Method::GET, path, Bytes::new()).await?;
-            self.read_response(&context, response).await
-        };
-        let timeout_ms = self.inner.settings.request_timeout_ms + wait_ms;
+        let settings = &self.inner.settings;
+        let head_limit = Duration::from_millis(settings.request_timeout_ms + wait_ms);
         self.wait_for_budget(&context).await?;
-        let Ok(response) = tokio::time::timeout(Duration::from_millis(timeout_ms), buffered).await
-        else {
-            return Err(context.timed_out());
-        };
-        let response = response?;
+        let head = self.send(&context, Method::GET, path, Bytes::new());
+        let head = tokio::time::timeout(head_limit, head).await;
+        let head = head.map_err(|_| context.timed_out())??;
+        let idle_limit = Duration::from_millis(settings.request_timeout_ms);
+        let era_header = settings.era_header.as_ref();
+        let response =
+            BufferedResponse::read_while_it_arrives(&context, head, era_header, idle_limit);
+        let response = response.await?;
         response.check(&context)?;
         let era = self.check_era(&context, &response)?;
         Ok(ReadReply { era, body: response.into_body() })
--- a/crates/platform/src/response.rs
+++ b/crates/platform/src/response.rs
@@ -1,8 +1,11 @@
 //! Conversion of HTTP responses and failures of a call into values and errors.
 
-use std::error::Error;
+use std::{
+    error::Error,
+    time::{Duration, Instant},
+};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Limited};
 use hyper::{
     Response, StatusCode,
@@ -20,6 +23,9 @@
 /// Maximum size of a response body, in bytes; a list may contain many objects.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
 
+/// Longest time for a body, as a multiple of the longest pause in it; bounds a body that never ends.
+const MAX_BODY_PAUSES: u32 = 20;
+
 /// Kind and object of a call, which decide how its errors are classified and reported.
 #[derive(Clone, Debug)]
 pub(crate) struct CallContext {
@@ -95,6 +101,36 @@
         }
     }
 
+    /// Reads the body to its end; fails when it pauses for longer than `idle_limit`, or takes
+    /// [`MAX_BODY_PAUSES`] times as long in total.
+    pub(crate) async fn read_while_it_arrives(
+        context: &CallContext,
+        response: Response<Incoming>,
+        era_header: Option<&HeaderName>,
+        idle_limit: Duration,
+    ) -> Result<Self, PlatformError> {
+        let status = response.status();
+        let retry_after_ms = retry_after_ms(response.headers());
+        let era = era_header.and_then(|it| era(response.headers(), it));
+        let mut body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
+        let mut received = BytesMut::new();
+        let begun = Instant::now();
+        while begun.elapsed() < idle_limit * MAX_BODY_PAUSES {
+            let frame = tokio::time::timeout(idle_limit, body.frame()).await;
+            let Some(frame) = frame.map_err(|_| context.timed_out())? else {
+                return Ok(Self { status, retry_after_ms, era, body: received.freeze() });
+            };
+            match frame {
+                // Trailers carry no bytes of the body.
+                Ok(frame) => received.extend_from_slice(frame.data_ref().map_or(&[], |it| it)),
+                Err(error) => {
+                    return Err(context.response_lost(format!("response truncated: {error}")));
+                }
+            }
+        }
+        Err(context.timed_out())
+    }
+
     /// Returns the HTTP status.
     pub(crate) fn status(&self) -> StatusCode {
         self.status
