--- a/crates/entry/src/relay/feed.rs
+++ b/crates/entry/src/relay/feed.rs
@@ -184,7 +184,7 @@
         StoreChange::Unreadable { .. } => Some(0),
         StoreChange::Absent { .. } => None,
     };
-    (object_name(change).to_owned(), changed_at)
+    (change.name().to_owned(), changed_at)
 }
 
 /// Reads the orders of roll-outs. Their changes are few, and a verdict has to take effect at once, so
@@ -317,11 +317,3 @@
         }
     }
 }
-
-fn object_name<T>(change: &StoreChange<T>) -> &str {
-    match change {
-        StoreChange::Present { name, .. }
-        | StoreChange::Absent { name }
-        | StoreChange::Unreadable { name, .. } => name,
-    }
-}
