Agents' form: one odd object hides no other of a list

The client of the other wire form decoded a list as a whole too, so that one object that can't be read kept entries and agents from following the list.

The test failed before with 'recursion limit exceeded'.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -21,10 +21,7 @@
     API_VERSION, CallBudget, CallCounts, CallKind, ClientSettings, Kind, MAX_VALUE_BYTES, Object,
     ObjectList, PlatformError, ResourceVersion, Watch,
     response::{self, BufferedResponse, CallContext},
-    wire::{
-        DeleteOptions, Envelope, ListEnvelope, Metadata, Preconditions, collection_path,
-        object_path,
-    },
+    wire::{self, DeleteOptions, Envelope, Metadata, Preconditions, collection_path, object_path},
 };
 
 pub use conditional::ConditionalReply;
@@ -140,12 +137,8 @@
         let path = collection_path(&self.inner.settings.environment, kind)?;
         let context = CallContext::new(CallKind::Read, self.collection_name(kind));
         let response = self.call(&context, Method::GET, &path, Bytes::new()).await?;
-        let list: ListEnvelope<T> = response.json(&context)?;
-        let mut objects = Vec::with_capacity(list.items.len());
-        for item in list.items {
-            objects.push(item.into_object().map_err(|it| context.invalid(it))?);
-        }
-        Ok(ObjectList { resource_version: list.metadata.resource_version, objects })
+        response.check(&context)?;
+        wire::decode_list(&response.into_body()).map_err(|it| context.invalid(it))
     }
 
     /// Creates an object if there is none of the same name.
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -1,8 +1,10 @@
 //! JSON representation and paths of the object API.
 
-use serde::{Deserialize, Serialize};
+use log::warn;
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde_json::value::RawValue;
 
-use crate::{Kind, Object, PlatformError, ResourceVersion};
+use crate::{Kind, Object, ObjectList, PlatformError, ResourceVersion};
 
 /// Value of the `apiVersion` member of all objects.
 pub const API_VERSION: &str = "yuccatrail.dev/v1";
@@ -36,10 +38,11 @@
 
 /// JSON representation of a list of objects.
 #[derive(Debug, Deserialize)]
-#[serde(bound = "T: serde::de::DeserializeOwned")]
-pub(crate) struct ListEnvelope<T> {
+pub(crate) struct ListEnvelope<'a> {
     pub(crate) metadata: ListMetadata,
-    pub(crate) items: Vec<Envelope<T>>,
+    /// Objects that have not been decoded: one that can't be must not hide the others.
+    #[serde(borrow)]
+    pub(crate) items: Vec<&'a RawValue>,
 }
 
 /// Metadata of a list or a bookmark, of which only the version is used.
@@ -80,6 +83,21 @@
     pub(crate) resource_version: &'a ResourceVersion,
 }
 
+/// Decodes a list of objects and leaves out those that can't be decoded.
+pub(crate) fn decode_list<T: DeserializeOwned>(body: &[u8]) -> Result<ObjectList<T>, String> {
+    let text = String::from_utf8_lossy(body);
+    let list: ListEnvelope<'_> = serde_json::from_str(&text).map_err(|it| it.to_string())?;
+    let mut objects = Vec::with_capacity(list.items.len());
+    for item in list.items {
+        let decoded = serde_json::from_str::<Envelope<T>>(item.get()).map_err(|it| it.to_string());
+        match decoded.and_then(Envelope::into_object) {
+            Ok(object) => objects.push(object),
+            Err(error) => warn!(error:% = error; "object of a list can't be read"),
+        }
+    }
+    Ok(ObjectList { resource_version: list.metadata.resource_version, objects })
+}
+
 impl<T> Envelope<T> {
     /// Converts to the public type; fails if the object has no version, which violates the API.
     pub(crate) fn into_object(self) -> Result<Object<T>, String> {
@@ -121,3 +139,6 @@
         detail: "name is not a lower-case DNS name".to_owned(),
     })
 }
+
+#[cfg(test)]
+mod tests;
