Keep the retry budget of the fleet while entries restart and know too few others

Cause: a limit of the fleet that each entry keeps from its own memory and its current view. The part that its own requests earn is not affected.

Why it holds: in any window, either the earlier run or the present one used the fixed part, and shares are never larger than those of the entries which may have used theirs.

--- a/crates/entry/src/relay/mod.rs
+++ b/crates/entry/src/relay/mod.rs
@@ -202,7 +202,11 @@
             match settings::reread() {
                 Ok(settings) => {
                     relay.retries().set_limit(settings.bounds.retries);
-                    let needs_restart = settings != relay.settings;
+                    let former = RelaySettings {
+                        is_first_start: settings.is_first_start,
+                        ..relay.settings.clone()
+                    };
+                    let needs_restart = settings != former;
                     info!(needs_restart = needs_restart; "settings reloaded");
                 }
                 Err(error) => {
--- a/crates/entry/src/relay/plain.rs
+++ b/crates/entry/src/relay/plain.rs
@@ -152,8 +152,7 @@
 
 /// Takes one retry from the service's retry budget; tells whether the budget allowed it.
 pub(crate) fn take_retry(relay: &Relay, request: &CallerRequest) -> bool {
-    let entries = relay.upstreams().entry_count();
-    let is_allowed = relay.retries().take(&request.service, entries, relay.now_ms());
+    let is_allowed = relay.retries().take(&request.service, relay.now_ms());
     if is_allowed {
         let labels = ServiceLabels { service: request.service.to_string() };
         relay.metrics.retries.get_or_create(&labels).inc();
--- a/crates/entry/src/relay/settings.rs
+++ b/crates/entry/src/relay/settings.rs
@@ -41,6 +41,9 @@
     pub(crate) cpu_share: f64,
     /// Whether the tokens that requests hold at a model upstream are limited to its memory.
     pub(crate) limits_upstream_memory: bool,
+    /// Whether the whole installation starts for the first time, so that no earlier run of this entry has
+    /// used a part of what all entries share.
+    pub(crate) is_first_start: bool,
     /// Limits that operators set.
     pub(crate) bounds: Bounds,
     /// Least severe level to log.
@@ -107,6 +110,11 @@
         .req_flag(())
         .many()
         .map(|it| !it.is_empty());
+    let is_first_start = long("first-start")
+        .help("The whole installation starts for the first time")
+        .req_flag(())
+        .many()
+        .map(|it| !it.is_empty());
     let bounds = bounds();
     let log_level = settings::log_level();
     construct!(RelaySettings {
@@ -120,6 +128,7 @@
         platform,
         cpu_share,
         limits_upstream_memory,
+        is_first_start,
         bounds,
         log_level,
     })
--- a/crates/entry/src/relay/state.rs
+++ b/crates/entry/src/relay/state.rs
@@ -120,6 +120,8 @@
         let clock = Clock::new();
         let mut upstreams = Upstreams::new(UpstreamsSettings::default(), &settings.name);
         upstreams.set_exposure_limit(settings.bounds.exposure, rand::random());
+        let is_first_start = settings.is_first_start;
+        let retries = RetryShare::new(settings.bounds.retries, is_first_start, clock.now_ms());
         Arc::new(Self {
             clock,
             pool: ConnectionPool::default(),
@@ -136,7 +138,7 @@
             table: Mutex::new(None),
             upstreams: Mutex::new(upstreams),
             streams: Mutex::default(),
-            retries: Mutex::new(RetryShare::new(settings.bounds.retries)),
+            retries: Mutex::new(retries),
             freshness: Mutex::new(PlatformDataFreshness::new(boottime_ms())),
             check_platform_now: Notify::new(),
             relist_signal: watch::Sender::new(RelistSignal::default()),
--- a/crates/entry/src/relay/updates.rs
+++ b/crates/entry/src/relay/updates.rs
@@ -184,6 +184,7 @@
     fn share_limits(&self) {
         let mut names = self.peers.names();
         names.push(self.settings.name.clone());
+        self.retries().set_entries(names.len(), self.now_ms());
         self.upstreams().set_entries(names);
     }
 
