Count the model call after lost stage results as a retry

A request whose stage results have gone is rejected by the model upstream, its stages run again and it is sent once more. The second call was made by a new stream state that knew nothing of the first, so it drew on no budget: when a stage upstream crashes or results expire under load, every request in progress arrives twice.

Cause: each way to a second sending decided by itself whether it was one. take_retry is now the only gate, and names the cause (failed, rejected, inputs_gone, resumed) in the log line and the metric. After lost results the retry is taken before the stages run again, so that a request that may not be sent is refused at once instead of running its stages in vain.

--- a/crates/entry/src/relay/metrics.rs
+++ b/crates/entry/src/relay/metrics.rs
@@ -30,6 +30,15 @@
     pub(crate) service: String,
 }
 
+/// Labels of retries.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct RetryLabels {
+    /// Name of the service.
+    pub(crate) service: String,
+    /// Why the request was sent once more.
+    pub(crate) cause: String,
+}
+
 /// Labels of metrics by software version during a roll-out.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct VersionLabels {
@@ -89,7 +98,7 @@
     /// Pieces in those calls.
     pub(crate) stage_pieces: Family<ServiceLabels, Counter>,
     /// Calls to a further upstream for the same request.
-    pub(crate) retries: Family<ServiceLabels, Counter>,
+    pub(crate) retries: Family<RetryLabels, Counter>,
     /// Metrics of roll-outs.
     pub(crate) rollouts: RolloutMetrics,
     /// Tokens that this entry's requests hold at model upstreams.
--- a/crates/entry/src/relay/mod.rs
+++ b/crates/entry/src/relay/mod.rs
@@ -16,6 +16,7 @@
 mod release;
 mod request;
 mod resumption;
+mod retries;
 mod rollouts;
 mod sabotage;
 mod server;
--- a/crates/entry/src/relay/model.rs
+++ b/crates/entry/src/relay/model.rs
@@ -9,6 +9,7 @@
 use yuccatrail_adapter::result_holder;
 use yuccatrail_core::{
     batching::{GroupOutcome, PieceSource, PreferredDataCentre, StageWork},
+    retry_share::RetryCause,
     stage_graph::{ReadyStage, ResultHandle, StageGraph},
     upstreams::{Affinity, SelectionCriteria, UpstreamKey},
 };
@@ -16,6 +17,7 @@
 use crate::relay::{
     release::HeldResults,
     request::{CallerRequest, Refusal, ResponseBody},
+    retries::take_retry,
     sabotage::Mechanism,
     state::{InProgressGuard, Relay},
     stream::{self, ModelCall},
@@ -64,6 +66,10 @@
         match stream::open(call).await {
             Ok(opened) => return Ok(opened.into_response(held, in_progress)),
             Err(stream::OpenError::InputGone) if restarts < MAX_RESTARTS => {
+                // The next model call is a retry, without which the stages would run in vain.
+                if !take_retry(relay, request, RetryCause::InputsGone) {
+                    return Err(Refusal::busy("results_gone", MIN_STAGE_RETRY_MS));
+                }
                 info!(id:% = request.id; "stage result no longer exists, rerunning all stages");
                 restarts += 1;
                 held.release_all();
--- a/crates/entry/src/relay/plain.rs
+++ b/crates/entry/src/relay/plain.rs
@@ -9,6 +9,7 @@
 use yuccatrail_adapter::{ResponseMeta, forwarded_headers};
 use yuccatrail_core::{
     quarantine::PartVerdict,
+    retry_share::RetryCause,
     upstreams::{SelectionCriteria, UpstreamKey},
 };
 use yuccatrail_runtime::http::BodyFraming;
@@ -16,8 +17,8 @@
 use crate::relay::{
     attempt::{Attempt, AttemptError, check_seal},
     crashes::LostResponse,
-    metrics::ServiceLabels,
     request::{CallerRequest, Refusal, ResponseBody, no_upstream_refusal},
+    retries::take_retry,
     rollouts::Evidence,
     sabotage::Mechanism,
     state::Relay,
@@ -52,7 +53,9 @@
     let is_sent_once = !Mechanism::SendOnce.is_off();
     let max_runs = if is_sent_once { route.max_runs() } else { route.max_attempts };
     let mut tried: Vec<UpstreamKey> = Vec::new();
-    let (mut runs, mut reached) = (0, 0);
+    let mut runs = 0;
+    // Why the next call would be a retry; none before a call has reached an upstream.
+    let mut retry_cause = None;
     let mut failure = None;
     while tried.len() < MAX_TRIES && (runs == 0 || runs < max_runs) {
         relay.wait_until_fresh().await;
@@ -60,7 +63,7 @@
             return Err(Refusal::crashing("part_crashes_upstreams"));
         }
         let Some(mut attempt) = begin_next_attempt(relay, request, &tried) else { break };
-        if reached > 0 && !take_retry(relay, request) {
+        if retry_cause.is_some_and(|it| !take_retry(relay, request, it)) {
             break;
         }
         tried.push(attempt.key);
@@ -77,7 +80,6 @@
         match outcome {
             Ok((result, meta)) => {
                 attempt.finish(&meta);
-                reached += 1;
                 match result {
                     TryOutcome::Response(response) => {
                         let now_ms = relay.now_ms();
@@ -89,9 +91,10 @@
                     }
                     TryOutcome::Failure(response) => {
                         runs += 1;
+                        retry_cause = Some(RetryCause::Failed);
                         failure = Some(response);
                     }
-                    TryOutcome::NotRun => {}
+                    TryOutcome::NotRun => retry_cause = Some(RetryCause::Rejected),
                 }
             }
             Err(error) => {
@@ -104,7 +107,8 @@
                 let upstream = attempt.record.clone();
                 attempt.fail();
                 if !matches!(error, AttemptError::Unreachable(_)) {
-                    (runs, reached) = (runs + 1, reached + 1);
+                    runs += 1;
+                    retry_cause = Some(RetryCause::Failed);
                 }
                 if matches!(error, AttemptError::Lost(_)) {
                     let (relay, request) = (relay.clone(), request.clone());
@@ -150,18 +154,6 @@
     Attempt::begin_chosen(relay, &criteria)
 }
 
-/// Takes one retry from the service's retry budget; tells whether the budget allowed it.
-pub(crate) fn take_retry(relay: &Relay, request: &CallerRequest) -> bool {
-    let is_allowed = relay.retries().take(&request.service, relay.now_ms());
-    if is_allowed {
-        let labels = ServiceLabels { service: request.service.to_string() };
-        relay.metrics.retries.get_or_create(&labels).inc();
-    } else {
-        info!(id:% = request.id, service:% = request.service; "retry budget exhausted");
-    }
-    is_allowed
-}
-
 fn try_timeout_ms(request: &CallerRequest, may_repeat: bool, now_ms: u64) -> u64 {
     let remaining_ms = request.remaining_ms(now_ms);
     if !may_repeat {
--- a/crates/entry/src/relay/stream.rs
+++ b/crates/entry/src/relay/stream.rs
@@ -20,6 +20,7 @@
 use yuccatrail_core::{
     event_stream::{EventFramer, EventId},
     quarantine::{PartVerdict, SOUND_EVENTS},
+    retry_share::RetryCause,
     stage_graph::ResultHandle,
     upstreams::{Affinity, UpstreamKey},
 };
@@ -30,10 +31,10 @@
     crashes::LostResponse,
     memory,
     model::selection_criteria,
-    plain::take_retry,
     release::HeldResults,
     request::{CallerRequest, Refusal, ResponseAborted, ResponseBody, no_upstream_refusal},
     resumption::record_origin,
+    retries::take_retry,
     rollouts::{Evidence, StreamPace, results::NeededUpstream},
     sabotage::Mechanism,
     state::{InProgressGuard, Relay},
@@ -84,6 +85,8 @@
     version: Option<Arc<str>>,
     tried: Vec<UpstreamKey>,
     runs: u32,
+    /// Why the next call would be a retry; none before a call has reached an upstream.
+    retry_cause: Option<RetryCause>,
     events_bytes: u64,
     /// Framing of the last response.
     framing: BodyFraming,
@@ -139,6 +142,7 @@
         version,
         tried: Vec::new(),
         runs: 0,
+        retry_cause: None,
         events_bytes: 0,
         framing: BodyFraming::default(),
         held: None,
@@ -175,14 +179,13 @@
     async fn connect(&mut self) -> Result<(StatusCode, HeaderMap), OpenError> {
         let (relay, request) = (self.call.relay.clone(), self.call.request.clone());
         let max_runs = request.authorized.route.max_runs();
-        let mut reached = self.runs;
         while self.tried.len() < MAX_TRIES && self.runs < max_runs {
             relay.wait_until_fresh().await;
             if relay.crashes.judge_parts(&request, relay.now_ms()) == PartVerdict::Refused {
                 return Err(OpenError::Refused(Refusal::crashing("part_crashes_upstreams")));
             }
             let Some(attempt) = self.begin_next_attempt() else { break };
-            if reached > 0 && !take_retry(&relay, &request) {
+            if self.retry_cause.is_some_and(|it| !take_retry(&relay, &request, it)) {
                 break;
             }
             self.tried.push(attempt.key);
@@ -190,6 +193,7 @@
             match self.try_open(attempt).await {
                 Ok(OpenOutcome::Open(open)) => {
                     self.runs += 1;
+                    self.retry_cause = Some(RetryCause::Resumed);
                     self.framing = open.source.framing;
                     let status = open.source.status;
                     if status.is_success() && request.authorized.route.is_resumable {
@@ -199,13 +203,17 @@
                     self.first_bytes = open.first_bytes;
                     return Ok((status, open.headers));
                 }
-                Ok(OpenOutcome::NotRun) => reached += 1,
+                Ok(OpenOutcome::NotRun) => self.retry_cause = Some(RetryCause::Rejected),
                 Ok(OpenOutcome::InputGone) => return Err(OpenError::InputGone),
-                Ok(OpenOutcome::Lost) => (self.runs, reached) = (self.runs + 1, reached + 1),
+                Ok(OpenOutcome::Lost) => {
+                    self.runs += 1;
+                    self.retry_cause = Some(RetryCause::Failed);
+                }
                 Err(error) => {
                     warn!(id:% = request.id, error:% = error; "attempt failed");
                     if !matches!(error, AttemptError::Unreachable(_)) {
-                        (self.runs, reached) = (self.runs + 1, reached + 1);
+                        self.runs += 1;
+                        self.retry_cause = Some(RetryCause::Failed);
                     }
                     if matches!(error, AttemptError::Lost(_)) {
                         let (relay, request) = (relay.clone(), request.clone());
