Don't take a repeated rejection on a kept connection for the answer to another request

A faulty upstream writes an earlier rejection once more on a kept connection. Without an identifier in it, the relay took it for the response to the request that it had just sent there: callers were told 'not run' for a request that had run, and the relay sent it to a second upstream, where it ran again.

Cause: only a response that states another identifier was recognized as foreign. A rejection without one is now believed only on a connection that has carried no request before; otherwise nobody knows whether the request ran, and it is answered 502.

--- a/crates/entry/src/relay/attempt.rs
+++ b/crates/entry/src/relay/attempt.rs
@@ -62,6 +62,8 @@
     /// Record of the upstream as listed by the platform.
     pub(crate) record: UpstreamRecord,
     connection: Option<Connection>,
+    /// Whether the connection had carried a request before this one.
+    is_connection_reused: bool,
     /// Tokens that the call holds at the upstream.
     tokens: Option<TokenDemand>,
     started_ms: u64,
@@ -110,6 +112,7 @@
             key,
             record,
             connection: None,
+            is_connection_reused: false,
             tokens,
             started_ms: now_ms,
             latency_ms: 0.0,
@@ -152,8 +155,7 @@
         let now_ms = self.relay.now_ms();
         self.latency_ms = now_ms.saturating_sub(self.started_ms) as f64;
         let meta = decode_response_meta(response.status(), response.headers());
-        let is_other = meta.request_id.is_some() && meta.request_id != request.request_id;
-        let is_foreign = request.request_id.is_some() && is_other;
+        let is_foreign = self.is_foreign(&meta, request.request_id.as_deref());
         self.observe(&meta, is_foreign, now_ms);
         if is_foreign && !Mechanism::OwnAnswer.is_off() {
             self.end(CallEnd::Failed);
@@ -169,6 +171,18 @@
         Ok((response, meta))
     }
 
+    /// Tells whether a response belongs to another request than the one with the given identifier.
+    ///
+    /// A faulty upstream may write an earlier rejection once more on a kept connection, so one without an
+    /// identifier says nothing of this request there.
+    fn is_foreign(&self, meta: &ResponseMeta, request_id: Option<&str>) -> bool {
+        let Some(request_id) = request_id else { return false };
+        match meta.request_id.as_deref() {
+            Some(stated) => stated != request_id,
+            None => meta.is_not_run && self.is_connection_reused,
+        }
+    }
+
     /// Makes a call on the relay's own behalf and reads the complete response.
     pub(crate) async fn post(
         &mut self,
@@ -218,11 +232,13 @@
         for _ in 0..MAX_IDLE_TRIES {
             let now_ms = self.relay.now_ms();
             let Some(connection) = self.relay.pool.take_idle(self.key, now_ms) else { break };
+            self.is_connection_reused = true;
             match self.send_on(connection, request).await {
                 Err(SendError::NotSent) => {}
                 sent => return sent,
             }
         }
+        self.is_connection_reused = false;
         let connection = Connection::open(self.record.address).await?;
         self.relay.metrics.connections.inc();
         self.send_on(connection, request).await
