Find the software version of a stream by its prompt after all entries were lost

Cause: where a stream began is known to entries only. The upstream that began it still keeps the last part of its prompt, which no other request has. An entry that finds the stream nowhere now asks one entry, which asks the upstreams of the service what they keep; the stream goes on at the only version that keeps the part, and is refused where several do or an upstream of another version does not say.

--- a/crates/core/src/stream_origin/mod.rs
+++ b/crates/core/src/stream_origin/mod.rs
@@ -4,6 +4,8 @@
 //! which streams it has begun, and an entry that does not know a stream asks them. What an entry tells
 //! is proportional to its own streams, however many entries there are.
 
+mod prompt_holders;
+
 use std::{collections::VecDeque, sync::Arc};
 
 use serde::{Deserialize, Serialize};
@@ -11,6 +13,8 @@
 
 use crate::{FastMap, ids::Digest};
 
+pub use prompt_holders::PromptHolders;
+
 /// Time after which no caller takes up a stream any more, in milliseconds; longer than the deadlines of
 /// the users' callers.
 pub const STREAM_LIFETIME_MS: u64 = 30_000;
--- a/crates/core/src/upstreams/calls.rs
+++ b/crates/core/src/upstreams/calls.rs
@@ -182,6 +182,15 @@
         Some(self.all.get_mut(key)?.rest.extend(seconds, now_ms))
     }
 
+    /// Returns the upstreams of a service that may be asked what they keep, which is no work for them.
+    pub fn to_query(&self, service: &str, now_ms: u64) -> Vec<UpstreamKey> {
+        let may_be_asked = |it: &Upstream| {
+            let is_out = self.evacuations.contains(it.record.data_centre.as_ref());
+            !it.leaves() && !it.is_resting(now_ms) && !is_out
+        };
+        self.of_service(service).filter(|(_, it)| may_be_asked(it)).map(|(key, _)| key).collect()
+    }
+
     /// Tells whether an upstream has asked for a rest, or states a limit under which this entry may not
     /// send the next request yet.
     pub fn wants_no_calls(&self, key: UpstreamKey, now_ms: u64) -> bool {
--- a/crates/entry/src/relay/attempt.rs
+++ b/crates/entry/src/relay/attempt.rs
@@ -99,6 +99,14 @@
         Self::new(relay, &upstreams, key, criteria.tokens, now_ms)
     }
 
+    /// Begins a call that is no work for the upstream and counts against none of its limits.
+    pub(crate) fn begin_query(relay: &Arc<Relay>, key: UpstreamKey) -> Option<Self> {
+        let now_ms = relay.now_ms();
+        let mut query = Self::new(relay, &relay.upstreams(), key, None, now_ms)?;
+        query.is_counted = false;
+        Some(query)
+    }
+
     fn new(
         relay: &Arc<Relay>,
         upstreams: &Upstreams,
@@ -189,13 +197,7 @@
         path: &'static str,
         body: Bytes,
     ) -> Result<(StatusCode, ResponseMeta, Bytes), AttemptError> {
-        let request = UpstreamRequest {
-            method: Method::POST,
-            uri: Uri::from_static(path),
-            headers: system_headers(&self.record.id, self.record.address),
-            body,
-            request_id: None,
-        };
+        let request = self.own_request(Method::POST, path, body);
         let (response, mut meta) = self.send(&request).await?;
         let status = response.status();
         if meta.is_not_run {
@@ -208,6 +210,30 @@
         Ok((status, meta, body))
     }
 
+    /// Asks the upstream for something that it keeps and reads the complete response.
+    pub(crate) async fn get(
+        &mut self,
+        path: &'static str,
+    ) -> Result<(StatusCode, ResponseMeta, Bytes), AttemptError> {
+        let request = self.own_request(Method::GET, path, Bytes::new());
+        let (response, meta) = self.send(&request).await?;
+        let status = response.status();
+        let body = self.relay.response_buffers.read(response.into_body()).await;
+        let body = body.map_err(|error| AttemptError::Lost(error.to_string()))?;
+        Ok((status, meta, body))
+    }
+
+    /// Builds a request that the relay makes for itself.
+    fn own_request(&self, method: Method, path: &'static str, body: Bytes) -> UpstreamRequest {
+        UpstreamRequest {
+            method,
+            uri: Uri::from_static(path),
+            headers: system_headers(&self.record.id, self.record.address),
+            body,
+            request_id: None,
+        }
+    }
+
     /// Ends the call after its complete response was read, and keeps the connection for reuse.
     pub(crate) fn finish(mut self, meta: &ResponseMeta) {
         let latency_ms = self.latency_ms;
--- a/crates/entry/src/relay/mod.rs
+++ b/crates/entry/src/relay/mod.rs
@@ -12,6 +12,7 @@
 mod plain;
 mod platform_check;
 mod pool;
+mod prompt_holders;
 mod reading;
 mod release;
 mod request;
--- a/crates/entry/src/relay/peers.rs
+++ b/crates/entry/src/relay/peers.rs
@@ -112,6 +112,12 @@
         }
     }
 
+    /// Returns the entry that asks the upstreams on behalf of all, which every entry polls.
+    pub(crate) fn owner_of_queries(&self, relay: &Relay) -> Owner {
+        let first = relay.stages.services().into_iter().min();
+        self.owner(relay, first.as_deref().unwrap_or(NO_SHARED_WORK))
+    }
+
     /// Returns the expected queueing time of a service at its owner, in milliseconds; none if this
     /// entry is the owner or the owner has not reported the queue.
     pub(crate) fn wait_ms(&self, relay: &Relay, service: &str) -> Option<u64> {
--- a/crates/entry/src/relay/peers/serve.rs
+++ b/crates/entry/src/relay/peers/serve.rs
@@ -78,6 +78,15 @@
         self.relay.streams().origin_of(stream).cloned()
     }
 
+    async fn version_keeping(
+        self,
+        _: Context,
+        service: Arc<str>,
+        part: String,
+    ) -> Option<Arc<str>> {
+        self.relay.prompt_holders.version_keeping(&self.relay, &service, &part).await
+    }
+
     async fn entries(self, _: Context) -> Vec<EntryAddress> {
         self.relay.peers.addresses()
     }
--- a/crates/entry/src/relay/resumption.rs
+++ b/crates/entry/src/relay/resumption.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::relay::{
-    peers::{Peer, context_for},
+    peers::{Owner, Peer, context_for},
     request::Refusal,
     state::Relay,
 };
@@ -24,6 +24,9 @@
 const SEARCH_INTERVAL_MS: u64 = 100;
 /// Timeout of a question to another entry, in milliseconds.
 const QUESTION_TIMEOUT_MS: u64 = 300;
+/// Timeout of the question which version keeps a prompt, in milliseconds; the entry that is asked may have
+/// to ask all upstreams of a service first.
+const PROMPT_QUESTION_TIMEOUT_MS: u64 = 700;
 /// Retry-After when no entry knows the stream, in milliseconds.
 const UNKNOWN_RETRY_MS: u64 = 300;
 
@@ -34,7 +37,7 @@
 /// Returns the refusal of a stream that can't go on: nobody knows where it began, or the route or the
 /// software version has gone.
 pub(crate) async fn find_origin(
-    relay: &Relay,
+    relay: &Arc<Relay>,
     id: &str,
     head: &CallerHeaders,
     authorized: &AuthorizedRequest,
@@ -61,7 +64,7 @@
 }
 
 async fn search(
-    relay: &Relay,
+    relay: &Arc<Relay>,
     head: &CallerHeaders,
     authorized: &AuthorizedRequest,
 ) -> Option<StreamOrigin> {
@@ -83,6 +86,9 @@
         if let Some(origin) = sole_origin(relay, authorized) {
             return Some(origin);
         }
+        if let Some(origin) = find_by_prompt(relay, head, authorized).await {
+            return Some(origin);
+        }
         if Instant::now() >= deadline {
             return None;
         }
@@ -100,6 +106,31 @@
     Some(StreamOrigin { service: target.service.clone(), version })
 }
 
+/// Returns the only service and version whose upstreams keep the last part of the prompt, which belongs to
+/// this request alone.
+async fn find_by_prompt(
+    relay: &Arc<Relay>,
+    head: &CallerHeaders,
+    authorized: &AuthorizedRequest,
+) -> Option<StreamOrigin> {
+    let (part, _) = head.prompt_parts.last()?;
+    for target in &authorized.route.targets {
+        let service = &target.service;
+        let found = match relay.peers.owner_of_queries(relay) {
+            Owner::Local => relay.prompt_holders.version_keeping(relay, service, part).await,
+            Owner::Remote(peer) => {
+                let context = context_for(PROMPT_QUESTION_TIMEOUT_MS);
+                let question = peer.client.version_keeping(context, service.clone(), part.clone());
+                question.await.ok().flatten()
+            }
+        };
+        if let Some(version) = found {
+            return Some(StreamOrigin { service: service.clone(), version });
+        }
+    }
+    None
+}
+
 async fn ask(registrar: Peer, stream: StreamKey) -> Option<StreamOrigin> {
     match registrar.client.stream_origin(context_for(QUESTION_TIMEOUT_MS), stream).await {
         Ok(origin) => origin,
--- a/crates/entry/src/relay/state.rs
+++ b/crates/entry/src/relay/state.rs
@@ -30,6 +30,7 @@
     metrics::RelayMetrics,
     peers::{Owner, Peers},
     pool::ConnectionPool,
+    prompt_holders::PromptHolderSearch,
     reading::Reading,
     release::ResultReleases,
     rollouts::RelayRollouts,
@@ -68,6 +69,8 @@
     pub(crate) rollouts: RelayRollouts,
     /// Tracks requests that crash upstreams.
     pub(crate) crashes: RequestCrashes,
+    /// Which versions keep which prompts.
+    pub(crate) prompt_holders: PromptHolderSearch,
     /// Counters and histograms.
     pub(crate) metrics: RelayMetrics,
     table: Mutex<Option<Arc<RouteTable>>>,
@@ -134,6 +137,7 @@
             releases: ResultReleases::default(),
             rollouts: RelayRollouts::new(settings.bounds.exposure),
             crashes: RequestCrashes::default(),
+            prompt_holders: PromptHolderSearch::default(),
             metrics: RelayMetrics::new(settings.bounds.exposure.is_some()),
             table: Mutex::new(None),
             upstreams: Mutex::new(upstreams),
--- a/crates/rpc/src/entries.rs
+++ b/crates/rpc/src/entries.rs
@@ -102,6 +102,9 @@
     ) -> HelloReply;
     /// Returns where a stream began; `None` if the entry does not know.
     async fn stream_origin(stream: StreamKey) -> Option<StreamOrigin>;
+    /// Returns the only software version of a service whose upstreams keep a part of a prompt; `None` if
+    /// there is no such version or the entry could not find out.
+    async fn version_keeping(service: Arc<str>, part: String) -> Option<Arc<str>>;
     /// Returns the entries that this entry knows of.
     async fn entries() -> Vec<EntryAddress>;
     /// Returns a part of the change to the active configuration; `None` if the caller has it already, or
