--- a/crates/entry/src/relay/configurations.rs
+++ b/crates/entry/src/relay/configurations.rs
@@ -12,14 +12,14 @@
 use yuccatrail_core::{
     FastMap,
     route_table::{
-        ConfigurationChange, ConfigurationId, ConfigurationOffers, ConfigurationPart,
-        EncodedChange, IncomingTransfer, PartRequest, Received, RouteTable, TransferId,
+        ConfigurationChange, ConfigurationOffers, ConfigurationPart, EncodedChange,
+        IncomingTransfer, PartRequest, Received, RouteTable, TransferId,
     },
 };
 use yuccatrail_rpc::document;
 
 use crate::relay::{
-    peers::{HELLO_TIMEOUT_MS, Peer, context_for},
+    peers::{Peer, context_for},
     reading::reads_lists,
     state::{Relay, lock},
 };
@@ -28,6 +28,8 @@
 const MAX_RECENT: usize = 4;
 /// Number of encoded changes that are kept.
 const MAX_ENCODED: usize = 8;
+/// Timeout of one part, in milliseconds; 26 ms over a link of 10 Mbit/s that carries nothing else.
+const PART_TIMEOUT_MS: u64 = 700;
 /// Delay after a part that did not arrive, in milliseconds.
 const RETRY_MS: u64 = 50;
 /// Interval at which offers are looked at again while the platform may still deliver a configuration,
@@ -129,9 +131,15 @@
         incoming.peers.get(&name).cloned()
     }
 
-    fn is_outdated(&self, relay: &Relay) -> bool {
+    /// Waits until an entry may have to be asked.
+    async fn until_offered(&self, relay: &Relay) {
         let own = relay.table().map(|it| it.version());
-        lock(&self.incoming).offers.is_outdated(own)
+        if !lock(&self.incoming).offers.is_outdated(own) {
+            return self.offered.notified().await;
+        }
+        // The platform may still deliver the configuration in the meantime.
+        let check = Duration::from_millis(OFFER_CHECK_MS);
+        let _ = tokio::time::timeout(check, self.offered.notified()).await;
     }
 
     fn record_failure(&self, peer: &Peer) {
@@ -180,47 +188,27 @@
 /// Fetches the configurations that other entries have and this one lacks, until `stop` is cancelled.
 pub(crate) async fn fetch_offered(relay: Arc<Relay>, stop: CancellationToken) {
     let mut transfer = IncomingTransfer::default();
-    let mut begun: Option<Instant> = None;
+    let mut begun = Instant::now();
     while !stop.is_cancelled() {
         let Some(peer) = relay.configurations.entry_to_ask(&relay) else {
-            let offered = relay.configurations.offered.notified();
-            match relay.configurations.is_outdated(&relay) {
-                true => {
-                    let check = Duration::from_millis(OFFER_CHECK_MS);
-                    let _ = tokio::time::timeout(check, offered).await;
-                }
-                false => {
-                    tokio::select! {
-                        () = offered => {}
-                        () = stop.cancelled() => return,
-                    }
-                }
+            tokio::select! {
+                () = relay.configurations.until_offered(&relay) => continue,
+                () = stop.cancelled() => return,
             }
-            continue;
         };
         let known = relay.table().map(|it| it.id());
         let request = transfer.next_request(known);
         if request.offset == 0 {
-            begun = None;
+            begun = Instant::now();
         }
-        let begun = *begun.get_or_insert_with(Instant::now);
-        let limit = Duration::from_millis(HELLO_TIMEOUT_MS);
-        let call = peer.client.configuration_part(context_for(HELLO_TIMEOUT_MS), request);
-        let part = match tokio::time::timeout(limit, call).await {
-            Ok(Ok(Some(part))) => part,
-            Ok(Ok(None)) => {
+        let part = match fetch_part(&peer, request).await {
+            Ok(Some(part)) => part,
+            Ok(None) => {
                 relay.configurations.withdraw(&peer);
                 continue;
             }
-            Ok(Err(error)) => {
-                let error = error.to_string();
-                warn!(entry:% = peer.name, offset = request.offset, error:% = error; "failed to fetch part of a configuration");
-                relay.configurations.record_failure(&peer);
-                tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
-                continue;
-            }
-            Err(_) => {
-                warn!(entry:% = peer.name, offset = request.offset; "part of a configuration did not arrive in time");
+            Err(error) => {
+                warn!(entry:% = peer.name, offset = request.offset, error = error.as_str(); "failed to fetch part of a configuration");
                 relay.configurations.record_failure(&peer);
                 tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
                 continue;
@@ -230,7 +218,7 @@
             Received::Incomplete => {}
             Received::Complete(bytes) => {
                 let took_ms = begun.elapsed().as_millis() as u64;
-                if !activate(&relay, &peer, known, &bytes, took_ms) {
+                if !activate(&relay, &peer, &bytes, took_ms) {
                     relay.configurations.withdraw(&peer);
                 }
             }
@@ -243,14 +231,21 @@
     }
 }
 
-/// Decodes a configuration and activates it; returns whether it could be decoded.
-fn activate(
-    relay: &Relay,
+/// Fetches a part from another entry; none if it has nothing newer. An error is a description for logs.
+async fn fetch_part(
     peer: &Peer,
-    known: Option<ConfigurationId>,
-    bytes: &[u8],
-    took_ms: u64,
-) -> bool {
+    request: PartRequest,
+) -> Result<Option<ConfigurationPart>, String> {
+    let limit = Duration::from_millis(PART_TIMEOUT_MS);
+    let call = peer.client.configuration_part(context_for(PART_TIMEOUT_MS), request);
+    match tokio::time::timeout(limit, call).await {
+        Ok(part) => part.map_err(|error| error.to_string()),
+        Err(_) => Err("it did not arrive in time".to_owned()),
+    }
+}
+
+/// Decodes a configuration and activates it; returns whether it could be decoded.
+fn activate(relay: &Relay, peer: &Peer, bytes: &[u8], took_ms: u64) -> bool {
     let begun = Instant::now();
     let change: ConfigurationChange = match document::decode(bytes) {
         Ok(change) => change,
@@ -277,7 +272,7 @@
     );
     let is_activated = relay.activate_configuration(RouteTable::new(configuration), &peer.name);
     // The platform has not delivered it in time, so the pending long polls may never get a response.
-    if is_activated && known.is_some() && reads_lists(relay.reading.role()) {
+    if is_activated && table.is_some() && reads_lists(relay.reading.role()) {
         warn!(entry:% = peer.name; "platform did not deliver a configuration in time, relisting");
         relay.relist();
     }
