Begin at most one round of questions about kept prompts at a time

Requests that had waited for the same round of questions, and found nothing in it once it was older than 2 s, each discarded the newest round and began another, so that each of them could cost every upstream one question. That takes a round of more than 2 s, as with more than 160 upstreams of which many are silent; the stand-ins don't have that many, so no test shows it. The round that a request has seen is now compared with the stored one under the lock, and only the first request begins another.

The new test guards the bound itself: with the interval set to 0 it fails (14 questions in the first round).

--- a/crates/entry/src/relay/prompt_holders.rs
+++ b/crates/entry/src/relay/prompt_holders.rs
@@ -49,21 +49,25 @@
         service: &Arc<str>,
         part: &str,
     ) -> Option<Arc<str>> {
-        let Round { begun_ms, mut holders } = self.last_round(relay, service);
+        let Round { begun_ms, mut holders } = self.round_after(relay, service, None);
         let found = wait_for_end(&mut holders).await?.version_of(part).cloned();
         if found.is_some() || relay.now_ms() < begun_ms + MIN_ROUND_INTERVAL_MS {
             return found;
         }
         // The stream may have begun after the last round.
-        lock(&self.rounds).remove(service);
-        let mut holders = self.last_round(relay, service).holders;
+        let mut holders = self.round_after(relay, service, Some(begun_ms)).holders;
         wait_for_end(&mut holders).await?.version_of(part).cloned()
     }
 
-    /// Returns the last round of questions to the upstreams of a service; begins one if there is none.
-    fn last_round(&self, relay: &Arc<Relay>, service: &Arc<str>) -> Round {
+    /// Returns the last round of questions to the upstreams of a service; begins one if there is none, or
+    /// none that began later than the one at `seen_ms`.
+    ///
+    /// Of the requests that have waited for the same round, only the first one begins another.
+    fn round_after(&self, relay: &Arc<Relay>, service: &Arc<str>, seen_ms: Option<u64>) -> Round {
         let mut rounds = lock(&self.rounds);
-        if let Some(round) = rounds.get(service) {
+        let last =
+            rounds.get(service).filter(|it| seen_ms.is_none_or(|seen_ms| it.begun_ms > seen_ms));
+        if let Some(round) = last {
             return round.clone();
         }
         let (sender, holders) = watch::channel(None);
