Log why nobody could tell which version keeps a prompt, and forget old answers

A failed question to another entry, and an upstream that did not list what it keeps, left no line: only a stream refused with stream_origin_unknown. Each failure is logged now with its reason. The answers of the upstreams, up to some 30 bytes a kept part, are forgotten after the lifetime of a stream instead of being kept for good.

--- a/crates/entry/src/relay/configurations.rs
+++ b/crates/entry/src/relay/configurations.rs
@@ -81,6 +81,7 @@
         tokio::pin!(activated);
         activated.as_mut().enable();
         if relay.table().is_none() {
+            // The caller looks at the configuration again, whichever way the wait has ended.
             let _ = tokio::time::timeout(Duration::from_millis(limit_ms), activated).await;
         }
     }
@@ -112,6 +113,7 @@
         }
         // On a weak instance this takes long enough to keep callers waiting.
         let encoding = tokio::task::spawn_blocking(move || encode(base.as_deref(), &target));
+        // The panic hook reports a panic of the thread.
         let encoded = encoding.await.ok()??;
         lock(&self.outgoing).add_encoded(encoded.clone());
         Some(encoded)
@@ -130,7 +132,7 @@
         if !lock(&self.incoming).offers.is_outdated(own) {
             return self.offered.notified().await;
         }
-        // The platform may still deliver the configuration in the meantime.
+        // The platform may still deliver the configuration; the offers are looked at again in either case.
         let check = Duration::from_millis(OFFER_CHECK_MS);
         let _ = tokio::time::timeout(check, self.offered.notified()).await;
     }
--- a/crates/entry/src/relay/mod.rs
+++ b/crates/entry/src/relay/mod.rs
@@ -179,6 +179,7 @@
         relay.expire_entries();
         relay.crashes.expire(now_ms);
         relay.streams().expire(now_ms);
+        relay.prompt_holders.expire(now_ms);
         relay.peers.update_polled_entries(&relay);
         relay.reading.update(&relay);
         relay.update_owned_services();
--- a/crates/entry/src/relay/prompt_holders.rs
+++ b/crates/entry/src/relay/prompt_holders.rs
@@ -12,7 +12,11 @@
 use log::{info, warn};
 use tokio::sync::watch;
 use yuccatrail_adapter::{PROMPT_LIST_PATH, decode_prompt_list};
-use yuccatrail_core::{FastMap, stream_origin::PromptHolders, upstreams::UpstreamKey};
+use yuccatrail_core::{
+    FastMap,
+    stream_origin::{PromptHolders, STREAM_LIFETIME_MS},
+    upstreams::UpstreamKey,
+};
 
 use crate::relay::{
     attempt::{Attempt, AttemptError},
@@ -42,6 +46,11 @@
 }
 
 impl PromptHolderSearch {
+    /// Forgets answers from so long ago that no caller takes up a stream from then.
+    pub(crate) fn expire(&self, now_ms: u64) {
+        lock(&self.rounds).retain(|_, it| now_ms < it.begun_ms + STREAM_LIFETIME_MS);
+    }
+
     /// Returns the only software version of a service whose upstreams keep a part of a prompt.
     pub(crate) async fn version_keeping(
         &self,
@@ -127,6 +136,17 @@
         }
         // It has stopped, and what it kept is gone.
         Ok(Err(AttemptError::Unreachable(_))) => Some(Vec::new()),
-        _ => None,
+        Ok(Err(error)) => {
+            warn!(upstream:% = query.record.id, error:% = error; "failed to ask for kept prompts");
+            None
+        }
+        Ok(Ok((status, ..))) => {
+            warn!(upstream:% = query.record.id, status = status.as_u16(); "upstream does not list kept prompts");
+            None
+        }
+        Err(_) => {
+            warn!(upstream:% = query.record.id, limit_ms = QUESTION_TIMEOUT_MS; "upstream did not list kept prompts in time");
+            None
+        }
     }
 }
--- a/crates/entry/src/relay/resumption.rs
+++ b/crates/entry/src/relay/resumption.rs
@@ -121,7 +121,10 @@
             Owner::Remote(peer) => {
                 let context = context_for(PROMPT_QUESTION_TIMEOUT_MS);
                 let question = peer.client.version_keeping(context, service.clone(), part.clone());
-                question.await.ok().flatten()
+                question.await.unwrap_or_else(|error| {
+                    warn!(entry:% = peer.name, error:% = error; "failed to ask which version keeps a prompt");
+                    None
+                })
             }
         };
         if let Some(version) = found {
