One place builds a buffered response; drop an unused method

Both ways of reading a body took status, Retry-After and era from the head by themselves. EncodedChange::total_bytes had no caller. No change of behaviour.

--- a/crates/core/src/route_table/transfer.rs
+++ b/crates/core/src/route_table/transfer.rs
@@ -68,11 +68,6 @@
         self.transfer
     }
 
-    /// Returns the size, in bytes.
-    pub fn total_bytes(&self) -> usize {
-        self.bytes.len()
-    }
-
     /// Returns the part that begins at a position.
     pub fn part(&self, offset: usize) -> ConfigurationPart {
         let offset = offset.min(self.bytes.len());
--- a/crates/platform/src/response.rs
+++ b/crates/platform/src/response.rs
@@ -11,6 +11,7 @@
     Response, StatusCode,
     body::Incoming,
     header::{HeaderMap, HeaderName, RETRY_AFTER},
+    http::response::Parts,
 };
 use hyper_util::client::legacy;
 use serde::{Serialize, de::DeserializeOwned};
@@ -91,12 +92,10 @@
         response: Response<Incoming>,
         era_header: Option<&HeaderName>,
     ) -> Result<Self, PlatformError> {
-        let status = response.status();
-        let retry_after_ms = retry_after_ms(response.headers());
-        let era = era_header.and_then(|it| era(response.headers(), it));
-        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await;
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
         match body {
-            Ok(body) => Ok(Self { status, retry_after_ms, era, body: body.to_bytes() }),
+            Ok(body) => Ok(Self::new(&head, body.to_bytes(), era_header)),
             Err(error) => Err(context.response_lost(format!("response truncated: {error}"))),
         }
     }
@@ -109,16 +108,14 @@
         era_header: Option<&HeaderName>,
         idle_limit: Duration,
     ) -> Result<Self, PlatformError> {
-        let status = response.status();
-        let retry_after_ms = retry_after_ms(response.headers());
-        let era = era_header.and_then(|it| era(response.headers(), it));
-        let mut body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
+        let (head, body) = response.into_parts();
+        let mut body = Limited::new(body, MAX_RESPONSE_BYTES);
         let mut received = BytesMut::new();
         let begun = Instant::now();
         while begun.elapsed() < idle_limit * MAX_BODY_PAUSES {
             let frame = tokio::time::timeout(idle_limit, body.frame()).await;
             let Some(frame) = frame.map_err(|_| context.timed_out())? else {
-                return Ok(Self { status, retry_after_ms, era, body: received.freeze() });
+                return Ok(Self::new(&head, received.freeze(), era_header));
             };
             match frame {
                 // Trailers carry no bytes of the body.
@@ -131,6 +128,15 @@
         Err(context.timed_out())
     }
 
+    fn new(head: &Parts, body: Bytes, era_header: Option<&HeaderName>) -> Self {
+        Self {
+            status: head.status,
+            retry_after_ms: retry_after_ms(&head.headers),
+            era: era_header.and_then(|it| era(&head.headers, it)),
+            body,
+        }
+    }
+
     /// Returns the HTTP status.
     pub(crate) fn status(&self) -> StatusCode {
         self.status
