--- a/crates/entry/src/relay/settings.rs
+++ b/crates/entry/src/relay/settings.rs
@@ -104,17 +104,12 @@
         .argument("PART")
         .guard(|it| *it > 0.0, "cpu-share must be above 0")
         .fallback(1.0);
-    // The platform may render a flag that the command line has too.
-    let limits_upstream_memory = long("upstream-memory-limit")
-        .help("Limit the tokens that requests hold at a model upstream to its memory")
-        .req_flag(())
-        .many()
-        .map(|it| !it.is_empty());
-    let is_first_start = long("first-start")
-        .help("The whole installation starts for the first time")
-        .req_flag(())
-        .many()
-        .map(|it| !it.is_empty());
+    let limits_upstream_memory = repeatable_flag(
+        "upstream-memory-limit",
+        "Limit the tokens that requests hold at a model upstream to its memory",
+    );
+    let is_first_start =
+        repeatable_flag("first-start", "The whole installation starts for the first time");
     let bounds = bounds();
     let log_level = settings::log_level();
     construct!(RelaySettings {
@@ -175,6 +170,11 @@
     })
 }
 
+/// Returns the parser of a flag that the platform may render although the command line has it too.
+fn repeatable_flag(name: &'static str, help: &'static str) -> impl Parser<bool> {
+    long(name).help(help).req_flag(()).many().map(|it| !it.is_empty())
+}
+
 fn retries() -> impl Parser<RetryLimit> {
     let ratio = long("retry-ratio")
         .env("YUCCATRAIL_RETRY_RATIO")
