Log the queues of stage services once a second, and stages that finish too late

Callers saw too little of one route served for twenty seconds after half of the entries had been lost in a burst. The logs told the duration of stage calls, but not why work ended, how much of it was late, nor the processor time spent on planning.

The owner of a stage service now logs its queue once a second (waiting, late, completed, unused, without room, inputs gone, expired, shed, planning time), and an entry logs the time in each stage of a request that can't be answered on time any more. The call to a stage upstream moves to a module of its own; the decisions are unchanged.

--- a/crates/core/src/batching/batcher.rs
+++ b/crates/core/src/batching/batcher.rs
@@ -6,7 +6,9 @@
 
 use crate::{
     FastMap,
-    batching::{AvailableUpstream, StageWork, upstream_state::UpstreamState, work::QueuePosition},
+    batching::{
+        Activity, AvailableUpstream, StageWork, upstream_state::UpstreamState, work::QueuePosition,
+    },
     route_table::StageService,
     stage_graph::ResultHandle,
     upstreams::UpstreamKey,
@@ -135,6 +137,7 @@
     pub(super) groups: SlotMap<GroupKey, Group>,
     pub(super) calls: SlotMap<CallKey, Call>,
     pub(super) upstreams: FastMap<UpstreamKey, UpstreamState>,
+    pub(super) activity: Activity,
 }
 
 impl Batcher {
@@ -145,6 +148,7 @@
             groups: SlotMap::with_key(),
             calls: SlotMap::with_key(),
             upstreams: FastMap::default(),
+            activity: Activity::default(),
         }
     }
 
@@ -172,6 +176,17 @@
 
     /// Removes a group whose results are no longer needed and returns those that exist.
     pub fn cancel(&mut self, group: GroupKey) -> Vec<ResultHandle> {
+        self.activity.cancelled += u64::from(self.groups.contains_key(group));
+        self.discard_group(group)
+    }
+
+    fn discard_group(&mut self, group: GroupKey) -> Vec<ResultHandle> {
+        let unused = self.remove_group(group);
+        self.activity.unused += unused.len() as u64;
+        unused
+    }
+
+    fn remove_group(&mut self, group: GroupKey) -> Vec<ResultHandle> {
         let Some(group) = self.groups.remove(group) else { return Vec::new() };
         group.results.into_iter().flatten().collect()
     }
@@ -223,7 +238,12 @@
         };
         let late: Vec<GroupKey> =
             self.groups.iter().filter(|(_, it)| misses_deadline(it)).map(|(key, _)| key).collect();
-        for key in late.into_iter().chain(self.groups_to_shed(upstreams, now_ms)) {
+        for key in late {
+            self.activity.expired += 1;
+            self.end_group(key, GroupOutcome::Late, &mut settled);
+        }
+        for key in self.groups_to_shed(upstreams, now_ms) {
+            self.activity.shed += 1;
             self.end_group(key, GroupOutcome::Late, &mut settled);
         }
         settled
@@ -419,9 +439,13 @@
             PieceResult::Completed(handle) => {
                 self.store_result(upstream, key, piece, handle, now_ms, settled)
             }
-            PieceResult::Late => self.end_group(key, GroupOutcome::Late, settled),
+            PieceResult::Late => {
+                self.activity.late_at_upstream += 1;
+                self.end_group(key, GroupOutcome::Late, settled);
+            }
             PieceResult::InputGone => self.end_group(key, GroupOutcome::InputGone, settled),
             PieceResult::NoRoom => {
+                self.activity.no_room += 1;
                 if let Some(upstream) = self.upstreams.get_mut(&upstream) {
                     upstream.back_off(now_ms + FULL_BACKOFF_MS);
                 }
@@ -442,6 +466,7 @@
     ) {
         let ttl_ms = self.service.result_ttl_ms;
         let Some(group) = self.groups.get_mut(key) else {
+            self.activity.unused += 1;
             settled.unused.push(handle);
             return;
         };
@@ -449,13 +474,15 @@
             upstream.store(handle.clone(), group.work.result_bytes, now_ms + ttl_ms);
         }
         if group.results.get(piece).is_none_or(Option::is_some) {
+            self.activity.unused += 1;
             settled.unused.push(handle);
             return;
         }
         group.waiting.retain(|it| *it != piece);
         group.results[piece] = Some(handle);
         if group.results.iter().all(Option::is_some) {
-            let handles = self.cancel(key);
+            let handles = self.remove_group(key);
+            self.activity.completed += handles.len() as u64;
             settled.ended.push((key, GroupOutcome::Completed, handles));
         }
     }
@@ -491,7 +518,8 @@
         if !self.groups.contains_key(key) {
             return;
         }
-        settled.unused.extend(self.cancel(key));
+        self.activity.inputs_gone += u64::from(end == GroupOutcome::InputGone);
+        settled.unused.extend(self.discard_group(key));
         settled.ended.push((key, end, Vec::new()));
     }
 }
--- a/crates/core/src/batching/mod.rs
+++ b/crates/core/src/batching/mod.rs
@@ -7,6 +7,7 @@
 //! by soft deadline; then the late ones, by deadline. Work that can't meet its deadline is rejected at
 //! once. A slow upstream gets pieces only where no faster one would finish them earlier.
 
+mod activity;
 mod batcher;
 mod upstream_state;
 mod fill;
@@ -14,6 +15,7 @@
 mod work;
 mod load_shedding;
 
+pub use activity::{Activity, Backlog};
 pub use batcher::{
     Batcher, CallKey, CallResult, GroupKey, GroupOutcome, PieceResult, PlannedCall, Settled,
 };
--- a/crates/core/src/batching/work.rs
+++ b/crates/core/src/batching/work.rs
@@ -97,9 +97,14 @@
         }
     }
 
+    /// Tells whether a call that starts now and takes `call_ms` misses the soft deadline.
+    pub(crate) fn is_late(&self, now_ms: u64, call_ms: f64) -> bool {
+        now_ms as f64 + call_ms > self.soft_deadline_ms as f64
+    }
+
     /// Returns the position of the work in the queue, where a call that starts now takes `call_ms`.
     pub(crate) fn position(&self, is_unstarted: bool, now_ms: u64, call_ms: f64) -> QueuePosition {
-        let is_late = now_ms as f64 + call_ms > self.soft_deadline_ms as f64;
+        let is_late = self.is_late(now_ms, call_ms);
         let due_ms = if is_late { self.deadline_ms } else { self.soft_deadline_ms };
         QueuePosition {
             is_unstarted,
--- a/crates/entry/src/relay/model.rs
+++ b/crates/entry/src/relay/model.rs
@@ -166,6 +166,7 @@
 ) -> Result<(), Refusal> {
     let mut running = FuturesUnordered::new();
     let mut restarts = 0;
+    let mut took_ms = vec![0; request.authorized.route.stages.len()];
     loop {
         for ready in graph.start_ready() {
             let work = stage_work(relay, request, graph, &ready, data_centre);
@@ -174,11 +175,17 @@
             let inputs = ready.inputs.unwrap_or_default();
             running.push(async move {
                 tokio::time::sleep(delay).await;
+                let began_ms = relay.now_ms();
                 let outcome = relay.stages.run(relay, &service, work).await;
-                (ready.stage, inputs, outcome)
+                let took_ms = relay.now_ms().saturating_sub(began_ms);
+                (ready.stage, inputs, outcome, took_ms)
             });
         }
-        let Some((stage, inputs, (end, handles))) = running.next().await else { return Ok(()) };
+        let Some((stage, inputs, (end, handles), stage_ms)) = running.next().await else {
+            log_late_stages(relay, request, &took_ms, restarts);
+            return Ok(());
+        };
+        took_ms[stage] += stage_ms;
         held.hold(&handles);
         match end {
             GroupOutcome::Completed => {
@@ -199,6 +206,22 @@
     }
 }
 
+/// Logs which stages took how long if the request can't be answered on time any more.
+fn log_late_stages(relay: &Relay, request: &CallerRequest, took_ms: &[u64], restarts: u32) {
+    let now_ms = relay.now_ms();
+    if now_ms <= request.soft_deadline_ms() {
+        return;
+    }
+    info!(
+        id:% = request.id,
+        route:% = request.authorized.route.name,
+        waited_ms = now_ms.saturating_sub(request.arrived_ms),
+        stages_ms:? = took_ms,
+        restarts = restarts;
+        "stages finished too late"
+    );
+}
+
 /// Returns how long the start of a stage is delayed while a longer parallel chain runs.
 ///
 /// A large result occupies memory at its upstream until the parallel chains are done too, so it is
--- a/crates/entry/src/relay/stages.rs
+++ b/crates/entry/src/relay/stages.rs
@@ -2,22 +2,21 @@
 //!
 //! Each stage service has one owner among the entries, which batches the pieces of all of them.
 
+mod call;
+mod queue_log;
+
 use std::{
     sync::{Arc, Mutex},
-    time::Duration,
+    time::Instant,
 };
 
-use bytes::Bytes;
-use log::{info, warn};
+use log::warn;
 use tokio::sync::oneshot;
-use yuccatrail_adapter::{
-    STAGE_PATH, StageCallItem, decode_stage_results, encode_stage_call, result_holder,
-};
+use yuccatrail_adapter::result_holder;
 use yuccatrail_core::{
     FastMap,
     batching::{
-        AvailableUpstream, Batcher, CallResult, GroupKey, GroupOutcome, PlannedCall, Settled,
-        StageWork,
+        AvailableUpstream, Batcher, CallResult, GroupKey, GroupOutcome, Settled, StageWork,
     },
     route_table::StageService,
     stage_graph::ResultHandle,
@@ -25,21 +24,14 @@
 use yuccatrail_rpc::entries::{QueueState, StageRequest};
 
 use crate::relay::{
-    attempt::{Attempt, AttemptError},
-    metrics::ServiceLabels,
     peers::{Owner, context_for},
-    rollouts::Evidence,
+    stages::{
+        call::{StageCall, make_call},
+        queue_log::QueueLog,
+    },
     state::{Relay, lock},
 };
 
-/// Multiple of its expected duration after which a call times out.
-const CALL_TIMEOUT_FACTOR: u64 = 6;
-/// Minimum timeout of a call, in milliseconds; a call queued behind two others takes a second.
-const MIN_CALL_TIMEOUT_MS: u64 = 2_000;
-/// Time after which an upstream has read the inputs of a call, in milliseconds: the transfer of a
-/// few megabytes takes 1 ms, the latency to another data centre a few, a lost packet up to
-/// 100 ms.
-const INPUT_READ_MS: u64 = 120;
 /// Number of owners to try for the work of one stage before this entry takes it on itself.
 const MAX_OWNER_TRIES: usize = 3;
 /// Time beyond the deadline for which this entry waits for the owner's response, in milliseconds.
@@ -53,6 +45,7 @@
 struct Queue {
     batcher: Batcher,
     waiters: FastMap<GroupKey, oneshot::Sender<StageOutcome>>,
+    log: QueueLog,
 }
 
 /// Queues of all stage services.
@@ -82,7 +75,11 @@
         match queues.get_mut(service) {
             Some(queue) => queue.batcher.set_service(limits),
             None => {
-                let queue = Queue { batcher: Batcher::new(limits), waiters: FastMap::default() };
+                let queue = Queue {
+                    batcher: Batcher::new(limits),
+                    waiters: FastMap::default(),
+                    log: QueueLog::default(),
+                };
                 queues.insert(service.clone(), queue);
             }
         }
@@ -162,6 +159,9 @@
         work: StageWork,
     ) -> StageOutcome {
         if !self.can_meet_deadline(relay, service, &work) {
+            if let Some(queue) = lock(&self.queues).get_mut(service) {
+                queue.log.record_late_on_arrival();
+            }
             return (GroupOutcome::Late, Vec::new());
         }
         let (sender, receiver) = oneshot::channel();
@@ -255,6 +255,7 @@
             queue.deliver(relay, settled);
             let upstreams = relay.upstreams();
             queue.batcher.retain_upstreams(|it| upstreams.get(it).is_some());
+            queue.log.write_if_due(&mut queue.batcher, service, available, now_ms);
         }
         self.start_all_calls(relay);
     }
@@ -280,10 +281,12 @@
         let available = available_upstreams(relay, service, now_ms);
         let mut queues = lock(&self.queues);
         let Some(queue) = queues.get_mut(service) else { return };
+        let began = Instant::now();
         while let Some(planned) = queue.batcher.next_call(&available, now_ms) {
             let call = StageCall::new(&queue.batcher, service, planned, now_ms);
             tokio::spawn(make_call(relay.clone(), call));
         }
+        queue.log.record_planning(began.elapsed());
     }
 
     fn cancel(&self, service: &str, group: GroupKey) -> Vec<ResultHandle> {
@@ -353,132 +356,6 @@
     }
 }
 
-/// A call to an upstream with a batch of pieces.
-struct StageCall {
-    service: Arc<str>,
-    planned: PlannedCall,
-    /// Encoded request; none if encoding failed.
-    body: Option<Bytes>,
-    /// Timeout of the call, in milliseconds.
-    limit_ms: u64,
-    /// Number of pieces left in the queue when the call was formed.
-    waiting: usize,
-}
-
-impl StageCall {
-    fn new(batcher: &Batcher, service: &Arc<str>, planned: PlannedCall, now_ms: u64) -> Self {
-        let mut items = Vec::with_capacity(planned.pieces.len());
-        for (group, piece) in &planned.pieces {
-            let Some(work) = batcher.work(*group) else { continue };
-            items.push(StageCallItem {
-                request_id: &work.request_id,
-                stage: work.stage,
-                piece: *piece,
-                remaining_ms: work.deadline_ms.saturating_sub(now_ms),
-                source: &work.source,
-            });
-        }
-        let body = encode_stage_call(&items);
-        if let Err(error) = &body {
-            warn!(service:% = service, error:% = error; "failed to encode stage call");
-        }
-        let expected_ms = planned.expected_end_ms.saturating_sub(now_ms);
-        let limit_ms = (expected_ms * CALL_TIMEOUT_FACTOR).max(MIN_CALL_TIMEOUT_MS);
-        Self {
-            service: service.clone(),
-            planned,
-            body: body.ok(),
-            limit_ms,
-            waiting: batcher.waiting(),
-        }
-    }
-}
-
-/// Makes a call, logs it and reports its result to the queue.
-async fn make_call(relay: Arc<Relay>, call: StageCall) {
-    let labels = ServiceLabels { service: call.service.to_string() };
-    relay.metrics.stage_calls.get_or_create(&labels).inc();
-    relay.metrics.stage_pieces.get_or_create(&labels).inc_by(call.planned.pieces.len() as u64);
-    let started_ms = relay.now_ms();
-    let sending = async {
-        let mut sending = std::pin::pin!(send_call(&relay, &call));
-        tokio::select! {
-            result = &mut sending => return result,
-            () = tokio::time::sleep(Duration::from_millis(INPUT_READ_MS)) => {}
-        }
-        relay.stages.release_read_inputs(&relay, &call);
-        sending.await
-    };
-    let result = sending.await;
-    let outcome = match &result {
-        CallResult::Answered(_) => "answered",
-        CallResult::Full => "full",
-        CallResult::Failed => "failed",
-    };
-    info!(
-        service:% = call.service,
-        upstream:? = call.planned.upstream,
-        pieces = call.planned.pieces.len(),
-        waiting = call.waiting,
-        took_ms = relay.now_ms().saturating_sub(started_ms),
-        expected_ms = call.planned.expected_end_ms.saturating_sub(started_ms),
-        outcome = outcome;
-        "stage call"
-    );
-    relay.stages.finish(&relay, &call, result);
-}
-
-async fn send_call(relay: &Arc<Relay>, call: &StageCall) -> CallResult {
-    let Some(body) = call.body.clone() else { return CallResult::Failed };
-    let Some(mut attempt) = Attempt::begin(relay, call.planned.upstream) else {
-        return CallResult::Full;
-    };
-    // An upstream that does not answer in time is known to be slow.
-    let limit = Duration::from_millis(call.limit_ms);
-    let posted = tokio::time::timeout(limit, attempt.post(STAGE_PATH, body)).await;
-    let (status, meta, body) = match posted {
-        Ok(Ok(response)) => response,
-        Err(_) => {
-            attempt.record_stage_answer(call.planned.pieces.len());
-            warn!(service:% = call.service, limit_ms = call.limit_ms; "stage call timed out");
-            return CallResult::Failed;
-        }
-        Ok(Err(error)) => {
-            log_failure(&attempt, &error);
-            attempt.fail();
-            return CallResult::Failed;
-        }
-    };
-    if meta.is_not_run {
-        attempt.finish(&meta);
-        return CallResult::Full;
-    }
-    let detail = match decode_stage_results(&body, call.planned.pieces.len()) {
-        Ok(results) if status.is_success() => {
-            attempt.record_stage_answer(call.planned.pieces.len());
-            attempt.finish(&meta);
-            return CallResult::Answered(results);
-        }
-        Ok(_) => format!("status {status}"),
-        Err(detail) => format!("status {status}: {detail}"),
-    };
-    if status.is_server_error() {
-        attempt.record_evidence(&call.service, Evidence::Failure);
-    }
-    log_failure(&attempt, &AttemptError::Damaged(detail));
-    attempt.fail();
-    CallResult::Failed
-}
-
-fn log_failure(attempt: &Attempt, error: &AttemptError) {
-    warn!(
-        service:% = attempt.record.service,
-        upstream:% = attempt.record.id,
-        error:% = error;
-        "stage call failed"
-    );
-}
-
 fn available_upstreams(relay: &Relay, service: &str, now_ms: u64) -> Vec<AvailableUpstream> {
     let upstreams = relay.upstreams();
     let mut available = Vec::new();
