Plan stage calls without ordering the queue when no call can start

Callers saw half of the requests late or refused for ten seconds and longer after half of the entries had lost power in a burst, although the upstreams were idle for part of the time.

Cause: the owner of a stage service plans after every event (1,000 to 1,500 times a second), and each plan ordered the whole queue, once more for every free upstream without memory, and summed up all stored results. A long queue thus kept its owner from shortening it.

A plan now first checks whether a free upstream has memory for the smallest waiting result and whether any work fits, and orders the queue only then; the sum of stored results is kept, and a result is found by its handle.

--- a/crates/core/src/batching/activity.rs
+++ b/crates/core/src/batching/activity.rs
@@ -23,6 +23,8 @@
     pub late_at_upstream: u64,
     /// Stages that were cancelled before they ended.
     pub cancelled: u64,
+    /// Plans of a call that had to order the queue.
+    pub ordered_plans: u64,
 }
 
 /// Length of the queue of one stage service.
--- a/crates/core/src/batching/batcher.rs
+++ b/crates/core/src/batching/batcher.rs
@@ -6,9 +6,7 @@
 
 use crate::{
     FastMap,
-    batching::{
-        Activity, AvailableUpstream, StageWork, upstream_state::UpstreamState, work::QueuePosition,
-    },
+    batching::{Activity, StageWork, planning::OVERDUE_FACTOR, upstream_state::UpstreamState},
     route_table::StageService,
     stage_graph::ResultHandle,
     upstreams::UpstreamKey,
@@ -17,15 +15,9 @@
 /// Failures that a stage tolerates for each of its pieces, on average; a failed call counts once for
 /// every piece that was part of it.
 const MAX_FAILURES_PER_PIECE: u32 = 4;
-/// Multiple of the expected duration after which a call is overdue and its pieces are queued again.
-const OVERDUE_FACTOR: f64 = 1.8;
-/// Additional time before a call is overdue, in milliseconds.
-const OVERDUE_SLACK_MS: f64 = 150.0;
 /// Duration of a piece while all upstreams are busy, in full calls: half a call until an upstream is
 /// free, and the piece's own call.
 const LOADED_FACTOR: f64 = 1.5;
-/// Time that a call takes longer for each megabyte from another data centre, in milliseconds.
-const REMOTE_READ_MS_PER_MB: f64 = 60.0;
 /// Backoff of an upstream that reports no free memory or no free slot, in milliseconds.
 const FULL_BACKOFF_MS: u64 = 50;
 
@@ -103,15 +95,15 @@
 
 #[derive(Debug)]
 pub(super) struct Call {
-    upstream: UpstreamKey,
+    pub(super) upstream: UpstreamKey,
     pub(super) pieces: Vec<(GroupKey, usize)>,
-    started_ms: u64,
-    nominal_ms: f64,
-    overdue_ms: u64,
+    pub(super) started_ms: u64,
+    pub(super) nominal_ms: f64,
+    pub(super) overdue_ms: u64,
     pub(super) is_overdue: bool,
     /// The upstream has had enough time to read the inputs.
     pub(super) has_read_inputs: bool,
-    reserved_bytes: u64,
+    pub(super) reserved_bytes: u64,
 }
 
 impl Group {
@@ -270,54 +262,6 @@
         }
     }
 
-    /// Returns the next call to make, if an upstream is free and pieces wait.
-    pub fn next_call(&mut self, usable: &[AvailableUpstream], now_ms: u64) -> Option<PlannedCall> {
-        let queue = self.ordered_pieces(now_ms);
-        if queue.is_empty() {
-            return None;
-        }
-        let first = queue.first().and_then(|(group, _)| self.groups.get(*group))?.work.clone();
-        let batch = self.service.batch.max(1);
-        let nominal_ms = self.duration_ms(queue.len().min(batch));
-        let mut by_end: Vec<(f64, UpstreamKey)> = Vec::with_capacity(usable.len());
-        for target in usable {
-            let upstream = self.upstreams.entry(target.key).or_insert_with(UpstreamState::new);
-            let remote = first
-                .preferred_data_centre
-                .as_ref()
-                .filter(|it| it.data_centre != target.data_centre);
-            let remote_megabytes = remote.map_or(0.0, |it| it.remote_bytes as f64 / 1e6);
-            let distance_ms = remote_megabytes * REMOTE_READ_MS_PER_MB;
-            let is_busy = upstream.calls >= self.service.slots.max(1);
-            let free_ms = if is_busy { upstream.busy_until_ms } else { 0.0 };
-            let start_ms = free_ms.max(now_ms as f64).max(upstream.backoff_until_ms as f64);
-            by_end.push((
-                start_ms + nominal_ms * upstream.slowdown(now_ms) + distance_ms,
-                target.key,
-            ));
-        }
-        by_end.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let locations = self.locations(usable, now_ms);
-        // A busy or backing-off upstream that would finish a batch earlier is left that batch.
-        let mut left_to_others = 0;
-        for (_, key) in by_end {
-            if left_to_others >= queue.len() {
-                return None;
-            }
-            let Some(upstream) = self.upstreams.get(&key) else { continue };
-            if upstream.calls >= self.service.slots.max(1) || upstream.is_backing_off(now_ms) {
-                left_to_others += batch;
-                continue;
-            }
-            let pieces = self.fill(key, &queue[left_to_others..], &locations, now_ms);
-            if pieces.is_empty() {
-                continue;
-            }
-            return Some(self.start_call(key, pieces, now_ms));
-        }
-        None
-    }
-
     /// Applies the result of a call.
     pub fn finish(&mut self, key: CallKey, result: CallResult, now_ms: u64) -> Settled {
         let mut settled = Settled::default();
@@ -370,62 +314,6 @@
         self.duration_ms(self.service.batch.max(1)) * LOADED_FACTOR
     }
 
-    /// Returns the groups with waiting pieces, in the order in which they go.
-    pub(super) fn ordered_groups(&self, now_ms: u64) -> Vec<(QueuePosition, GroupKey)> {
-        let call_ms = self.duration_ms(1);
-        let mut positions: Vec<(QueuePosition, GroupKey)> = self
-            .groups
-            .iter()
-            .filter(|(_, it)| !it.waiting.is_empty())
-            .map(|(key, it)| (it.work.position(it.is_unstarted(), now_ms, call_ms), key))
-            .collect();
-        positions.sort_unstable();
-        positions
-    }
-
-    /// Returns the waiting pieces, in the order in which they go.
-    fn ordered_pieces(&self, now_ms: u64) -> Vec<(GroupKey, usize)> {
-        let mut queue = Vec::new();
-        for (_, key) in self.ordered_groups(now_ms) {
-            let Some(group) = self.groups.get(key) else { continue };
-            queue.extend(group.waiting.iter().map(|it| (key, *it)));
-        }
-        queue
-    }
-
-    fn start_call(
-        &mut self,
-        upstream: UpstreamKey,
-        pieces: Vec<(GroupKey, usize)>,
-        now_ms: u64,
-    ) -> PlannedCall {
-        let nominal_ms = self.duration_ms(pieces.len());
-        let mut reserved_bytes = 0;
-        for (group, piece) in &pieces {
-            let Some(group) = self.groups.get_mut(*group) else { continue };
-            group.waiting.retain(|it| it != piece);
-            reserved_bytes += group.work.result_bytes;
-        }
-        let state = self.upstreams.entry(upstream).or_insert_with(UpstreamState::new);
-        let expected_ms = nominal_ms * state.slowdown(now_ms);
-        state.calls += 1;
-        state.reserved_bytes += reserved_bytes;
-        state.busy_until_ms = now_ms as f64 + expected_ms;
-        let overdue_ms = now_ms + (expected_ms * OVERDUE_FACTOR + OVERDUE_SLACK_MS) as u64;
-        let call = self.calls.insert(Call {
-            upstream,
-            pieces: pieces.clone(),
-            started_ms: now_ms,
-            nominal_ms,
-            overdue_ms,
-            is_overdue: false,
-            has_read_inputs: false,
-            reserved_bytes,
-        });
-        let expected_end_ms = now_ms + expected_ms as u64;
-        PlannedCall { call, upstream, pieces, expected_end_ms }
-    }
-
     fn apply_piece(
         &mut self,
         upstream: UpstreamKey,
--- a/crates/core/src/batching/fill.rs
+++ b/crates/core/src/batching/fill.rs
@@ -9,7 +9,10 @@
 
 use crate::{
     FastMap, FastSet,
-    batching::{AvailableUpstream, Batcher, GroupKey, StageWork, batcher::Group},
+    batching::{
+        AvailableUpstream, Batcher, GroupKey, StageWork, batcher::Group,
+        upstream_state::UpstreamState,
+    },
     upstreams::UpstreamKey,
 };
 
@@ -34,6 +37,15 @@
     free_soon: FastMap<Arc<str>, usize>,
 }
 
+/// Memory for results of all upstreams together.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Room {
+    /// Memory that no started work will need, in bytes.
+    pub(super) uncommitted_bytes: u64,
+    /// Whether no upstream stores a result or has reserved memory for one.
+    pub(super) is_all_free: bool,
+}
+
 impl Locations {
     /// Returns the number of upstreams in a data centre that are free now or soon.
     fn free_soon_in(&self, data_centre: &str) -> usize {
@@ -43,7 +55,7 @@
 
 impl Batcher {
     /// Returns the memory of one upstream that is planned with, in bytes.
-    fn planned_bytes(&self) -> u64 {
+    pub(super) fn planned_bytes(&self) -> u64 {
         (self.service.result_capacity_bytes as f64 * PLANNED_MEMORY_FRACTION) as u64
     }
 
@@ -97,46 +109,42 @@
         let mut local = Vec::with_capacity(queue.len());
         let mut excess = Vec::new();
         let mut waiting: FastMap<&str, usize> = FastMap::default();
-        for (key, piece) in queue {
-            let Some(group) = self.groups.get(*key) else { continue };
+        for pieces in queue.chunk_by(|a, b| a.0 == b.0) {
+            let Some(group) = pieces.first().and_then(|(key, _)| self.groups.get(*key)) else {
+                continue;
+            };
             let Some(preferred) = self.better_data_centre(&group.work, upstream, locations, now_ms)
             else {
-                local.push((*key, *piece));
+                local.extend_from_slice(pieces);
                 continue;
             };
             let ahead = waiting.entry(preferred).or_default();
-            *ahead += 1;
-            if *ahead > locations.free_soon_in(preferred) * self.service.batch {
-                excess.push((*key, *piece));
-            }
+            let next_calls = locations.free_soon_in(preferred) * self.service.batch;
+            let stays = next_calls.saturating_sub(*ahead).min(pieces.len());
+            *ahead += pieces.len();
+            excess.extend_from_slice(&pieces[stays..]);
         }
         local.extend(excess);
         local
     }
 
-    /// Returns the memory of all upstreams that no started work will need, in bytes.
+    /// Returns the memory that is left for new work.
     ///
     /// Work is started only if all of its results fit; otherwise partial results of many stages would
     /// take up the memory that each of them needs to finish.
-    fn uncommitted_bytes(&mut self, locations: &Locations, now_ms: u64) -> u64 {
-        let capacity_bytes = self.planned_bytes();
-        let mut free_bytes = 0;
-        for key in locations.data_centres.keys() {
-            let Some(upstream) = self.upstreams.get_mut(key) else { continue };
-            free_bytes += upstream.free_bytes(capacity_bytes, now_ms);
+    pub(super) fn room(&mut self, usable: &[AvailableUpstream], now_ms: u64) -> Room {
+        let planned_bytes = self.planned_bytes();
+        let mut room = Room { uncommitted_bytes: 0, is_all_free: true };
+        for candidate in usable {
+            let upstream = self.upstreams.entry(candidate.key).or_insert_with(UpstreamState::new);
+            let free_bytes = upstream.free_bytes(planned_bytes, now_ms);
+            room.uncommitted_bytes += free_bytes;
+            room.is_all_free &= free_bytes == planned_bytes;
         }
         let started = self.groups.values().filter(|it| !it.is_unstarted());
         let committed: u64 = started.map(|it| it.work.result_bytes * it.waiting.len() as u64).sum();
-        free_bytes.saturating_sub(committed)
-    }
-
-    /// Tells whether no upstream stores a result or has reserved memory for one.
-    fn is_all_memory_free(&mut self, locations: &Locations, now_ms: u64) -> bool {
-        let capacity_bytes = self.planned_bytes();
-        self.upstreams
-            .iter_mut()
-            .filter(|(key, _)| locations.data_centres.contains_key(*key))
-            .all(|(_, it)| it.free_bytes(capacity_bytes, now_ms) == capacity_bytes)
+        room.uncommitted_bytes = room.uncommitted_bytes.saturating_sub(committed);
+        room
     }
 
     /// Chooses the pieces of one call within the batch size and the memory of the upstream.
@@ -145,11 +153,11 @@
         upstream: UpstreamKey,
         queue: &[(GroupKey, usize)],
         locations: &Locations,
+        room: Room,
         now_ms: u64,
     ) -> Vec<(GroupKey, usize)> {
         let queue = self.local_first(upstream, queue, locations, now_ms);
-        let mut uncommitted_bytes = self.uncommitted_bytes(locations, now_ms);
-        let mut is_all_free = self.is_all_memory_free(locations, now_ms);
+        let Room { mut uncommitted_bytes, mut is_all_free } = room;
         let mut started: FastSet<GroupKey> = FastSet::default();
         let planned_bytes = self.planned_bytes();
         let Some(state) = self.upstreams.get_mut(&upstream) else { return Vec::new() };
--- a/crates/core/src/batching/mod.rs
+++ b/crates/core/src/batching/mod.rs
@@ -14,6 +14,7 @@
 mod inputs;
 mod work;
 mod load_shedding;
+mod planning;
 
 pub use activity::{Activity, Backlog};
 pub use batcher::{
--- a/crates/core/src/batching/tests.rs
+++ b/crates/core/src/batching/tests.rs
@@ -388,3 +388,25 @@
     // Work that a call has started stays.
     assert!(batcher.work(late[0]).is_some());
 }
+
+#[test]
+fn a_long_queue_without_memory_is_not_ordered_for_every_plan() {
+    let upstreams = upstreams(46);
+    let mut batcher = Batcher::new(SERVICE);
+    for _ in 0..2_000 {
+        batcher.submit(StageWork { result_bytes: 2_000_000, ..work(2, 5_000, 9_000) });
+    }
+    let mut calls = Vec::new();
+    while let Some(planned) = batcher.next_call(&upstreams, 0) {
+        calls.push(planned);
+    }
+    for planned in calls {
+        batcher.finish(planned.call, answer(&planned), 370);
+    }
+    batcher.take_activity();
+    // All upstreams are free, and the results of their first calls fill their memory.
+    for now_ms in 370..1_370 {
+        assert_eq!(batcher.next_call(&upstreams, now_ms), None);
+    }
+    assert_eq!(batcher.take_activity().ordered_plans, 0);
+}
--- a/crates/core/src/batching/upstream_state.rs
+++ b/crates/core/src/batching/upstream_state.rs
@@ -1,8 +1,8 @@
 //! State that the queue keeps of each upstream: load, stored results, speed and backoff.
 
-use std::sync::Arc;
+use std::{collections::VecDeque, sync::Arc};
 
-use crate::{stage_graph::ResultHandle, upstreams::UpstreamKey};
+use crate::{FastMap, stage_graph::ResultHandle, upstreams::UpstreamKey};
 
 /// Weight of a new observation in the moving average of the slowdown.
 const SLOWDOWN_WEIGHT: f64 = 0.5;
@@ -24,13 +24,6 @@
     pub data_centre: Arc<str>,
 }
 
-#[derive(Clone, Debug)]
-struct StoredResult {
-    handle: ResultHandle,
-    bytes: u64,
-    expires_ms: u64,
-}
-
 /// State of one upstream.
 #[derive(Clone, Debug)]
 pub(crate) struct UpstreamState {
@@ -40,7 +33,11 @@
     pub(crate) busy_until_ms: f64,
     /// Memory that the results of calls in progress will need, in bytes.
     pub(crate) reserved_bytes: u64,
-    stored: Vec<StoredResult>,
+    /// Sizes of the stored results, in bytes.
+    stored: FastMap<ResultHandle, u64>,
+    stored_bytes: u64,
+    /// Stored and released results with the time at which they expire, in this order.
+    expiries: VecDeque<(u64, ResultHandle)>,
     slowdown: f64,
     slowdown_at_ms: u64,
     failures: u32,
@@ -54,7 +51,9 @@
             calls: 0,
             busy_until_ms: 0.0,
             reserved_bytes: 0,
-            stored: Vec::new(),
+            stored: FastMap::default(),
+            stored_bytes: 0,
+            expiries: VecDeque::new(),
             slowdown: 1.0,
             slowdown_at_ms: 0,
             failures: 0,
@@ -91,19 +90,24 @@
         self.backoff_until_ms = self.backoff_until_ms.max(until_ms);
     }
 
+    /// Records a result that expires after those recorded before.
     pub(crate) fn store(&mut self, handle: ResultHandle, bytes: u64, expires_ms: u64) {
-        self.stored.push(StoredResult { handle, bytes, expires_ms });
+        self.stored_bytes += bytes;
+        self.stored_bytes -= self.stored.insert(handle.clone(), bytes).unwrap_or(0);
+        self.expiries.push_back((expires_ms, handle));
     }
 
+    /// Forgets a result; returns whether it was stored.
     pub(crate) fn release(&mut self, handle: &str) -> bool {
-        let before = self.stored.len();
-        self.stored.retain(|it| it.handle != handle);
-        self.stored.len() != before
+        let Some(bytes) = self.stored.remove(handle) else { return false };
+        self.stored_bytes -= bytes;
+        true
     }
 
     pub(crate) fn free_bytes(&mut self, capacity_bytes: u64, now_ms: u64) -> u64 {
-        self.stored.retain(|it| it.expires_ms > now_ms);
-        let stored: u64 = self.stored.iter().map(|it| it.bytes).sum();
-        capacity_bytes.saturating_sub(stored + self.reserved_bytes)
+        while let Some((_, handle)) = self.expiries.pop_front_if(|it| it.0 <= now_ms) {
+            self.release(&handle);
+        }
+        capacity_bytes.saturating_sub(self.stored_bytes + self.reserved_bytes)
     }
 }
--- a/crates/entry/src/relay/stages/queue_log.rs
+++ b/crates/entry/src/relay/stages/queue_log.rs
@@ -65,6 +65,7 @@
             cancelled = activity.cancelled,
             late_on_arrival = counts.late_on_arrival,
             plans = counts.plans,
+            ordered_plans = activity.ordered_plans,
             planning_ms = counts.planning.as_secs_f64() * 1_000.0;
             "stage queue"
         );
