Don't forward bytes after a resumption that do not continue the stream

A report from another operator: a stream had begun and broke off, the next upstream answered with an error, and callers found its text or its whole head in the middle of their stream. Another: an upstream stopped in the middle of a response's head, and callers got a 200 with an empty or short body.

The first event after a resumption must now have the identifier after the last one that was forwarded; anything else counts as another interruption. An aborted stream also drops the bytes that were received with the failed resumption. Opening a stream at one upstream moves to a module of its own.

--- a/crates/core/src/event_stream/mod.rs
+++ b/crates/core/src/event_stream/mod.rs
@@ -16,6 +16,8 @@
 pub struct CompleteEvents {
     /// The events, byte for byte as they arrived.
     pub bytes: Bytes,
+    /// Identifier of the first of them; none if it carries none.
+    pub first_id: Option<EventId>,
     /// Last identifier in them; none if none of them carries one.
     pub last_id: Option<EventId>,
     /// Number of events.
@@ -41,8 +43,9 @@
         self.pending.extend_from_slice(bytes);
         let end = searched + end_of_last_event(&self.pending[searched..])?;
         let bytes = self.pending.split_to(end).freeze();
-        let (last_id, count) = (last_id(&bytes), count_events(&bytes));
-        Some(CompleteEvents { bytes, last_id, count })
+        let (first_id, last_id) = (first_id(&bytes), last_id(&bytes));
+        let count = count_events(&bytes);
+        Some(CompleteEvents { bytes, first_id, last_id, count })
     }
 
     /// Returns the size of the incomplete event, in bytes.
@@ -78,12 +81,20 @@
     bytes[..end].ends_with(b"\n\r\n")
 }
 
+fn first_id(events: &[u8]) -> Option<EventId> {
+    let lines = events.split(|it| *it == b'\n');
+    lines.take_while(|it| !it.is_empty() && *it != b"\r").find_map(id_in)
+}
+
 fn last_id(events: &[u8]) -> Option<EventId> {
-    for line in events.split(|it| *it == b'\n').rev() {
-        let Some(value) = line.strip_prefix(b"id:") else { continue };
-        return std::str::from_utf8(value).ok()?.trim().parse().ok();
-    }
-    None
+    let line = events.split(|it| *it == b'\n').rev().find(|it| it.starts_with(b"id:"))?;
+    id_in(line)
+}
+
+/// Returns the identifier in a line; none if the line is another field.
+fn id_in(line: &[u8]) -> Option<EventId> {
+    let value = line.strip_prefix(b"id:")?;
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
 
 #[cfg(test)]
--- a/crates/entry/src/relay/stream.rs
+++ b/crates/entry/src/relay/stream.rs
@@ -5,6 +5,7 @@
 //! last event that was forwarded; any other is aborted, which the caller can detect.
 
 mod first_event;
+mod opening;
 
 use std::{sync::Arc, time::Duration};
 
@@ -16,7 +17,7 @@
     body::{Frame, Incoming},
 };
 use log::{info, warn};
-use yuccatrail_adapter::{ResponseMeta, forwarded_headers};
+use yuccatrail_adapter::ResponseMeta;
 use yuccatrail_core::{
     event_stream::{EventFramer, EventId},
     quarantine::{PartVerdict, SOUND_EVENTS},
@@ -27,7 +28,7 @@
 use yuccatrail_runtime::http::BodyFraming;
 
 use crate::relay::{
-    attempt::{Attempt, AttemptError, check_seal},
+    attempt::{Attempt, AttemptError},
     crashes::LostResponse,
     memory,
     model::selection_criteria,
@@ -38,7 +39,7 @@
     rollouts::{Evidence, StreamPace, results::NeededUpstream},
     sabotage::Mechanism,
     state::{InProgressGuard, Relay},
-    stream::first_event::FirstEvent,
+    stream::opening::OpenOutcome,
 };
 
 /// Number of upstreams to try before a request is refused.
@@ -47,6 +48,8 @@
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 /// Maximum size of the body of a failure, in bytes.
 const MAX_FAILURE_BYTES: u64 = 1024 * 1024;
+/// Detail of the log line about an interruption for [`Misplaced`].
+const MISPLACED: &str = "resumed stream does not go on where it broke off";
 /// Retry-After when no upstream accepts the request, in milliseconds.
 const BUSY_RETRY_MS: u64 = 300;
 
@@ -81,6 +84,8 @@
     first_bytes: Option<Bytes>,
     framer: EventFramer,
     last_id: Option<EventId>,
+    /// Identifier that the first event after a resumption must have; none where nothing was resumed.
+    expected_id: Option<EventId>,
     /// Software version that began the stream; none before it has begun.
     version: Option<Arc<str>>,
     tried: Vec<UpstreamKey>,
@@ -114,20 +119,8 @@
     }
 }
 
-/// A source with its response headers and first bytes.
-struct OpenedSource {
-    source: Source,
-    headers: HeaderMap,
-    first_bytes: Option<Bytes>,
-}
-
-/// Result of one attempt to open a stream.
-enum OpenOutcome {
-    Open(Box<OpenedSource>),
-    NotRun,
-    InputGone,
-    Lost,
-}
+/// The first event after a resumption does not follow the last one before it.
+struct Misplaced;
 
 /// Opens the stream at an upstream and waits for its first bytes.
 pub(crate) async fn open(call: ModelCall) -> Result<OpenedStream, OpenError> {
@@ -139,6 +132,7 @@
         first_bytes: None,
         framer: EventFramer::new(),
         last_id,
+        expected_id: None,
         version,
         tried: Vec::new(),
         runs: 0,
@@ -242,90 +236,18 @@
         self.version = Some(version.clone());
     }
 
-    fn begin_next_attempt(&self) -> Option<Attempt> {
-        let (relay, request) = (&self.call.relay, &self.call.request);
-        let (affinity, version) = (self.call.affinity.as_ref(), self.version.as_deref());
-        let criteria = selection_criteria(relay, request, affinity, version, &self.tried);
-        let now_ms = relay.now_ms();
-        let attempt = Attempt::begin_chosen(relay, &criteria)?;
-        info!(
-            id:% = request.id,
-            upstream:% = attempt.record.id,
-            version:% = attempt.record.version,
-            last_event_id = self.last_id.unwrap_or(0),
-            resumes = request.head.resumed_request_id.as_deref().unwrap_or(""),
-            prefix = self.call.affinity.as_ref().map_or("", |it| it.prefix.as_str()),
-            list_sequence = attempt.record.sequence,
-            waited_ms = now_ms.saturating_sub(request.arrived_ms),
-            attempt = self.tried.len() + 1;
-            "upstream chosen"
-        );
-        Some(attempt)
-    }
-
-    async fn try_open(&self, mut attempt: Attempt) -> Result<OpenOutcome, AttemptError> {
-        let (relay, request) = (&self.call.relay, &self.call.request);
-        let inputs = (!self.call.inputs.is_empty()).then(|| self.call.inputs.join(","));
-        let now_ms = relay.now_ms();
-        let upstream_request =
-            request.upstream_request(&attempt.record, now_ms, inputs, self.last_id);
-        let first_event = FirstEvent::expect(relay, request, attempt.key);
-        let (response, meta) = request.send(&mut attempt, &upstream_request).await?;
-        let (parts, mut body) = response.into_parts();
-        let framing = BodyFraming::of(parts.status, &parts.headers);
-        if meta.is_not_run {
-            // The connection can be reused only after a complete response.
-            if relay.response_buffers.skip(body).await {
-                attempt.finish(&meta);
-            }
-            let outcome =
-                if meta.is_input_gone { OpenOutcome::InputGone } else { OpenOutcome::NotRun };
-            return Ok(outcome);
-        }
-        check_seal(parts.status, &meta)?;
-        if parts.status.is_server_error() {
-            attempt.record_evidence(&request.authorized.route.name, Evidence::Failure);
-        }
-        if parts.status.is_server_error() && self.call.request.authorized.route.is_repeatable() {
-            warn!(id:% = request.id, status = parts.status.as_u16(); "upstream failed");
-            attempt.fail();
-            return Ok(OpenOutcome::Lost);
-        }
-        let first_bytes = match body.frame().await {
-            Some(Ok(frame)) => frame.into_data().ok(),
-            Some(Err(error)) => {
-                attempt.fail();
-                return Err(AttemptError::Lost(error.to_string()));
-            }
-            // Nothing shows that a response without events and without a marked end is complete.
-            None if framing == BodyFraming::Close && parts.status.is_success() => {
-                attempt.fail();
-                return Err(AttemptError::Lost("stream ended before its first event".to_owned()));
-            }
-            None => None,
-        };
-        first_event.arrived();
-        let headers = forwarded_headers(&parts.headers);
-        let source = Source {
-            attempt,
-            status: parts.status,
-            framing,
-            meta,
-            body,
-            events: 0,
-            pace: StreamPace::default(),
-        };
-        let open = OpenedSource { source, headers, first_bytes };
-        Ok(OpenOutcome::Open(Box::new(open)))
-    }
-
     /// Returns the next bytes to forward; none at the end of the stream.
     async fn next(&mut self) -> Option<Result<Bytes, ResponseAborted>> {
         loop {
-            if let Some(bytes) = self.first_bytes.take()
-                && let Some(bytes) = self.accept_bytes(&bytes)
-            {
-                return Some(Ok(bytes));
+            if let Some(bytes) = self.first_bytes.take() {
+                match self.accept_bytes(&bytes) {
+                    Ok(None) => {}
+                    Ok(Some(bytes)) => return Some(Ok(bytes)),
+                    Err(Misplaced) => match self.resume(MISPLACED).await {
+                        Ok(()) => continue,
+                        Err(error) => return Some(Err(error)),
+                    },
+                }
             }
             let source = self.source.as_mut()?;
             let now_ms = self.call.relay.now_ms();
@@ -334,11 +256,16 @@
             match frame {
                 Ok(Some(Ok(frame))) => {
                     let Ok(bytes) = frame.into_data() else { continue };
-                    if let Some(bytes) = self.accept_bytes(&bytes) {
-                        if self.is_endless_failure() {
+                    match self.accept_bytes(&bytes) {
+                        Ok(None) => {}
+                        Ok(Some(_)) if self.is_endless_failure() => {
                             return Some(Err(self.abort("failure_too_long")));
                         }
-                        return Some(Ok(bytes));
+                        Ok(Some(bytes)) => return Some(Ok(bytes)),
+                        Err(Misplaced) => match self.resume(MISPLACED).await {
+                            Ok(()) => continue,
+                            Err(error) => return Some(Err(error)),
+                        },
                     }
                     if self.framer.buffered_bytes() > MAX_EVENT_BYTES
                         && let Err(error) = self.resume("event is too long").await
@@ -376,10 +303,14 @@
     }
 
     /// Processes received bytes and returns those to forward; of a stream only whole events.
-    fn accept_bytes(&mut self, bytes: &Bytes) -> Option<Bytes> {
+    fn accept_bytes(&mut self, bytes: &Bytes) -> Result<Option<Bytes>, Misplaced> {
         let source = self.source.as_mut().filter(|it| it.is_event_stream());
         let passed = if let Some(source) = source {
-            let events = self.framer.push(bytes)?;
+            let Some(events) = self.framer.push(bytes) else { return Ok(None) };
+            if self.expected_id.is_some() && events.first_id != self.expected_id {
+                return Err(Misplaced);
+            }
+            self.expected_id = None;
             let is_sound = source.events >= SOUND_EVENTS;
             source.events += events.count;
             source.pace.record(events.count, self.call.relay.now_ms());
@@ -393,7 +324,7 @@
             bytes.clone()
         };
         self.events_bytes += passed.len() as u64;
-        Some(passed)
+        Ok(Some(passed))
     }
 
     /// Continues a broken stream at another upstream.
@@ -429,6 +360,8 @@
         if Mechanism::ResumePosition.is_off() {
             self.last_id = None;
         }
+        self.first_bytes = None;
+        self.expected_id = self.last_id.map(|it| it + 1);
         let limit = Duration::from_millis(request.remaining_ms(self.call.relay.now_ms()));
         let connected = tokio::time::timeout(limit, self.connect()).await;
         drop(needed);
@@ -448,6 +381,7 @@
 
     fn abort(&mut self, reason: &'static str) -> ResponseAborted {
         self.source = None;
+        self.first_bytes = None;
         self.log_end(reason);
         ResponseAborted
     }
