Ask the platform before a stream goes on at the only known software version

A report from another operator: during a release, one entry was cut off or stood still for a few seconds while upstreams of a new version joined.

Cause: where nobody tells an entry at which version a stream began, it concludes from its own list that the service has only one. An entry that is out of step does not know that its list is old: its long poll hangs, or the entry that it follows is cut off.

The entry now reads the platform's list for this question (one reading a second at the most, which all requests since then share), and goes on only if that names no other version; a version that it does not know makes it list again. Without a response the stream is refused as not run, as before for unknown streams.

The test a_relay_that_missed_a_release_does_not_continue_streams_at_the_old_software_version failed before: stream 10 of version v2 went on at v1.

--- a/crates/entry/src/relay/mod.rs
+++ b/crates/entry/src/relay/mod.rs
@@ -5,6 +5,7 @@
 mod configurations;
 mod crashes;
 mod feed;
+mod listed_versions;
 mod memory;
 mod metrics;
 mod model;
@@ -106,6 +107,11 @@
     tokio::spawn(feed::follow_entries(relay.clone(), client.clone(), finished.clone()));
     tokio::spawn(peers::follow_sources(relay.clone(), finished.clone()));
     tokio::spawn(configurations::fetch_offered(relay.clone(), finished.clone()));
+    tokio::spawn(listed_versions::read_when_wanted(
+        relay.clone(),
+        client.clone(),
+        finished.clone(),
+    ));
     tokio::spawn(platform_check::check(relay.clone(), client.clone(), finished.clone()));
     tokio::spawn(peers::serve(peers, relay.clone(), finished.clone()));
     let registering = tokio::spawn(peers::register(relay.clone(), client.clone()));
--- a/crates/entry/src/relay/resumption.rs
+++ b/crates/entry/src/relay/resumption.rs
@@ -70,7 +70,7 @@
 ) -> Option<StreamOrigin> {
     // Without an identifier, only the versions of the service tell where the stream began.
     let Some(id) = head.resumed_request_id.as_deref() else {
-        return sole_origin(relay, authorized);
+        return sole_origin(relay, authorized).await;
     };
     let stream = StreamKey::of(id);
     let deadline = Instant::now() + Duration::from_millis(SEARCH_MS);
@@ -83,7 +83,7 @@
         if let Some(origin) = join_all(questions).await.into_iter().flatten().next() {
             return Some(origin);
         }
-        if let Some(origin) = sole_origin(relay, authorized) {
+        if let Some(origin) = sole_origin(relay, authorized).await {
             return Some(origin);
         }
         if let Some(origin) = find_by_prompt(relay, head, authorized).await {
@@ -97,12 +97,18 @@
 }
 
 /// Returns the only service and version at which a stream of the route can have begun, if there is one.
-fn sole_origin(relay: &Relay, authorized: &AuthorizedRequest) -> Option<StreamOrigin> {
+///
+/// The platform is asked again, since an entry that is out of step may lack a version without noticing.
+async fn sole_origin(relay: &Relay, authorized: &AuthorizedRequest) -> Option<StreamOrigin> {
     let [target] = authorized.route.targets.as_slice() else { return None };
     if !relay.follows_platform() {
         return None;
     }
     let version = relay.upstreams().sole_version(&target.service, relay.now_ms())?;
+    let limit = Duration::from_millis(SEARCH_MS);
+    if !relay.listed_versions.is_only(relay, &target.service, &version, limit).await {
+        return None;
+    }
     Some(StreamOrigin { service: target.service.clone(), version })
 }
 
--- a/crates/entry/src/relay/state.rs
+++ b/crates/entry/src/relay/state.rs
@@ -27,6 +27,7 @@
     buffers::ResponseBuffers,
     configurations::Configurations,
     crashes::RequestCrashes,
+    listed_versions::ListedVersions,
     metrics::RelayMetrics,
     peers::{Owner, Peers},
     pool::ConnectionPool,
@@ -71,6 +72,8 @@
     pub(crate) crashes: RequestCrashes,
     /// Which versions keep which prompts.
     pub(crate) prompt_holders: PromptHolderSearch,
+    /// Software versions that the platform lists, read when they have to be certain.
+    pub(crate) listed_versions: ListedVersions,
     /// Counters and histograms.
     pub(crate) metrics: RelayMetrics,
     table: Mutex<Option<Arc<RouteTable>>>,
@@ -138,6 +141,7 @@
             rollouts: RelayRollouts::new(settings.bounds.exposure),
             crashes: RequestCrashes::default(),
             prompt_holders: PromptHolderSearch::default(),
+            listed_versions: ListedVersions::default(),
             metrics: RelayMetrics::new(settings.bounds.exposure.is_some()),
             table: Mutex::new(None),
             upstreams: Mutex::new(upstreams),
