Test the memory of results and the first identifier of events

No change of the code: released and expired results of a stage upstream free their memory once, and only the first event decides whether a stream goes on where it broke off.

--- a/crates/core/src/batching/tests.rs
+++ b/crates/core/src/batching/tests.rs
@@ -410,3 +410,20 @@
     }
     assert_eq!(batcher.take_activity().ordered_plans, 0);
 }
+
+#[test]
+fn memory_of_a_result_is_free_once_it_is_released_or_expires_and_counts_once() {
+    let upstreams = upstreams(1);
+    let mut batcher = Batcher::new(StageService { result_capacity_bytes: 5_000_000, ..SERVICE });
+    batcher.submit(work(3, 5_000, 20_000));
+    let planned = batcher.next_call(&upstreams, 0).unwrap();
+    let CallResult::Answered(results) = answer(&planned) else { unreachable!() };
+    batcher.finish(planned.call, CallResult::Answered(results.clone()), 250);
+    let PieceResult::Completed(handle) = &results[0] else { unreachable!() };
+    batcher.release(handle);
+    batcher.release(handle);
+    batcher.submit(work(3, 5_000, 20_000));
+    let expired_ms = 250 + SERVICE.result_ttl_ms;
+    assert_eq!(batcher.next_call(&upstreams, expired_ms - 1), None, "only one of three fits");
+    assert_eq!(batcher.next_call(&upstreams, expired_ms).unwrap().pieces.len(), 3);
+}
--- a/crates/core/src/event_stream/tests.rs
+++ b/crates/core/src/event_stream/tests.rs
@@ -55,3 +55,12 @@
         prop_assert!(framer.is_empty());
     }
 }
+
+#[test]
+fn the_first_identifier_is_that_of_the_first_event() {
+    let first_id = |bytes: &[u8]| EventFramer::new().push(bytes).unwrap().first_id;
+    assert_eq!(first_id(b"id: 3\ndata: a\n\nid: 4\ndata: b\n\n"), Some(3));
+    assert_eq!(first_id(b"data: a\r\nid: 3\r\n\r\n"), Some(3));
+    assert_eq!(first_id(b"data: a\n\nid: 4\n\n"), None);
+    assert_eq!(first_id(b"HTTP/1.1 500 Internal Server Error\r\n\r\n"), None);
+}
