--- a/review/harness/src/cases.rs
+++ b/review/harness/src/cases.rs
@@ -3,6 +3,7 @@
 pub mod header_limit;
 pub mod late_copies;
 pub mod slow_reader;
+pub mod slow_readers_memory;
 
 use std::{io, path::Path};
 
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -11,7 +11,7 @@
 
 use std::{fs, path::PathBuf, process::ExitCode};
 
-use crate::cases::{Outcome, header_limit, late_copies, slow_reader};
+use crate::cases::{Outcome, header_limit, late_copies, slow_reader, slow_readers_memory};
 
 fn main() -> ExitCode {
     let mut arguments = std::env::args().skip(1);
@@ -22,6 +22,7 @@
     let play = match case.as_str() {
         "late-copies" => late_copies::play,
         "slow-reader" => slow_reader::play,
+        "slow-readers-memory" => slow_readers_memory::play,
         "header-limit" => header_limit::play,
         other => {
             eprintln!("unknown case {other:?}");
--- a/review/harness/src/relay.rs
+++ b/review/harness/src/relay.rs
@@ -142,11 +142,30 @@
 
     /// Sends SIGTERM.
     pub fn terminate(&self) -> io::Result<()> {
+        self.signal("TERM")
+    }
+
+    /// Sends the signal with a name.
+    pub fn signal(&self, name: &str) -> io::Result<()> {
         let Some(process) = &self.process else { return Ok(()) };
-        let status = Command::new("kill").arg("-TERM").arg(process.id().to_string()).status()?;
+        let status =
+            Command::new("kill").arg(format!("-{name}")).arg(process.id().to_string()).status()?;
         if status.success() { Ok(()) } else { Err(io::Error::other("kill failed")) }
     }
 
+    /// Returns the identifier of the process; 0 if it has ended.
+    pub fn process_id(&self) -> u32 {
+        self.process.as_ref().map_or(0, Child::id)
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        if let Some(mut process) = self.process.take() {
+            let _ = process.kill();
+            let _ = process.wait();
+        }
+    }
+
     /// Tells whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
         match &mut self.process {
