Relay: keep accepting callers whatever the limit on request heads

Cause: serve_callers passed the limit to http1::Builder::max_buf_size, which panics below 8,192. The panic ended the accept loop and dropped its listener.

The limit is now max_header_size, which hyper compares with the exact size of a head; the buffer is clamped to what hyper accepts.

--- a/crates/entry/src/relay/server.rs
+++ b/crates/entry/src/relay/server.rs
@@ -26,6 +26,12 @@
     state::Relay,
 };
 
+/// Smallest read buffer that hyper accepts, in bytes; it panics below.
+const MIN_BUFFER_BYTES: usize = 8 * 1024;
+/// Largest read buffer of a connection, in bytes: a head that exceeds it is refused whatever the
+/// configured limit, since callers would otherwise decide on the memory that this process uses.
+const MAX_BUFFER_BYTES: usize = 1024 * 1024;
+
 /// Serves callers until `stop` is cancelled, then finishes the requests in progress.
 pub(crate) async fn serve_callers(
     listener: TcpListener,
@@ -55,7 +61,8 @@
         builder
             .timer(TokioTimer::new())
             .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms))
-            .max_buf_size(limits.header_bytes)
+            .max_header_size(limits.header_bytes.max(1))
+            .max_buf_size(limits.header_bytes.clamp(MIN_BUFFER_BYTES, MAX_BUFFER_BYTES))
             // Events are small: copying one into a single buffer is cheaper than a vectored write
             // of three.
             .writev(false);
