Relay: apply the limits on the time of heads and of idle connections

Callers with a slow head kept a connection for idleTimeoutMs, whatever headerTimeoutMs says; the time of a head counted as idle time, as did that in which a caller still read a response; limits that changed held for new connections only.

Cause: one timer of hyper, set to the idle limit, ran from the end of a response until the next head was complete. header_timeout_ms was never read.

A connection now records its traffic and has the limit of what it is doing. A head has at least a second, so that no value keeps all callers out.

--- /dev/null
+++ b/crates/entry/src/relay/connection/activity.rs
@@ -0,0 +1,151 @@
+//! What a caller's connection is doing, and when it reaches a limit.
+
+use std::{
+    future::poll_fn,
+    pin::Pin,
+    sync::Mutex,
+    task::{Poll, ready},
+    time::Duration,
+};
+
+use tokio::time::{Instant, Sleep};
+use yuccatrail_core::route_table::CallerLimits;
+
+use crate::relay::state::lock;
+
+/// Least time that a caller has for a head or for reading on, in milliseconds: a lost packet and its
+/// retransmission. With a shorter limit an entry would serve no caller.
+const MIN_TIMEOUT_MS: u64 = 1_000;
+
+/// Which limit a connection has reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Expired {
+    /// No request has begun in time.
+    Idle,
+    /// A head has begun to arrive, and is not complete in time.
+    Head,
+}
+
+/// What a connection is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// Waits for its first request.
+    Opened,
+    /// Waits for its next request.
+    Idle,
+    /// A head has begun to arrive.
+    ReadingHead,
+    /// A request is being served.
+    Serving,
+}
+
+#[derive(Debug)]
+struct State {
+    phase: Phase,
+    /// Time at which the phase began; of an idle connection also that of the last bytes written, since a
+    /// slow caller may still be reading the last response.
+    since: Instant,
+    /// Whether all that was written so far has been handed to the operating system.
+    is_flushed: bool,
+}
+
+/// Activity of one connection.
+#[derive(Debug)]
+pub(super) struct Activity {
+    state: Mutex<State>,
+}
+
+impl Activity {
+    /// Begins with a connection that was just accepted.
+    pub(super) fn new() -> Self {
+        let state = State { phase: Phase::Opened, since: Instant::now(), is_flushed: true };
+        Self { state: Mutex::new(state) }
+    }
+
+    /// Records that the head of a request is complete.
+    pub(super) fn begin_request(&self) {
+        lock(&self.state).phase = Phase::Serving;
+    }
+
+    /// Records that hyper has taken over the last bytes of a response.
+    pub(super) fn end_response(&self) {
+        lock(&self.state).enter(Phase::Idle);
+    }
+
+    /// Records that bytes have arrived.
+    pub(super) fn record_read(&self) {
+        let mut state = lock(&self.state);
+        if matches!(state.phase, Phase::Opened | Phase::Idle) {
+            state.enter(Phase::ReadingHead);
+        }
+    }
+
+    /// Records that bytes were written.
+    pub(super) fn record_written(&self) {
+        let mut state = lock(&self.state);
+        state.is_flushed = false;
+        if state.phase == Phase::Idle {
+            state.since = Instant::now();
+        }
+    }
+
+    /// Records that nothing is left to be written.
+    pub(super) fn record_flushed(&self) {
+        lock(&self.state).is_flushed = true;
+    }
+
+    /// Tells whether all that was written so far has been handed to the operating system.
+    pub(super) fn is_flushed(&self) -> bool {
+        lock(&self.state).is_flushed
+    }
+
+    /// Creates the timer for [`Self::until_expired`].
+    pub(super) fn timer(&self, limits: CallerLimits) -> Sleep {
+        let expires = self.expires(limits).map(|(at, _)| at);
+        tokio::time::sleep_until(expires.unwrap_or_else(Instant::now))
+    }
+
+    /// Waits until the connection reaches a limit. The timer is moved when it is late or has elapsed, not
+    /// with each request.
+    pub(super) async fn until_expired(
+        &self,
+        limits: CallerLimits,
+        mut timer: Pin<&mut Sleep>,
+    ) -> Expired {
+        poll_fn(|context| {
+            loop {
+                let Some((at, expired)) = self.expires(limits) else { return Poll::Pending };
+                if timer.deadline() > at || timer.is_elapsed() {
+                    timer.as_mut().reset(at);
+                }
+                ready!(timer.as_mut().poll(context));
+                if at <= Instant::now() {
+                    return Poll::Ready(expired);
+                }
+            }
+        })
+        .await
+    }
+
+    /// Returns when the connection reaches a limit, and which; none while it reaches none.
+    fn expires(&self, limits: CallerLimits) -> Option<(Instant, Expired)> {
+        let state = lock(&self.state);
+        let header_timeout_ms = limits.header_timeout_ms.max(MIN_TIMEOUT_MS);
+        let idle_timeout_ms = limits.idle_timeout_ms;
+        let (limit_ms, expired) = match state.phase {
+            Phase::Idle if state.is_flushed => (idle_timeout_ms, Expired::Idle),
+            Phase::Idle => (idle_timeout_ms.max(MIN_TIMEOUT_MS), Expired::Idle),
+            Phase::Opened => (idle_timeout_ms.max(header_timeout_ms), Expired::Idle),
+            Phase::ReadingHead => (header_timeout_ms, Expired::Head),
+            Phase::Serving => return None,
+        };
+        Some((state.since.checked_add(Duration::from_millis(limit_ms))?, expired))
+    }
+}
+
+impl State {
+    fn enter(&mut self, phase: Phase) {
+        self.phase = phase;
+        self.since = Instant::now();
+    }
+}
--- a/crates/entry/src/relay/mod.rs
+++ b/crates/entry/src/relay/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod buffers;
 mod configurations;
+mod connection;
 mod crashes;
 mod feed;
 mod listed_versions;
--- a/crates/entry/src/relay/state.rs
+++ b/crates/entry/src/relay/state.rs
@@ -17,7 +17,7 @@
     freshness::{PlatformData, PlatformDataFreshness},
     ownership::{Candidate, ReadingRole},
     retry_share::RetryShare,
-    route_table::RouteTable,
+    route_table::{CallerLimits, RouteTable},
     stream_origin::StreamOrigins,
     upstreams::{ListCorrections, Upstreams, UpstreamsSettings},
 };
@@ -77,6 +77,8 @@
     /// Counters and histograms.
     pub(crate) metrics: RelayMetrics,
     table: Mutex<Option<Arc<RouteTable>>>,
+    /// Limits on callers of the active configuration; the default ones before the first has arrived.
+    limits: watch::Sender<CallerLimits>,
     upstreams: Mutex<Upstreams>,
     streams: Mutex<StreamOrigins>,
     retries: Mutex<RetryShare>,
@@ -144,6 +146,7 @@
             listed_versions: ListedVersions::default(),
             metrics: RelayMetrics::new(settings.bounds.exposure.is_some()),
             table: Mutex::new(None),
+            limits: watch::Sender::new(CallerLimits::default()),
             upstreams: Mutex::new(upstreams),
             streams: Mutex::default(),
             retries: Mutex::new(retries),
@@ -168,6 +171,11 @@
         lock(&self.table).clone()
     }
 
+    /// Returns a receiver that is notified when the limits on callers change.
+    pub(crate) fn subscribe_limits(&self) -> watch::Receiver<CallerLimits> {
+        self.limits.subscribe()
+    }
+
     /// Activates a configuration if it is newer than the active one; returns whether it did.
     pub(crate) fn activate_configuration(&self, table: RouteTable, source: &str) -> bool {
         let mut current = lock(&self.table);
@@ -200,6 +208,7 @@
         let table = Arc::new(table);
         *current = Some(table.clone());
         drop(current);
+        self.limits.send_if_modified(|it| std::mem::replace(it, table.limits()) != table.limits());
         self.configurations.record_active(table);
         self.updates.notify();
         true
