--- a/crates/entry/src/relay/model.rs
+++ b/crates/entry/src/relay/model.rs
@@ -57,6 +57,10 @@
             ran = run_stages(relay, request, &mut graph, &mut held, data_centre.as_ref()) => ran?,
             () = relay.until_unsent_refused() => return Err(Refusal::busy("stopping", STOPPING_RETRY_MS)),
         }
+        if !graph.is_done() {
+            // The model would read the results of some stages only.
+            return Err(Refusal::gone("stages_never_ready"));
+        }
         let call = ModelCall {
             relay: relay.clone(),
             request: request.clone(),
