Relay: start failed tasks again, and report readiness accordingly

Callers and the platform could not tell an entry that had lost a task from a sound one: after a panic in one of a dozen tasks (feeds, housekeeping, servers) its part was gone for good, and readiness said 200.

Cause: serve() spawned the tasks and never looked at them; is_ready() asked for data only.

A supervisor in yuccatrail-runtime starts a task again that panics or ends early, with a growing delay, and the entry is not ready for 3 s after that. The process goes on: a value that reaches all entries would end all of them at once. Panics are logged as JSON lines.

--- a/crates/agent/src/admin.rs
+++ b/crates/agent/src/admin.rs
@@ -19,7 +19,7 @@
 
 /// Serves the endpoint until `finished` is cancelled.
 pub(crate) async fn serve(listener: TcpListener, admin: AdminState, finished: CancellationToken) {
-    http::serve(listener, finished, move |request| handle(admin.clone(), request)).await;
+    http::serve(Arc::new(listener), finished, move |request| handle(admin.clone(), request)).await;
 }
 
 async fn handle(admin: AdminState, request: Request<Incoming>) -> Response<Body> {
--- a/crates/entry/src/relay/peers/serve.rs
+++ b/crates/entry/src/relay/peers/serve.rs
@@ -152,7 +152,7 @@
 }
 
 /// Serves the other entries until `stop` is cancelled.
-pub(crate) async fn serve(listener: TcpListener, relay: Arc<Relay>, stop: CancellationToken) {
+pub(crate) async fn serve(listener: Arc<TcpListener>, relay: Arc<Relay>, stop: CancellationToken) {
     accept(&listener, &stop, |stream| {
         tokio::spawn(serve_connection(stream, relay.clone()));
     })
--- a/crates/entry/src/relay/server.rs
+++ b/crates/entry/src/relay/server.rs
@@ -13,13 +13,36 @@
 
 use crate::relay::{connection::serve_connection, pool::set_socket_options, state::Relay};
 
-/// Serves callers until `stop` is cancelled, then finishes the requests in progress.
-pub(crate) async fn serve_callers(
+/// Begins to serve callers; `stop` ends accepting connections and, after the requests in progress, the
+/// connections.
+///
+/// Returns the tracker of the connections.
+pub(crate) fn serve_callers(
     listener: TcpListener,
+    relay: &Arc<Relay>,
+    stop: &CancellationToken,
+) -> TaskTracker {
+    let connections = TaskTracker::new();
+    let listener = Arc::new(listener);
+    let (task_relay, task_connections, task_stop) =
+        (relay.clone(), connections.clone(), stop.clone());
+    relay.supervisor.spawn("caller_server", stop, move || {
+        accept_callers(
+            listener.clone(),
+            task_relay.clone(),
+            task_connections.clone(),
+            task_stop.clone(),
+        )
+    });
+    connections
+}
+
+async fn accept_callers(
+    listener: Arc<TcpListener>,
     relay: Arc<Relay>,
+    connections: TaskTracker,
     stop: CancellationToken,
 ) {
-    let connections = TaskTracker::new();
     accept(&listener, &stop, |stream| {
         if let Err(error) = set_socket_options(&stream) {
             warn!(error:% = error; "failed to set socket options of a caller's connection");
@@ -27,8 +50,6 @@
         connections.spawn(serve_connection(stream, relay.clone(), stop.clone()));
     })
     .await;
-    connections.close();
-    connections.wait().await;
 }
 
 /// Handles the platform's readiness check.
--- a/crates/entry/src/relay/state.rs
+++ b/crates/entry/src/relay/state.rs
@@ -21,7 +21,7 @@
     stream_origin::StreamOrigins,
     upstreams::{ListCorrections, Upstreams, UpstreamsSettings},
 };
-use yuccatrail_runtime::clock::Clock;
+use yuccatrail_runtime::{clock::Clock, supervisor::Supervisor};
 
 use crate::relay::{
     buffers::ResponseBuffers,
@@ -50,6 +50,8 @@
     pub(crate) settings: RelaySettings,
     /// Clock behind all times in milliseconds since the start.
     pub(crate) clock: Clock,
+    /// Starts the tasks that run as long as the process.
+    pub(crate) supervisor: Supervisor,
     /// Idle connections to upstreams.
     pub(crate) pool: ConnectionPool,
     /// Limits on the response bodies that are read at the same time.
@@ -132,6 +134,7 @@
         let retries = RetryShare::new(settings.bounds.retries, is_first_start, clock.now_ms());
         Arc::new(Self {
             clock,
+            supervisor: Supervisor::new(clock),
             pool: ConnectionPool::default(),
             response_buffers: ResponseBuffers::default(),
             stages: StageQueues::default(),
@@ -347,10 +350,11 @@
         follows && self.upstreams().has_platform_list()
     }
 
-    /// Tells whether the relay takes callers: it has a configuration and a list of upstreams, and
-    /// is not stopping.
+    /// Tells whether the relay takes callers: it has a configuration and a list of upstreams, all its
+    /// tasks run, and it is not stopping.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_stopping.load(Ordering::Relaxed)
+            && self.supervisor.is_healthy()
             && lock(&self.table).is_some()
             && self.upstreams().has_list()
     }
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -72,7 +72,7 @@
     tasks.spawn(run_housekeeping(entry.clone(), finished.clone()));
     let handler_entry = entry.clone();
     let handler = move |request| routes::handle(handler_entry.clone(), request);
-    let callers = tokio::spawn(http::serve(listener, finished.clone(), handler));
+    let callers = tokio::spawn(http::serve(Arc::new(listener), finished.clone(), handler));
     signal.cancelled().await;
     shut_down(&entry, &settings).await;
     finished.cancel();
--- a/crates/fakes/src/upstream/server.rs
+++ b/crates/fakes/src/upstream/server.rs
@@ -27,7 +27,7 @@
 
 /// Serves requests until `stop` is cancelled.
 pub async fn serve(listener: TcpListener, upstream: Arc<Upstream>, stop: CancellationToken) {
-    http::serve(listener, stop, move |request| handle(upstream.clone(), request)).await;
+    http::serve(Arc::new(listener), stop, move |request| handle(upstream.clone(), request)).await;
 }
 
 /// Body of a text generation request.
--- a/crates/runtime/src/accept.rs
+++ b/crates/runtime/src/accept.rs
@@ -53,3 +53,6 @@
     *logged_at = Some(now);
     warn!(error:% = error; "failed to accept a connection");
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/runtime/src/http.rs
+++ b/crates/runtime/src/http.rs
@@ -1,6 +1,6 @@
 //! HTTP server and response helpers shared by the binaries.
 
-use std::{convert::Infallible, future::Future, time::Duration};
+use std::{convert::Infallible, future::Future, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use derive_more::Display;
@@ -77,7 +77,7 @@
 }
 
 /// Serves HTTP/1.1 and HTTP/2 until `stop` is cancelled, then waits for the requests in flight.
-pub async fn serve<F, Fut>(listener: TcpListener, stop: CancellationToken, handler: F)
+pub async fn serve<F, Fut>(listener: Arc<TcpListener>, stop: CancellationToken, handler: F)
 where
     F: Fn(Request<Incoming>) -> Fut + Clone + Send + 'static,
     Fut: Future<Output = Response<Body>> + Send + 'static,
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -1,4 +1,4 @@
-//! Infrastructure shared by the binaries: JSON logs, signals, clock, control state, HTTP server and
+//! Infrastructure shared by the binaries: JSON logs, signals, clock, supervised tasks, control state, HTTP server and
 //! common settings.
 
 pub mod accept;
@@ -8,4 +8,5 @@
 pub mod logging;
 pub mod settings;
 pub mod shutdown;
+pub mod supervisor;
 pub mod threads;
--- a/crates/runtime/src/logging.rs
+++ b/crates/runtime/src/logging.rs
@@ -5,6 +5,7 @@
 
 use std::{
     io::{self, Write},
+    panic::{self, PanicHookInfo},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     thread,
     time::{Duration, Instant},
@@ -12,7 +13,7 @@
 
 use derive_more::{Display, Error};
 use log::{
-    Level, LevelFilter, Log, Metadata, Record,
+    Level, LevelFilter, Log, Metadata, Record, error,
     kv::{self, Key, Value, VisitSource},
 };
 use serde_json::{Map, Value as Json, json};
@@ -57,9 +58,16 @@
     if let Err(error) = spawned {
         eprintln!("cannot start the log writer thread: {error}");
     }
+    panic::set_hook(Box::new(log_panic));
     Ok(())
 }
 
+/// Logs a panic, which would otherwise be written as plain text.
+fn log_panic(info: &PanicHookInfo<'_>) {
+    let place = info.location().map(ToString::to_string).unwrap_or_default();
+    error!(place = place, detail = info.payload_as_str().unwrap_or(""); "panicked");
+}
+
 /// Lines that are not written yet, and the numbers of lines in the current second.
 #[derive(Debug)]
 struct LineBuffer {
