Relay: limit what an upstream sends before the head of its response

Callers of an entry got no answer, those of sound upstreams included, while an upstream sent informational responses (103) without end: none of 300 within 12 s, and 60 of 60 got 504 after 10 s with one such upstream of three.

Cause: hyper skips informational responses in a loop that goes on as long as bytes arrive, whose size nothing limits, since each one empties the buffer. Hundreds of such connections took all processor time, timers included.

A connection to an upstream now fails once 64 kB have arrived before the head is complete, and reads 32 kB at a time instead of up to 400 kB.

--- a/crates/entry/src/relay/pool.rs
+++ b/crates/entry/src/relay/pool.rs
@@ -3,7 +3,13 @@
 //! A connection carries one request at a time and is reused only after a complete response.
 //! Dropping it closes it at once, which tells the upstream to cancel the request.
 
-use std::{net::SocketAddr, sync::Mutex, time::Duration};
+mod head_limit;
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use derive_more::{Display, Error, From};
@@ -15,13 +21,19 @@
 use tokio::{net::TcpStream, task::JoinHandle};
 use yuccatrail_core::{FastMap, upstreams::UpstreamKey};
 
-use crate::relay::state::lock;
+use crate::relay::{
+    pool::head_limit::{HeadLimit, LimitedStream},
+    state::lock,
+};
 
 /// Timeout for opening a connection, in milliseconds; far above a round trip within a region.
 const CONNECT_TIMEOUT_MS: u64 = 300;
 /// Time after which a connection with unacknowledged bytes is closed (`TCP_USER_TIMEOUT`), in
 /// milliseconds.
 const UNACKNOWLEDGED_TIMEOUT_MS: u64 = 1_500;
+/// Size of the read buffer of a connection, in bytes, and thus of the largest head of a response. Hundreds
+/// of connections to upstreams that send without end must fit into the memory of a small instance.
+const READ_BUFFER_BYTES: usize = 32 * 1024;
 /// Idle time before TCP keepalive probes and between them, in seconds; the shortest that the system
 /// accepts.
 const KEEPALIVE_INTERVAL_S: u64 = 1;
@@ -54,6 +66,7 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
+    head_limit: Arc<HeadLimit>,
     driver: JoinHandle<()>,
 }
 
@@ -131,14 +144,18 @@
         let connecting = tokio::time::timeout(limit, TcpStream::connect(address)).await;
         let stream = connecting.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))?;
         set_socket_options(&stream)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let head_limit = Arc::new(HeadLimit::default());
+        let io = TokioIo::new(LimitedStream::new(stream, head_limit.clone()));
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(READ_BUFFER_BYTES);
+        let (sender, connection) = builder.handshake(io).await?;
         let driver = tokio::spawn(async move {
             // The request in progress gets the same error.
             if let Err(error) = connection.await {
                 debug!(error:% = error; "connection to an upstream failed");
             }
         });
-        Ok(Self { sender, driver })
+        Ok(Self { sender, head_limit, driver })
     }
 
     /// Sends a request and waits for the response headers.
@@ -149,12 +166,15 @@
         if self.sender.ready().await.is_err() {
             return Err(SendError::NotSent);
         }
-        self.sender.try_send_request(request).await.map_err(|mut error| {
+        self.head_limit.begin();
+        let response = self.sender.try_send_request(request).await.map_err(|mut error| {
             if error.take_message().is_some() {
                 return SendError::NotSent;
             }
             SendError::Lost(error.into_error())
-        })
+        })?;
+        self.head_limit.lift();
+        Ok(response)
     }
 }
 
