Relay: count incomplete events towards the memory for responses

An entry exceeded its memory, and with it ended the requests of all its callers, while upstreams sent events that never end: 410 MB with 1,000 callers (debug build), 260 MB are allowed.

An incomplete event over 16 kB now takes its part of the same total of 32 MB, and the stream is broken off, or resumed elsewhere, once that is exhausted. Bodies count from 16 kB on as well.

--- a/crates/entry/src/relay/buffers.rs
+++ b/crates/entry/src/relay/buffers.rs
@@ -17,9 +17,10 @@
 /// Maximum size of the response to a call that the relay makes for itself, in bytes; the results of the
 /// largest stage call take a few kilobytes.
 const MAX_OWN_BYTES: usize = 256 * 1024;
-/// Size up to which a body does not count towards the total, in bytes; nearly all bodies are smaller.
-const UNCOUNTED_BYTES: usize = 64 * 1024;
-/// Total size of the larger bodies that are read at the same time, in kilobytes.
+/// Size up to which a body or an event does not count towards the total, in bytes; nearly all are smaller,
+/// and a thousand of them at once fit into the memory of a small instance.
+const UNCOUNTED_BYTES: usize = 16 * 1024;
+/// Total size of the larger bodies and events that are held at the same time, in kilobytes.
 const TOTAL_KB: usize = 32 * 1024;
 /// Maximum size of a body that is read only so that its connection can be reused, in bytes.
 const MAX_SKIPPED_BYTES: usize = 64 * 1024;
@@ -43,6 +44,40 @@
     total_kb: Arc<Semaphore>,
 }
 
+/// What one body or event takes of the total; given back when dropped.
+#[derive(Debug)]
+pub(crate) struct HeldBytes {
+    total_kb: Arc<Semaphore>,
+    permit: Option<OwnedSemaphorePermit>,
+}
+
+impl HeldBytes {
+    /// Takes as much as this number of bytes needs, or gives back what it does not need; returns false if
+    /// the total is exhausted.
+    pub(crate) fn hold(&mut self, bytes: usize) -> bool {
+        let counted_kb = bytes.saturating_sub(UNCOUNTED_BYTES).div_ceil(1024);
+        let held_kb = self.permit.as_ref().map_or(0, OwnedSemaphorePermit::num_permits);
+        if counted_kb == 0 {
+            self.permit = None;
+            return true;
+        }
+        if counted_kb <= held_kb {
+            let surplus = self.permit.as_mut().and_then(|it| it.split(held_kb - counted_kb));
+            drop(surplus);
+            return true;
+        }
+        let missing_kb = (counted_kb - held_kb) as u32;
+        let Ok(added) = self.total_kb.clone().try_acquire_many_owned(missing_kb) else {
+            return false;
+        };
+        match &mut self.permit {
+            Some(permit) => permit.merge(added),
+            None => self.permit = Some(added),
+        }
+        true
+    }
+}
+
 impl Default for ResponseBuffers {
     fn default() -> Self {
         Self { total_kb: Arc::new(Semaphore::new(TOTAL_KB)) }
@@ -64,7 +99,7 @@
 
     async fn read_limited(&self, mut body: Incoming, max_bytes: usize) -> Result<Bytes, ReadError> {
         let mut read = BytesMut::new();
-        let mut permit: Option<OwnedSemaphorePermit> = None;
+        let mut held = self.hold_nothing();
         while let Some(frame) = body.frame().await {
             // Trailers are not forwarded.
             let Ok(bytes) = frame?.into_data() else { continue };
@@ -72,22 +107,19 @@
             if read_bytes > max_bytes {
                 return Err(ReadError::TooLong);
             }
-            let counted_kb = read_bytes.saturating_sub(UNCOUNTED_BYTES).div_ceil(1024);
-            let held_kb = permit.as_ref().map_or(0, OwnedSemaphorePermit::num_permits);
-            if counted_kb > held_kb {
-                let missing_kb = (counted_kb - held_kb) as u32;
-                let added = self.total_kb.clone().try_acquire_many_owned(missing_kb);
-                let added = added.map_err(|_| ReadError::TooLong)?;
-                match &mut permit {
-                    Some(permit) => permit.merge(added),
-                    None => permit = Some(added),
-                }
+            if !held.hold(read_bytes) {
+                return Err(ReadError::TooLong);
             }
             read.extend_from_slice(&bytes);
         }
         Ok(read.freeze())
     }
 
+    /// Returns a part of the total that is empty so far.
+    pub(crate) fn hold_nothing(&self) -> HeldBytes {
+        HeldBytes { total_kb: self.total_kb.clone(), permit: None }
+    }
+
     /// Reads a short body to its end without keeping it; tells whether it ended.
     pub(crate) async fn skip(&self, mut body: Incoming) -> bool {
         let reading = async {
--- a/crates/entry/src/relay/stream.rs
+++ b/crates/entry/src/relay/stream.rs
@@ -29,6 +29,7 @@
 
 use crate::relay::{
     attempt::{Attempt, AttemptError},
+    buffers::HeldBytes,
     crashes::LostResponse,
     memory,
     model::selection_criteria,
@@ -83,6 +84,8 @@
     source: Option<Source>,
     first_bytes: Option<Bytes>,
     framer: EventFramer,
+    /// What the incomplete event takes of the memory for responses.
+    buffered: HeldBytes,
     last_id: Option<EventId>,
     /// Identifier that the first event after a resumption must have; none where nothing was resumed.
     expected_id: Option<EventId>,
@@ -126,11 +129,13 @@
 pub(crate) async fn open(call: ModelCall) -> Result<OpenedStream, OpenError> {
     let last_id = call.request.head.last_event_id;
     let version = call.request.origin.as_ref().map(|it| it.version.clone());
+    let buffered = call.relay.response_buffers.hold_nothing();
     let mut relayed = RelayedStream {
         call,
         source: None,
         first_bytes: None,
         framer: EventFramer::new(),
+        buffered,
         last_id,
         expected_id: None,
         version,
@@ -267,7 +272,7 @@
                             Err(error) => return Some(Err(error)),
                         },
                     }
-                    if self.framer.buffered_bytes() > MAX_EVENT_BYTES
+                    if self.is_event_too_long()
                         && let Err(error) = self.resume("event is too long").await
                     {
                         return Some(Err(error));
@@ -296,6 +301,12 @@
         }
     }
 
+    /// Tells whether the incomplete event exceeds the limit for one event, or for all that are held.
+    fn is_event_too_long(&mut self) -> bool {
+        let bytes = self.framer.buffered_bytes();
+        bytes > MAX_EVENT_BYTES || !self.buffered.hold(bytes)
+    }
+
     /// Tells whether the body of a failure is so long that its end is not awaited.
     fn is_endless_failure(&self) -> bool {
         let is_event_stream = self.source.as_ref().is_some_and(Source::is_event_stream);
@@ -357,6 +368,7 @@
             }
         }
         self.framer = EventFramer::new();
+        self.buffered = self.call.relay.response_buffers.hold_nothing();
         if Mechanism::ResumePosition.is_off() {
             self.last_id = None;
         }
@@ -383,6 +395,8 @@
         self.source = None;
         self.first_bytes = None;
         self.log_end(reason);
+        self.framer = EventFramer::new();
+        self.buffered = self.call.relay.response_buffers.hold_nothing();
         ResponseAborted
     }
 
