Relay: refuse during a stop what can't end in time, and answer the rest

Cause: admission did not know of the stop; the listener stayed open while nobody accepted; the stop waited for handlers instead of connections.

core::stop_admission takes a request whose deadline lies before the cutoff, and for the first 2.6 s one whose route's recent durations fit; it is asked before and after the body. The listener closes after 2.6 s, connections in its backlog are served. Shortly before the kill, requests without a response get 504 with outcome unknown. The stop waits for callers' connections to end.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod routing;
 pub mod sabotage;
 pub mod stage_graph;
+pub mod stop_admission;
 pub mod stream_origin;
 pub mod upstreams;
 
--- a/crates/entry/src/relay/connection.rs
+++ b/crates/entry/src/relay/connection.rs
@@ -40,6 +40,9 @@
 /// Largest read buffer of a connection, in bytes: a head that exceeds it is refused whatever the
 /// configured limit, since callers would otherwise decide on the memory that this process uses.
 const MAX_BUFFER_BYTES: usize = 256 * 1024;
+/// Time that a stopping entry leaves to a new connection for its first request, in milliseconds; a round
+/// trip within a region takes less.
+const FIRST_REQUEST_MS: u64 = 100;
 /// Time for which the response to a late head may take to be written, in milliseconds.
 const REJECTION_TIMEOUT_MS: u64 = 100;
 /// Response to a late head; hyper has not handed out the request, so that none can be built for it.
@@ -93,7 +96,7 @@
                 }
                 return;
             }
-            () = closing.cancelled(), if !is_closing => {}
+            () = until_closing(&closing, &activity), if !is_closing => {}
             // The caller's next connection has the new limits.
             _ = limits_changed.wait_for(|it| *it != limits), if !is_closing => {}
             expired = activity.until_expired(limits, timer.as_mut()) => break expired,
@@ -108,6 +111,15 @@
     }
 }
 
+/// Waits until a connection has to be closed after its request; one that was just accepted has time to send
+/// one.
+async fn until_closing(closing: &CancellationToken, activity: &Activity) {
+    closing.cancelled().await;
+    if activity.is_unused() {
+        tokio::time::sleep(Duration::from_millis(FIRST_REQUEST_MS)).await;
+    }
+}
+
 /// Answers a head that did not arrive in time, unless an earlier response is still being written.
 async fn reject_late_head(stream: WatchedStream) {
     let Some(mut stream) = stream.into_flushed() else { return };
--- a/crates/entry/src/relay/connection/activity.rs
+++ b/crates/entry/src/relay/connection/activity.rs
@@ -99,6 +99,11 @@
         lock(&self.state).is_flushed
     }
 
+    /// Tells whether nothing has arrived yet.
+    pub(super) fn is_unused(&self) -> bool {
+        lock(&self.state).phase == Phase::Opened
+    }
+
     /// Creates the timer for [`Self::until_expired`].
     pub(super) fn timer(&self, limits: CallerLimits) -> Sleep {
         let expires = self.expires(limits).map(|(at, _)| at);
--- a/crates/entry/src/relay/mod.rs
+++ b/crates/entry/src/relay/mod.rs
@@ -34,7 +34,8 @@
 
 use log::{info, warn};
 use tokio::net::TcpListener;
-use tokio_util::sync::CancellationToken;
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+use yuccatrail_core::stop_admission::StopSchedule;
 use yuccatrail_platform::{BudgetSettings, Client, ClientSettings};
 use yuccatrail_runtime::shutdown;
 
@@ -59,6 +60,9 @@
 /// Time before the end of a graceful shutdown at which requests that no upstream has received are
 /// refused, in milliseconds; a busy entry needs part of it to send all the refusals.
 const REFUSAL_MARGIN_MS: u64 = 300;
+/// Time before the end of a graceful shutdown at which requests that upstreams are still at work on get
+/// their answer, in milliseconds: that they may have run.
+const ANSWER_MARGIN_MS: u64 = 150;
 /// Interval at which a stopping relay checks for requests in progress, in milliseconds.
 const SHUTDOWN_POLL_MS: u64 = 50;
 /// Timeout of one call to the platform's object store, in milliseconds; a slow store takes 240.
@@ -104,8 +108,7 @@
     let connections = serve_callers(callers, &relay, &closing);
     signal.cancelled().await;
     registering.abort();
-    shut_down(&relay, &closing).await;
-    drop(connections);
+    shut_down(&relay, &closing, &connections).await;
     // Until its record is removed, other entries leave their work in progress here, and count this
     // entry when they share the limit on calls to cold upstreams.
     peers::unregister(&relay, &client).await;
@@ -114,29 +117,41 @@
     Ok(())
 }
 
-/// Reports not ready, waits for the requests in progress and closes the connections.
-async fn shut_down(relay: &Arc<Relay>, closing: &CancellationToken) {
+/// Reports not ready, finishes the requests in progress and closes the connections.
+///
+/// The listener is closed once the balancer has noticed, so that later connections are refused at once.
+async fn shut_down(relay: &Arc<Relay>, closing: &CancellationToken, connections: &TaskTracker) {
     info!(in_progress = relay.in_progress(); "graceful shutdown begins");
-    relay.begin_shutdown();
     let begun_ms = relay.now_ms();
     let limit_ms = relay.settings.bounds.grace_period_ms.saturating_sub(SHUTDOWN_MARGIN_MS);
-    let waiting_ms = limit_ms.saturating_sub(REFUSAL_MARGIN_MS);
-    tokio::time::sleep(Duration::from_millis(READINESS_GRACE_MS.min(waiting_ms))).await;
+    let refusal_ms = limit_ms.saturating_sub(REFUSAL_MARGIN_MS);
+    let notice_ms = READINESS_GRACE_MS.min(refusal_ms);
+    relay.begin_shutdown(StopSchedule {
+        notice_ends_ms: begun_ms + notice_ms,
+        cutoff_ms: begun_ms + refusal_ms,
+    });
+    tokio::time::sleep(Duration::from_millis(notice_ms)).await;
     closing.cancel();
-    while relay.in_progress() > 0 {
+    connections.close();
+    while relay.in_progress() > 0 || !connections.is_empty() {
         if Mechanism::PatientStop.is_off() {
             return;
         }
         let elapsed_ms = relay.now_ms().saturating_sub(begun_ms);
-        if elapsed_ms >= waiting_ms {
+        if elapsed_ms >= refusal_ms {
             relay.refuse_unsent();
         }
+        if elapsed_ms >= limit_ms.saturating_sub(ANSWER_MARGIN_MS) {
+            relay.answer_all();
+        }
         if elapsed_ms >= limit_ms {
-            warn!(cut = relay.in_progress(); "time limit of the graceful shutdown reached, requests are aborted");
+            warn!(
+                cut = relay.in_progress(),
+                connections = connections.len();
+                "time limit of the graceful shutdown reached, requests are aborted"
+            );
             return;
         }
         tokio::time::sleep(Duration::from_millis(SHUTDOWN_POLL_MS)).await;
     }
-    // The last responses may not have been written to the callers' sockets yet.
-    tokio::time::sleep(Duration::from_millis(SHUTDOWN_POLL_MS)).await;
 }
--- a/crates/entry/src/relay/model.rs
+++ b/crates/entry/src/relay/model.rs
@@ -35,8 +35,6 @@
 const LARGE_RESULT_BYTES: u64 = 100_000;
 /// Fraction of its slack by which a stage is delayed; the rest covers errors of the estimates.
 const SLACK_FRACTION: f64 = 0.7;
-/// Retry-After of a stopping entry, in milliseconds; other entries can take the request at once.
-const STOPPING_RETRY_MS: u64 = 20;
 /// Minimum Retry-After when stages are at capacity, in milliseconds.
 const MIN_STAGE_RETRY_MS: u64 = 200;
 
@@ -55,7 +53,7 @@
     loop {
         tokio::select! {
             ran = run_stages(relay, request, &mut graph, &mut held, data_centre.as_ref()) => ran?,
-            () = relay.until_unsent_refused() => return Err(Refusal::busy("stopping", STOPPING_RETRY_MS)),
+            () = relay.until_unsent_refused() => return Err(Refusal::stopping()),
         }
         if !graph.is_done() {
             // The model would read the results of some stages only.
--- a/crates/entry/src/relay/request.rs
+++ b/crates/entry/src/relay/request.rs
@@ -42,6 +42,8 @@
 /// Retry-After for a request that crashes its upstreams, in milliseconds; half of the time for
 /// which crashes count against it.
 const CRASHING_RETRY_MS: u64 = 60_000;
+/// Retry-After of a stopping entry, in milliseconds; other entries can take the request at once.
+const STOPPING_RETRY_MS: u64 = 20;
 /// Deadline of a request that states none, in milliseconds; the route's timeout limits it further.
 const DEFAULT_DEADLINE_MS: u64 = 60_000;
 
@@ -108,6 +110,12 @@
         Self { reason, retry_after_ms: None, status: StatusCode::BAD_GATEWAY }
     }
 
+    /// Refusal by an entry that stops.
+    pub(crate) fn stopping() -> Self {
+        let status = StatusCode::GATEWAY_TIMEOUT;
+        Self { reason: "stopping", retry_after_ms: Some(STOPPING_RETRY_MS), status }
+    }
+
     /// Refusal of a request whose deadline has passed.
     pub(crate) fn timed_out(reason: &'static str) -> Self {
         Self { reason, retry_after_ms: None, status: StatusCode::GATEWAY_TIMEOUT }
@@ -298,10 +306,22 @@
     };
     let timeout_ms = authorized.route.timeout_ms;
     let wait_ms = head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS).min(timeout_ms);
-    let body = match read_body(body, &table, wait_ms).await {
+    let deadline_ms = arrived_ms + wait_ms;
+    if !relay.has_time_for(&authorized.route.name, deadline_ms) {
+        return reject(&relay, &id, &stopping_problem());
+    }
+    let body = tokio::select! {
+        body = read_body(body, &table, wait_ms) => body,
+        () = relay.until_unsent_refused() => Err(stopping_problem()),
+    };
+    let body = match body {
         Ok(body) => body,
         Err(problem) => return reject(&relay, &id, &problem),
     };
+    // The body may have taken most of the time that was left.
+    if !relay.has_time_for(&authorized.route.name, deadline_ms) {
+        return reject(&relay, &id, &stopping_problem());
+    }
     let Some(selected) = authorized.route.select_service(rand::random()).cloned() else {
         let problem = bad_request("no_service", "The route names no service.");
         return reject(&relay, &id, &problem);
@@ -322,7 +342,7 @@
         service,
         origin,
         arrived_ms,
-        deadline_ms: arrived_ms + wait_ms,
+        deadline_ms,
         method: parts.method,
         uri: parts.uri,
         headers: parts.headers,
@@ -355,7 +375,10 @@
             RouteKind::Idempotent | RouteKind::AtMostOnce => plain::serve(relay, request).await,
         }
     };
-    let served = tokio::time::timeout(limit, served).await;
+    let served = tokio::select! {
+        served = tokio::time::timeout(limit, served) => served,
+        () = relay.until_all_answered() => Ok(Err(Refusal::stopping())),
+    };
     unanswered.close();
     match served {
         Ok(Ok(response)) => {
@@ -366,6 +389,9 @@
                 reason: String::new(),
             };
             relay.metrics.count(labels, took_ms);
+            if request.authorized.route.kind != RouteKind::Stream {
+                relay.record_duration(&request.authorized.route.name, took_ms);
+            }
             response
         }
         Ok(Err(refusal)) => request.refuse(relay, &refusal),
@@ -409,6 +435,16 @@
     }
 }
 
+fn stopping_problem() -> Problem {
+    Problem {
+        status: StatusCode::SERVICE_UNAVAILABLE,
+        reason: "stopping".to_owned(),
+        detail: "The entry stops before the request would end.".to_owned(),
+        outcome: Execution::NotRun,
+        retry_after_ms: Some(STOPPING_RETRY_MS),
+    }
+}
+
 fn bad_request(reason: &str, detail: &str) -> Problem {
     Problem::bad_request(StatusCode::BAD_REQUEST, reason, detail)
 }
--- a/crates/entry/src/relay/state.rs
+++ b/crates/entry/src/relay/state.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
@@ -18,6 +18,7 @@
     ownership::{Candidate, ReadingRole},
     retry_share::RetryShare,
     route_table::{CallerLimits, RouteTable},
+    stop_admission::{RouteDurations, StopSchedule},
     stream_origin::StreamOrigins,
     upstreams::{ListCorrections, Upstreams, UpstreamsSettings},
 };
@@ -89,9 +90,14 @@
     pub(crate) check_platform_now: Notify,
     /// Tells the feeds to read their lists again.
     relist_signal: watch::Sender<RelistSignal>,
-    is_stopping: AtomicBool,
+    /// Times of the graceful shutdown in progress, if any.
+    stop: OnceLock<StopSchedule>,
     /// Cancelled when a graceful shutdown refuses the requests that no upstream has received.
     refuse_unsent_token: CancellationToken,
+    /// Cancelled when a graceful shutdown answers the requests that upstreams are still at work on.
+    answer_all_token: CancellationToken,
+    /// How long requests of each route lasted lately.
+    durations: Mutex<RouteDurations>,
     /// Whether the feed of upstreams currently gets responses from the platform.
     follows_platform: AtomicBool,
     in_progress: AtomicUsize,
@@ -156,8 +162,10 @@
             freshness: Mutex::new(PlatformDataFreshness::new(boottime_ms())),
             check_platform_now: Notify::new(),
             relist_signal: watch::Sender::new(RelistSignal::default()),
-            is_stopping: AtomicBool::new(false),
+            stop: OnceLock::new(),
             refuse_unsent_token: CancellationToken::new(),
+            answer_all_token: CancellationToken::new(),
+            durations: Mutex::default(),
             follows_platform: AtomicBool::new(true),
             in_progress: AtomicUsize::new(0),
             settings,
@@ -319,8 +327,37 @@
     }
 
     /// Begins a graceful shutdown, which makes the relay report not ready.
-    pub(crate) fn begin_shutdown(&self) {
-        self.is_stopping.store(true, Ordering::Relaxed);
+    pub(crate) fn begin_shutdown(&self, schedule: StopSchedule) {
+        // The first signal decides.
+        let _ = self.stop.set(schedule);
+    }
+
+    /// Tells whether a graceful shutdown leaves time for a request that would be sent now.
+    pub(crate) fn has_time_for(&self, route: &str, deadline_ms: u64) -> bool {
+        let Some(stop) = self.stop.get() else { return true };
+        let now_ms = self.now_ms();
+        let expected_ms = lock(&self.durations).expected_ms(route, now_ms);
+        stop.admits(now_ms, deadline_ms, expected_ms)
+    }
+
+    /// Records how long a request of a route lasted, from its arrival to the end of its response.
+    pub(crate) fn record_duration(&self, route: &str, took_ms: u64) {
+        lock(&self.durations).record(route, took_ms, self.now_ms());
+    }
+
+    /// Forgets the durations of routes without requests.
+    pub(crate) fn expire_durations(&self) {
+        lock(&self.durations).expire(self.now_ms());
+    }
+
+    /// Makes [`Self::until_all_answered`] return, so that requests without a response get one.
+    pub(crate) fn answer_all(&self) {
+        self.answer_all_token.cancel();
+    }
+
+    /// Waits until a graceful shutdown answers the requests that upstreams are still at work on.
+    pub(crate) async fn until_all_answered(&self) {
+        self.answer_all_token.cancelled().await;
     }
 
     /// Makes [`Self::until_unsent_refused`] return, so that requests that no upstream has received
@@ -353,7 +390,7 @@
     /// Tells whether the relay takes callers: it has a configuration and a list of upstreams, all its
     /// tasks run, and it is not stopping.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_stopping.load(Ordering::Relaxed)
+        self.stop.get().is_none()
             && self.supervisor.is_healthy()
             && lock(&self.table).is_some()
             && self.upstreams().has_list()
--- a/crates/entry/src/relay/stream.rs
+++ b/crates/entry/src/relay/stream.rs
@@ -417,6 +417,8 @@
             source.attempt.finish(&source.meta);
         }
         relay.crashes.record_completed(&self.call.request, relay.now_ms());
+        let took_ms = relay.now_ms().saturating_sub(self.call.request.arrived_ms);
+        relay.record_duration(&self.call.request.authorized.route.name, took_ms);
         self.log_end("complete");
     }
 
--- a/crates/entry/src/relay/tasks.rs
+++ b/crates/entry/src/relay/tasks.rs
@@ -134,6 +134,7 @@
         log_evacuations(&changed);
         memory::update_metrics(&relay);
         relay.expire_entries();
+        relay.expire_durations();
         relay.crashes.expire(now_ms);
         relay.streams().expire(now_ms);
         relay.prompt_holders.expire(now_ms);
--- a/crates/runtime/src/accept.rs
+++ b/crates/runtime/src/accept.rs
@@ -27,6 +27,8 @@
     let mut logged_at = None;
     loop {
         let accepted = tokio::select! {
+            // Connections that the kernel has accepted by the time of the stop are passed on too.
+            biased;
             accepted = listener.accept() => accepted,
             () = stop.cancelled() => return,
         };
@@ -37,6 +39,7 @@
                     error!("connection closed, its handler panicked");
                 }
             }
+            Err(_) if stop.is_cancelled() => return,
             Err(error) => {
                 log_failure(&error, &mut logged_at);
                 tokio::time::sleep(RETRY_INTERVAL).await;
