Relay: take plain requests early in a stop by their target latency

Callers of a plain route without a request in the last 30 s were refused from SIGTERM on, while the balancer still sent them and seconds were left.

Cause: admission during a stop knew only the durations of recent requests.

Without any, the target latency of a plain route is now the expected duration. That of a stream covers its first event only, and is not used.

--- a/crates/entry/src/relay/request.rs
+++ b/crates/entry/src/relay/request.rs
@@ -307,7 +307,7 @@
     let timeout_ms = authorized.route.timeout_ms;
     let wait_ms = head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS).min(timeout_ms);
     let deadline_ms = arrived_ms + wait_ms;
-    if !relay.has_time_for(&authorized.route.name, deadline_ms) {
+    if !relay.has_time_for(&authorized.route, deadline_ms) {
         return reject(&relay, &id, &stopping_problem());
     }
     let body = tokio::select! {
@@ -319,7 +319,7 @@
         Err(problem) => return reject(&relay, &id, &problem),
     };
     // The body may have taken most of the time that was left.
-    if !relay.has_time_for(&authorized.route.name, deadline_ms) {
+    if !relay.has_time_for(&authorized.route, deadline_ms) {
         return reject(&relay, &id, &stopping_problem());
     }
     let Some(selected) = authorized.route.select_service(rand::random()).cloned() else {
--- a/crates/entry/src/relay/state.rs
+++ b/crates/entry/src/relay/state.rs
@@ -17,7 +17,7 @@
     freshness::{PlatformData, PlatformDataFreshness},
     ownership::{Candidate, ReadingRole},
     retry_share::RetryShare,
-    route_table::{CallerLimits, RouteTable},
+    route_table::{CallerLimits, Route, RouteKind, RouteTable},
     stop_admission::{RouteDurations, StopSchedule},
     stream_origin::StreamOrigins,
     upstreams::{ListCorrections, Upstreams, UpstreamsSettings},
@@ -333,11 +333,13 @@
     }
 
     /// Tells whether a graceful shutdown leaves time for a request that would be sent now.
-    pub(crate) fn has_time_for(&self, route: &str, deadline_ms: u64) -> bool {
+    pub(crate) fn has_time_for(&self, route: &Route, deadline_ms: u64) -> bool {
         let Some(stop) = self.stop.get() else { return true };
         let now_ms = self.now_ms();
-        let expected_ms = lock(&self.durations).expected_ms(route, now_ms);
-        stop.admits(now_ms, deadline_ms, expected_ms)
+        let usual_ms = lock(&self.durations).expected_ms(&route.name, now_ms);
+        // The target of a stream says nothing of its end.
+        let target_ms = (route.kind != RouteKind::Stream).then_some(route.target_latency_ms);
+        stop.admits(now_ms, deadline_ms, usual_ms.or(target_ms))
     }
 
     /// Records how long a request of a route lasted, from its arrival to the end of its response.
