Relay: refuse a stated length over the limit with the head

What callers saw: a request whose Content-Length is over maxBodyBytes got its 413 only once the limit had been exceeded, or 408 at its deadline if the rest did not arrive; after Expect: 100-continue it was asked for the body first.

Cause: the limit was applied to the bytes that arrive, the stated length was not looked at.

Change: a body whose stated length is over the limit is refused before any of it is read, so that no 100 Continue is sent either.

Evidence: a_stated_length_over_the_limit_is_refused_with_the_head sends only a head; on it got no answer while the caller waited, now 413 at once.

--- a/crates/runtime/src/request_body.rs
+++ b/crates/runtime/src/request_body.rs
@@ -95,8 +95,8 @@
         lock(&self.state).memory.held_bytes()
     }
 
-    /// Reads a body of a customer to its end; nothing of it is read if its stated length finds no
-    /// memory.
+    /// Reads a body of a customer to its end; nothing of it is read if its stated length is over the limit
+    /// or finds no memory.
     ///
     /// # Errors
     ///
@@ -111,8 +111,11 @@
         if stated_bytes == Some(0) {
             return Ok(HeldBody::default());
         }
+        if stated_bytes.is_some_and(|it| it > limit_bytes) {
+            return Err(BodyError::TooLong { limit_bytes });
+        }
         let (held, buffer) = self.begin(customer);
-        if let Some(stated_bytes) = stated_bytes.filter(|it| *it <= limit_bytes) {
+        if let Some(stated_bytes) = stated_bytes {
             held.grow(&buffer, stated_bytes)?;
         }
         loop {
