Relay: let a refusal reach a caller that still sends its body

What callers saw: a reset connection instead of the 413 (or 408, 503, 401, 404) of a request whose body they were still sending. Without an answer a caller can't tell that a repeat is useless, or that its request has not run.

Cause: the connection was closed with unread bytes, which makes the kernel reset it; the caller's kernel then discards what it has received and not read yet (RFC 9112, section 9.6).

Change: after a response to a request whose body was not read, the entry ends its own half of the connection and discards what still arrives for up to 2 s, without keeping it. Where the rest can't be skipped the response says connection: close. The rejections have moved to a module of their own.

--- a/crates/entry/src/relay/connection.rs
+++ b/crates/entry/src/relay/connection.rs
@@ -4,6 +4,7 @@
 //! how long a connection may be idle, and how long a head may take from its first byte on.
 
 mod activity;
+mod linger;
 mod tracked_body;
 
 use std::{
@@ -15,7 +16,9 @@
 
 use http_body_util::{BodyExt, Empty, Full, Limited};
 use hyper::{
-    Request, Response, StatusCode, Version, body::Incoming, server::conn::http1,
+    Request, Response, StatusCode, Version,
+    body::{Body, Incoming},
+    server::conn::http1,
     service::service_fn,
 };
 use hyper_util::rt::TokioIo;
@@ -27,8 +30,10 @@
     buffers::MAX_RESPONSE_BYTES,
     connection::{
         activity::{Activity, Expired},
+        linger::linger,
         tracked_body::TrackedBody,
     },
+    rejection::UnreadBody,
     request::{ResponseBody, handle_request},
     state::Relay,
 };
@@ -47,6 +52,15 @@
 const HEAD_LATE: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
+/// Why a connection is closed.
+#[derive(Clone, Copy, Debug)]
+enum Ended {
+    /// The last request was answered before its body was read.
+    Unread,
+    /// It has reached a time limit.
+    Expired(Expired),
+}
+
 /// Serves the requests of one connection until the caller closes it, it reaches a limit, or `closing` is
 /// cancelled and the request in progress has been answered.
 pub(crate) async fn serve_connection(
@@ -63,9 +77,13 @@
         service_activity.begin_request();
         let activity = service_activity.clone();
         let version = request.version();
+        let has_body = !request.body().is_end_stream();
         let response = handle_request(relay.clone(), request);
         async move {
             let response = response.await;
+            if has_body && response.extensions().get::<UnreadBody>().is_some() {
+                activity.record_unread_body();
+            }
             let response = match version {
                 Version::HTTP_10 => with_length(response).await,
                 _ => response,
@@ -84,29 +102,36 @@
     let mut connection = builder.serve_connection(TokioIo::new(io), service);
     let mut timer = pin!(activity.timer(limits));
     let mut is_closing = false;
-    let expired = loop {
+    let ended = loop {
         tokio::select! {
             // What has arrived is read before the connection is closed.
             biased;
             ended = &mut connection => {
-                if let Err(error) = ended {
-                    debug!(error:% = error; "connection of a caller failed");
+                match ended {
+                    Ok(()) if activity.has_unread_body() => break Ended::Unread,
+                    Ok(()) => {}
+                    Err(error) => debug!(error:% = error; "connection of a caller failed"),
                 }
                 return;
             }
             () = until_closing(&closing, &activity), if !is_closing => {}
             // The caller's next connection has the new limits.
             _ = limits_changed.wait_for(|it| *it != limits), if !is_closing => {}
-            expired = activity.until_expired(limits, timer.as_mut()) => break expired,
+            expired = activity.until_expired(limits, timer.as_mut()) => break Ended::Expired(expired),
         }
         is_closing = true;
         Pin::new(&mut connection).graceful_shutdown();
     };
-    debug!(limit:? = expired; "connection of a caller reached a time limit");
     let stream = connection.into_parts().io.into_inner().into_inner();
-    // An earlier response may still have to be written, which can't be done without hyper.
-    if expired == Expired::Head && activity.is_flushed() {
-        reject_late_head(stream).await;
+    match ended {
+        Ended::Unread => linger(stream).await,
+        Ended::Expired(expired) => {
+            debug!(limit:? = expired; "connection of a caller reached a time limit");
+            // An earlier response may still have to be written, which can't be done without hyper.
+            if expired == Expired::Head && activity.is_flushed() {
+                reject_late_head(stream).await;
+            }
+        }
     }
 }
 
--- a/crates/entry/src/relay/connection/activity.rs
+++ b/crates/entry/src/relay/connection/activity.rs
@@ -50,6 +50,8 @@
     since: Instant,
     /// Whether all that was written so far has been handed to the operating system.
     is_flushed: bool,
+    /// Whether the last request was answered before its body was read.
+    has_unread_body: bool,
 }
 
 /// Activity of one connection.
@@ -61,7 +63,12 @@
 impl Activity {
     /// Begins with a connection that was just accepted.
     pub(super) fn new() -> Self {
-        let state = State { phase: Phase::Opened, since: Instant::now(), is_flushed: true };
+        let state = State {
+            phase: Phase::Opened,
+            since: Instant::now(),
+            is_flushed: true,
+            has_unread_body: false,
+        };
         Self { state: Mutex::new(state) }
     }
 
@@ -80,7 +87,19 @@
 
     /// Records that the head of a request is complete.
     pub(super) fn begin_request(&self) {
-        lock(&self.state).phase = Phase::Serving;
+        let mut state = lock(&self.state);
+        state.phase = Phase::Serving;
+        state.has_unread_body = false;
+    }
+
+    /// Records that the request is answered although its body was not read.
+    pub(super) fn record_unread_body(&self) {
+        lock(&self.state).has_unread_body = true;
+    }
+
+    /// Tells whether the last request was answered although its body was not read.
+    pub(super) fn has_unread_body(&self) -> bool {
+        lock(&self.state).has_unread_body
     }
 
     /// Records that hyper has taken over the last bytes of a response.
--- a/crates/entry/src/relay/mod.rs
+++ b/crates/entry/src/relay/mod.rs
@@ -17,6 +17,7 @@
 mod pool;
 mod prompt_holders;
 mod reading;
+mod rejection;
 mod release;
 mod request;
 mod resumption;
--- a/crates/entry/src/relay/request.rs
+++ b/crates/entry/src/relay/request.rs
@@ -9,11 +9,11 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, combinators::UnsyncBoxBody};
+use http_body_util::combinators::UnsyncBoxBody;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming, header};
 use log::info;
 use yuccatrail_adapter::{
-    AddedHeaders, CallerHeaders, ResponseMeta, decode_caller_headers, retry_after, upstream_headers,
+    AddedHeaders, CallerHeaders, ResponseMeta, decode_caller_headers, upstream_headers,
 };
 use yuccatrail_core::{
     ids::Digest,
@@ -23,7 +23,7 @@
     stream_origin::StreamOrigin,
     upstreams::UpstreamRecord,
 };
-use yuccatrail_runtime::request_body::{BodyError, HeldBody};
+use yuccatrail_runtime::request_body::HeldBody;
 
 use crate::{
     caller::problem::Problem,
@@ -32,6 +32,10 @@
         crashes::part_digests,
         metrics::RequestLabels,
         model, plain,
+        rejection::{
+            STOPPING_RETRY_MS, bad_request, problem_response, read_body, reject, reject_and_close,
+            reject_unread, stopping_problem,
+        },
         resumption::find_origin,
         sabotage::Mechanism,
         state::{InProgressGuard, Relay},
@@ -43,11 +47,6 @@
 /// Retry-After for a request that crashes its upstreams, in milliseconds; half of the time for
 /// which crashes count against it.
 const CRASHING_RETRY_MS: u64 = 60_000;
-/// Retry-After of a stopping entry, in milliseconds; other entries can take the request at once.
-const STOPPING_RETRY_MS: u64 = 20;
-/// Retry-After of a request whose body finds no memory, in milliseconds; stalled bodies are evicted within
-/// it, and other entries may have memory.
-const BODY_MEMORY_RETRY_MS: u64 = 250;
 /// Deadline of a request that states none, in milliseconds; the route's timeout limits it further.
 const DEFAULT_DEADLINE_MS: u64 = 60_000;
 
@@ -302,17 +301,17 @@
             outcome: Execution::NotRun,
             retry_after_ms: Some(NO_CONFIGURATION_RETRY_MS),
         };
-        return reject(&relay, &id, &problem);
+        return reject_unread(&relay, &id, &problem);
     };
     let authorized = match authorize(&table, &parts.headers, &parts.uri, &head) {
         Ok(authorized) => authorized,
-        Err(problem) => return reject(&relay, &id, &problem),
+        Err(problem) => return reject_unread(&relay, &id, &problem),
     };
     let timeout_ms = authorized.route.timeout_ms;
     let wait_ms = head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS).min(timeout_ms);
     let deadline_ms = arrived_ms + wait_ms;
     if !relay.has_time_for(&authorized.route, deadline_ms) {
-        return reject(&relay, &id, &stopping_problem());
+        return reject_unread(&relay, &id, &stopping_problem());
     }
     let body = tokio::select! {
         body = read_body(&relay, body, &authorized, table.limits().body_bytes, wait_ms) => body,
@@ -320,7 +319,7 @@
     };
     let body = match body {
         Ok(body) => body,
-        Err(problem) => return reject(&relay, &id, &problem),
+        Err(problem) => return reject_and_close(&relay, &id, &problem),
     };
     // The body may have taken most of the time that was left.
     if !relay.has_time_for(&authorized.route, deadline_ms) {
@@ -422,75 +421,3 @@
         Problem::bad_request(status, &denial.to_string(), detail)
     })
 }
-
-async fn read_body(
-    relay: &Relay,
-    body: Incoming,
-    authorized: &AuthorizedRequest,
-    limit_bytes: usize,
-    wait_ms: u64,
-) -> Result<HeldBody, Problem> {
-    let customer = authorized.customer.as_deref().unwrap_or_default();
-    let reading = relay.request_bodies.read(body, limit_bytes, customer);
-    match tokio::time::timeout(Duration::from_millis(wait_ms), reading).await {
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(BodyError::TooLong { .. })) => {
-            let status = StatusCode::PAYLOAD_TOO_LARGE;
-            Err(Problem::bad_request(status, "body_too_long", "The body is too long."))
-        }
-        Ok(Err(error @ BodyError::NoMemory(_))) => Err(Problem {
-            status: StatusCode::SERVICE_UNAVAILABLE,
-            reason: "body_memory_full".to_owned(),
-            detail: error.to_string(),
-            outcome: Execution::NotRun,
-            retry_after_ms: Some(BODY_MEMORY_RETRY_MS),
-        }),
-        Ok(Err(error @ BodyError::Broken(_))) => Err(bad_request("bad_body", &error.to_string())),
-        Err(_) => {
-            let status = StatusCode::REQUEST_TIMEOUT;
-            Err(Problem::bad_request(status, "body_late", "The body did not arrive in time."))
-        }
-    }
-}
-
-fn stopping_problem() -> Problem {
-    Problem {
-        status: StatusCode::SERVICE_UNAVAILABLE,
-        reason: "stopping".to_owned(),
-        detail: "The entry stops before the request would end.".to_owned(),
-        outcome: Execution::NotRun,
-        retry_after_ms: Some(STOPPING_RETRY_MS),
-    }
-}
-
-fn bad_request(reason: &str, detail: &str) -> Problem {
-    Problem::bad_request(StatusCode::BAD_REQUEST, reason, detail)
-}
-
-/// Builds, logs and counts the response to a request that is rejected before it is served.
-fn reject(relay: &Relay, id: &str, problem: &Problem) -> Response<ResponseBody> {
-    info!(
-        id = id,
-        reason:% = problem.reason,
-        status = problem.status.as_u16(),
-        detail:% = problem.detail;
-        "request rejected"
-    );
-    let labels = RequestLabels {
-        route: String::new(),
-        status: problem.status.as_u16(),
-        reason: problem.reason.clone(),
-    };
-    relay.metrics.count(labels, 0);
-    problem_response(problem, id)
-}
-
-fn problem_response(problem: &Problem, id: &str) -> Response<ResponseBody> {
-    let response = problem.to_response(id);
-    let mut response = response.map(|body| body.map_err(|never| match never {}).boxed_unsync());
-    if let Some(retry_after_ms) = problem.retry_after_ms {
-        let (name, value) = retry_after(retry_after_ms);
-        response.headers_mut().insert(name, value);
-    }
-    response
-}
