Relay: limit the connections of callers

What callers saw: connections that were not taken, and failed calls to upstreams, the store and other entries, once others held as many connections as the process has descriptors; idle ones suffice.

Cause: each accepted connection was kept, whatever their number.

A new connection replaces the one that has waited longest for its next request; one with a request in progress is never replaced, but if all have one, the request whose body has stalled longest is refused. So whoever sends a request gets in, and whoever only holds a connection makes room.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod batching;
 pub mod body_memory;
 pub mod capacity;
+pub mod connection_limit;
 pub mod control;
 pub mod deadline;
 pub mod document;
--- a/crates/entry/src/relay/connection.rs
+++ b/crates/entry/src/relay/connection.rs
@@ -5,6 +5,7 @@
 
 mod activity;
 mod linger;
+mod open_connections;
 mod tracked_body;
 
 use std::{
@@ -38,6 +39,8 @@
     state::Relay,
 };
 
+pub(crate) use open_connections::{OpenConnection, OpenConnections};
+
 /// Smallest read buffer that hyper accepts, in bytes; it panics below.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// Largest read buffer of a connection, in bytes: a head that exceeds it is refused whatever the
@@ -65,12 +68,13 @@
 /// cancelled and the request in progress has been answered.
 pub(crate) async fn serve_connection(
     stream: TcpStream,
+    open: OpenConnection,
     relay: Arc<Relay>,
     closing: CancellationToken,
 ) {
     let mut limits_changed = relay.subscribe_limits();
     let limits = *limits_changed.borrow_and_update();
-    let activity = Arc::new(Activity::new());
+    let activity = Arc::new(Activity::new(open));
     let io = activity.watch(stream);
     let service_activity = activity.clone();
     let service = service_fn(move |request: Request<Incoming>| {
@@ -114,6 +118,11 @@
                 }
                 return;
             }
+            () = activity.until_replaced(), if !is_closing => {
+                if !activity.is_serving() {
+                    return;
+                }
+            }
             () = until_closing(&closing, &activity), if !is_closing => {}
             // The caller's next connection has the new limits.
             _ = limits_changed.wait_for(|it| *it != limits), if !is_closing => {}
@@ -124,7 +133,10 @@
     };
     let stream = connection.into_parts().io.into_inner().into_inner();
     match ended {
-        Ended::Unread => linger(stream).await,
+        Ended::Unread => tokio::select! {
+            () = linger(stream) => {}
+            () = activity.until_replaced() => {}
+        },
         Ended::Expired(expired) => {
             debug!(limit:? = expired; "connection of a caller reached a time limit");
             // An earlier response may still have to be written, which can't be done without hyper.
--- a/crates/entry/src/relay/connection/activity.rs
+++ b/crates/entry/src/relay/connection/activity.rs
@@ -14,7 +14,9 @@
 };
 use yuccatrail_core::route_table::CallerLimits;
 
-use crate::relay::{observed_stream::ObservedStream, state::lock};
+use crate::relay::{
+    connection::open_connections::OpenConnection, observed_stream::ObservedStream, state::lock,
+};
 
 /// Least time that a caller has for a head or for reading on, in milliseconds: a lost packet and its
 /// retransmission. With a shorter limit an entry would serve no caller.
@@ -58,18 +60,19 @@
 #[derive(Debug)]
 pub(super) struct Activity {
     state: Mutex<State>,
+    open: OpenConnection,
 }
 
 impl Activity {
     /// Begins with a connection that was just accepted.
-    pub(super) fn new() -> Self {
+    pub(super) fn new(open: OpenConnection) -> Self {
         let state = State {
             phase: Phase::Opened,
             since: Instant::now(),
             is_flushed: true,
             has_unread_body: false,
         };
-        Self { state: Mutex::new(state) }
+        Self { state: Mutex::new(state), open }
     }
 
     /// Returns the connection's socket, whose traffic is recorded.
@@ -90,6 +93,8 @@
         let mut state = lock(&self.state);
         state.phase = Phase::Serving;
         state.has_unread_body = false;
+        drop(state);
+        self.open.begin_request();
     }
 
     /// Records that the request is answered although its body was not read.
@@ -105,6 +110,17 @@
     /// Records that hyper has taken over the last bytes of a response.
     pub(super) fn end_response(&self) {
         lock(&self.state).enter(Phase::Idle);
+        self.open.end_request();
+    }
+
+    /// Waits until the connection has to make room for another one.
+    pub(super) async fn until_replaced(&self) {
+        self.open.until_replaced().await;
+    }
+
+    /// Tells whether a request is being served.
+    pub(super) fn is_serving(&self) -> bool {
+        lock(&self.state).phase == Phase::Serving
     }
 
     /// Records that bytes have arrived.
--- /dev/null
+++ b/crates/entry/src/relay/connection/open_connections.rs
@@ -0,0 +1,112 @@
+//! Open connections of callers, whose number is limited.
+
+use std::sync::{Arc, Mutex};
+
+use log::{debug, warn};
+use tokio_util::sync::CancellationToken;
+use yuccatrail_core::{
+    FastMap,
+    connection_limit::{Admission, ConnectionKey, ConnectionLimit},
+};
+use yuccatrail_runtime::clock::Clock;
+
+use crate::relay::state::lock;
+
+/// Interval at which refused connections are logged, in milliseconds.
+const LOG_INTERVAL_MS: u64 = 1_000;
+
+/// The open connections of callers.
+#[derive(Debug)]
+pub(crate) struct OpenConnections {
+    clock: Clock,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    limit: ConnectionLimit,
+    /// Cancelled when a connection has to make room for another one.
+    replaced: FastMap<ConnectionKey, CancellationToken>,
+    refused: u64,
+    logged_ms: Option<u64>,
+}
+
+/// One open connection; counts towards the limit until dropped.
+#[derive(Debug)]
+pub(crate) struct OpenConnection {
+    connections: Arc<OpenConnections>,
+    key: ConnectionKey,
+    replaced: CancellationToken,
+}
+
+impl OpenConnections {
+    /// Limits the number of connections.
+    pub(crate) fn new(max_connections: usize, clock: Clock) -> Arc<Self> {
+        let state = State {
+            limit: ConnectionLimit::new(max_connections),
+            replaced: FastMap::default(),
+            refused: 0,
+            logged_ms: None,
+        };
+        Arc::new(Self { clock, state: Mutex::new(state) })
+    }
+
+    /// Counts a connection that was accepted; none if it has to be closed. If all others carry a request,
+    /// `end_request` is called to end one of them early and tells whether it could.
+    pub(crate) fn open(
+        self: &Arc<Self>,
+        end_request: impl FnOnce() -> bool,
+    ) -> Option<OpenConnection> {
+        let mut state = lock(&self.state);
+        let now_ms = self.clock.now_ms();
+        let Admission::Admitted { key, replaced } = state.limit.open(now_ms, end_request) else {
+            state.log_refusal(now_ms);
+            return None;
+        };
+        if let Some(token) = replaced.and_then(|it| state.replaced.get(&it)) {
+            debug!("idle connection of a caller closed for another one");
+            token.cancel();
+        }
+        let replaced = CancellationToken::new();
+        state.replaced.insert(key, replaced.clone());
+        Some(OpenConnection { connections: self.clone(), key, replaced })
+    }
+}
+
+impl State {
+    fn log_refusal(&mut self, now_ms: u64) {
+        self.refused += 1;
+        if self.logged_ms.is_some_and(|it| now_ms < it + LOG_INTERVAL_MS) {
+            return;
+        }
+        self.logged_ms = Some(now_ms);
+        let refused = std::mem::take(&mut self.refused);
+        warn!(refused = refused, open = self.limit.connections(); "connections of callers refused, all carry requests");
+    }
+}
+
+impl OpenConnection {
+    /// Records that a request has begun.
+    pub(super) fn begin_request(&self) {
+        lock(&self.connections.state).limit.begin_request(self.key);
+    }
+
+    /// Records that the connection waits for its next request.
+    pub(super) fn end_request(&self) {
+        let now_ms = self.connections.clock.now_ms();
+        lock(&self.connections.state).limit.end_request(self.key, now_ms);
+    }
+
+    /// Waits until the connection has to make room for another one.
+    pub(super) async fn until_replaced(&self) {
+        self.replaced.cancelled().await;
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        let mut state = lock(&self.connections.state);
+        state.limit.close(self.key);
+        state.replaced.remove(&self.key);
+    }
+}
--- a/crates/entry/src/relay/server.rs
+++ b/crates/entry/src/relay/server.rs
@@ -47,7 +47,9 @@
         if let Err(error) = set_socket_options(&stream) {
             warn!(error:% = error; "failed to set socket options of a caller's connection");
         }
-        connections.spawn(serve_connection(stream, relay.clone(), stop.clone()));
+        let open = relay.caller_connections.open(|| relay.request_bodies.evict_stalled());
+        let Some(open) = open else { return };
+        connections.spawn(serve_connection(stream, open, relay.clone(), stop.clone()));
     })
     .await;
 }
--- a/crates/entry/src/relay/settings.rs
+++ b/crates/entry/src/relay/settings.rs
@@ -22,6 +22,14 @@
 const DEFAULT_MEMORY_MB: f64 = 256.0;
 /// Least memory with which an entry serves callers, in megabytes.
 const MIN_MEMORY_MB: f64 = 64.0;
+/// File descriptors of the machine unless the settings state another number.
+const DEFAULT_DESCRIPTORS: f64 = 4_096.0;
+/// Fewest file descriptors with which an entry serves callers.
+const MIN_DESCRIPTORS: f64 = 300.0;
+/// Descriptors for files, listeners, peers and the platform.
+const OWN_DESCRIPTORS: usize = 200;
+/// Memory of a connection that waits for a request, in bytes.
+const CONNECTION_BYTES: usize = 16 * 1024;
 
 /// Settings of one relay process.
 #[derive(Clone, Debug, PartialEq)]
@@ -74,6 +82,8 @@
 pub(crate) struct MachineLimits {
     /// Memory, in megabytes.
     pub(crate) memory_mb: usize,
+    /// File descriptors.
+    pub(crate) file_descriptors: usize,
 }
 
 impl MachineLimits {
@@ -81,6 +91,14 @@
     pub(crate) fn request_body_bytes(self) -> usize {
         self.memory_mb * 1024 * 1024 / 4
     }
+
+    /// Returns the largest number of callers' connections: their buffers take an eighth of the memory, and
+    /// each request may need a connection to an upstream.
+    pub(crate) fn caller_connections(self) -> usize {
+        let by_memory = self.memory_mb * 1024 * 1024 / 8 / CONNECTION_BYTES;
+        let by_descriptors = self.file_descriptors.saturating_sub(OWN_DESCRIPTORS) / 2;
+        by_memory.min(by_descriptors)
+    }
 }
 
 /// Limits of roll-outs as given, with defaults for all but the share.
@@ -161,7 +179,15 @@
         .fallback(DEFAULT_MEMORY_MB)
         .display_fallback()
         .map(|it| it as usize);
-    construct!(MachineLimits { memory_mb })
+    let file_descriptors = long("file-descriptor-limit")
+        .env("YUCCATRAIL_FILE_DESCRIPTOR_LIMIT")
+        .help("File descriptors that the process may have open")
+        .argument("NUMBER")
+        .guard(|it: &f64| *it >= MIN_DESCRIPTORS, "file-descriptor-limit must be at least 300")
+        .fallback(DEFAULT_DESCRIPTORS)
+        .display_fallback()
+        .map(|it| it as usize);
+    construct!(MachineLimits { memory_mb, file_descriptors })
 }
 
 fn bounds() -> impl Parser<Bounds> {
--- a/crates/entry/src/relay/state.rs
+++ b/crates/entry/src/relay/state.rs
@@ -27,6 +27,7 @@
 use crate::relay::{
     buffers::ResponseBuffers,
     configurations::Configurations,
+    connection::OpenConnections,
     crashes::RequestCrashes,
     listed_versions::ListedVersions,
     metrics::RelayMetrics,
@@ -55,6 +56,8 @@
     pub(crate) supervisor: Supervisor,
     /// Idle connections to upstreams.
     pub(crate) pool: ConnectionPool,
+    /// Connections of callers.
+    pub(crate) caller_connections: Arc<OpenConnections>,
     /// Bodies of callers' requests.
     pub(crate) request_bodies: Arc<RequestBodies>,
     /// Limits on the response bodies that are read at the same time.
@@ -144,6 +147,7 @@
             clock,
             supervisor: Supervisor::new(clock),
             pool: ConnectionPool::default(),
+            caller_connections: OpenConnections::new(settings.machine.caller_connections(), clock),
             request_bodies: RequestBodies::new(settings.machine.request_body_bytes(), clock),
             response_buffers: ResponseBuffers::default(),
             stages: StageQueues::default(),
