Listeners: queue the connections of a crowd

What callers saw: of 1,000 connections at once, hundreds were not established within the second that callers allow.

Cause: tokio's TcpListener::bind asks for a queue of 128 connections. The kernel drops the first packet of a connection that finds it full, and the caller sends it again after one second.

Change: every listener of the product asks for 4,096, which the kernel caps at net.core.somaxconn. Since that many may now be accepted in one go, the accept loop leaves a connection in the queue while those that were replaced are still being closed, instead of refusing it.

--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -4,14 +4,13 @@
 
 use log::{info, warn};
 use prometheus_client::registry::Registry;
-use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use yuccatrail_core::{
     agent::{AgentCore, AgentSettings},
     drain::{FreshnessSettings, GateSettings, GracefulShutdown, ShutdownPhase, ShutdownSettings},
     ids::Incarnation,
 };
-use yuccatrail_runtime::{clock::Clock, control::SharedControl, shutdown};
+use yuccatrail_runtime::{accept::listen, clock::Clock, control::SharedControl, shutdown};
 
 use crate::{
     admin::{self, AdminState},
@@ -36,8 +35,8 @@
 /// Returns an error when an address cannot be bound or a signal handler cannot be installed.
 pub(crate) async fn run(settings: Settings) -> io::Result<()> {
     let signal = shutdown::stop_signal()?;
-    let listener = TcpListener::bind(settings.listen).await?;
-    let admin_listener = TcpListener::bind(settings.admin_listen).await?;
+    let listener = listen(settings.listen)?;
+    let admin_listener = listen(settings.admin_listen)?;
     let clock = Clock::new();
     let mut registry = Registry::with_prefix("yuccatrail_agent");
     let executor = create_executor(&settings, clock, Metrics::new(&mut registry));
--- a/crates/core/src/connection_limit/mod.rs
+++ b/crates/core/src/connection_limit/mod.rs
@@ -58,11 +58,15 @@
         self.connections.len()
     }
 
+    /// Tells whether a connection that is about to be closed will make room for the next one.
+    pub fn is_closing(&self) -> bool {
+        self.closing > 0 && self.connections.len() >= self.most_open()
+    }
+
     /// Opens a connection, if there is room or another one can be replaced. If all carry a request,
     /// `end_request` is called to end one of them early and tells whether it could.
     pub fn open(&mut self, now_ms: u64, end_request: impl FnOnce() -> bool) -> Admission {
-        let most_open = self.max_connections + self.max_connections.div_ceil(CLOSING_DIVISOR);
-        if self.connections.len() >= most_open {
+        if self.connections.len() >= self.most_open() {
             return Admission::Full;
         }
         let mut replaced = None;
@@ -98,6 +102,10 @@
         }
     }
 
+    fn most_open(&self) -> usize {
+        self.max_connections + self.max_connections.div_ceil(CLOSING_DIVISOR)
+    }
+
     fn change(&mut self, key: ConnectionKey, state: ConnectionState) {
         match self.connections.get_mut(key) {
             None | Some(ConnectionState::Closing) => {}
--- a/crates/core/src/connection_limit/tests.rs
+++ b/crates/core/src/connection_limit/tests.rs
@@ -52,8 +52,10 @@
     let keys: Vec<_> = (0..4).map(|it| open(&mut limit, it).0).collect();
     assert_eq!(open(&mut limit, 10).1, Some(keys[0]));
     limit.begin_request(keys[0]);
+    assert!(limit.is_closing());
     assert_eq!(limit.open(20, || false), Admission::Full);
     limit.close(keys[0]);
+    assert!(!limit.is_closing());
     assert_eq!(open(&mut limit, 30).1, Some(keys[1]));
 }
 
--- a/crates/entry/src/relay/connection/open_connections.rs
+++ b/crates/entry/src/relay/connection/open_connections.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Mutex};
 
 use log::{debug, warn};
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use yuccatrail_core::{
     FastMap,
@@ -20,6 +21,8 @@
 pub(crate) struct OpenConnections {
     clock: Clock,
     state: Mutex<State>,
+    /// Notified when a connection was closed.
+    closed: Notify,
 }
 
 #[derive(Debug)]
@@ -48,7 +51,14 @@
             refused: 0,
             logged_ms: None,
         };
-        Arc::new(Self { clock, state: Mutex::new(state) })
+        Arc::new(Self { clock, state: Mutex::new(state), closed: Notify::new() })
+    }
+
+    /// Waits while connections that were replaced are being closed.
+    pub(crate) async fn until_room(&self) {
+        while lock(&self.state).limit.is_closing() {
+            self.closed.notified().await;
+        }
     }
 
     /// Counts a connection that was accepted; none if it has to be closed. If all others carry a request,
@@ -108,5 +118,8 @@
         let mut state = lock(&self.connections.state);
         state.limit.close(self.key);
         state.replaced.remove(&self.key);
+        drop(state);
+        // Only the accept loop waits; a permit is kept for it if it does not wait yet.
+        self.connections.closed.notify_one();
     }
 }
--- a/crates/entry/src/relay/mod.rs
+++ b/crates/entry/src/relay/mod.rs
@@ -35,11 +35,10 @@
 use std::{io, process::ExitCode, sync::Arc, time::Duration};
 
 use log::{info, warn};
-use tokio::net::TcpListener;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use yuccatrail_core::stop_admission::StopSchedule;
 use yuccatrail_platform::{BudgetSettings, Client, ClientSettings};
-use yuccatrail_runtime::shutdown;
+use yuccatrail_runtime::{accept::listen, shutdown};
 
 use crate::{
     relay::{
@@ -77,9 +76,9 @@
 
 async fn serve(mut settings: RelaySettings) -> io::Result<()> {
     let signal = shutdown::stop_signal()?;
-    let callers = TcpListener::bind(settings.listen).await?;
-    let ready = TcpListener::bind(settings.ready_listen).await?;
-    let peers = TcpListener::bind(settings.peer_listen).await?;
+    let callers = listen(settings.listen)?;
+    let ready = listen(settings.ready_listen)?;
+    let peers = listen(settings.peer_listen)?;
     // With port 0 in the settings, the other entries need the port that was actually bound.
     settings.peer_listen = peers.local_addr()?;
     let client = Client::new(ClientSettings {
@@ -103,7 +102,7 @@
     tasks.start_peer_server(peers);
     tasks.start_http_server("readiness", ready, handle_ready);
     if let Some(address) = relay.settings.metrics_listen {
-        tasks.start_http_server("metrics", TcpListener::bind(address).await?, handle_metrics);
+        tasks.start_http_server("metrics", listen(address)?, handle_metrics);
     }
     let registering = tasks.start_registration();
     let closing = CancellationToken::new();
--- a/crates/entry/src/relay/server.rs
+++ b/crates/entry/src/relay/server.rs
@@ -7,7 +7,7 @@
 use tokio::net::TcpListener;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 use yuccatrail_runtime::{
-    accept::accept,
+    accept::accept_with_room,
     http::{Body, METRICS_CONTENT_TYPE, respond},
 };
 
@@ -43,7 +43,11 @@
     connections: TaskTracker,
     stop: CancellationToken,
 ) {
-    accept(&listener, &stop, |stream| {
+    let until_room = || {
+        let connections = relay.caller_connections.clone();
+        async move { connections.until_room().await }
+    };
+    accept_with_room(&listener, &stop, until_room, |stream| {
         if let Err(error) = set_socket_options(&stream) {
             warn!(error:% = error; "failed to set socket options of a caller's connection");
         }
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -3,11 +3,11 @@
 use std::{io, process::ExitCode, sync::Arc, time::Duration};
 
 use log::{LevelFilter, error, info, warn};
-use tokio::{net::TcpListener, task::JoinSet};
+use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 use yuccatrail_core::drain::{GracefulShutdown, ShutdownPhase, ShutdownSettings};
 use yuccatrail_platform::{Client, ClientSettings};
-use yuccatrail_runtime::{http, logging, shutdown};
+use yuccatrail_runtime::{accept::listen, http, logging, shutdown};
 
 use crate::{
     caller::routes, entry::Entry, gossip, metrics::Metrics, platform_feed, settings::Settings,
@@ -46,8 +46,8 @@
 
 async fn serve(settings: Settings) -> io::Result<()> {
     let signal = shutdown::stop_signal()?;
-    let listener = TcpListener::bind(settings.listen).await?;
-    let peer_listener = TcpListener::bind(settings.peer_listen).await?;
+    let listener = listen(settings.listen)?;
+    let peer_listener = listen(settings.peer_listen)?;
     let client = Client::new(ClientSettings {
         address: settings.platform,
         environment: settings.environment.clone(),
