Relay: make room for a connection also when all carry a request

What callers saw: an ordinary caller's connection was closed at once while others held as many unfinished requests as the entry takes connections.

Cause: a connection that was replaced just as its request began counted as about to be closed for as long as the request lasted, so that the allowance for connections being closed was used up and stalled requests were not ended any more.

Change: such a connection counts as one with a request again. When even the allowance is used up, the accept loop makes room before it passes on a connection that has arrived: it waits for one that is being closed, replaces an idle one or ends a stalled request.

--- a/crates/core/src/connection_limit/mod.rs
+++ b/crates/core/src/connection_limit/mod.rs
@@ -29,6 +29,20 @@
     Full,
 }
 
+/// Whether a connection can be opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Room {
+    /// It can.
+    Free,
+    /// It can soon.
+    Pending {
+        /// The connection to close.
+        replaced: Option<ConnectionKey>,
+    },
+    /// The limit is reached, and all connections carry a request.
+    None,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ConnectionState {
     /// Waits for a request, since the given time in milliseconds.
@@ -58,9 +72,20 @@
         self.connections.len()
     }
 
-    /// Tells whether a connection that is about to be closed will make room for the next one.
-    pub fn is_closing(&self) -> bool {
-        self.closing > 0 && self.connections.len() >= self.most_open()
+    /// Makes room if no connection can be opened, not even beyond the limit; `end_request` is as for
+    /// [`open`](Self::open).
+    pub fn make_room(&mut self, end_request: impl FnOnce() -> bool) -> Room {
+        if self.connections.len() < self.most_open() {
+            return Room::Free;
+        }
+        if self.closing > 0 {
+            return Room::Pending { replaced: None };
+        }
+        match self.replace_longest_waiting() {
+            Some(key) => Room::Pending { replaced: Some(key) },
+            None if end_request() => Room::Pending { replaced: None },
+            None => Room::None,
+        }
     }
 
     /// Opens a connection, if there is room or another one can be replaced. If all carry a request,
@@ -71,21 +96,16 @@
         }
         let mut replaced = None;
         if self.connections.len() - self.closing >= self.max_connections {
-            replaced = self.longest_waiting();
-            match replaced {
-                Some(key) => {
-                    self.connections[key] = ConnectionState::Closing;
-                    self.closing += 1;
-                }
-                None if end_request() => {}
-                None => return Admission::Full,
+            replaced = self.replace_longest_waiting();
+            if replaced.is_none() && !end_request() {
+                return Admission::Full;
             }
         }
         let key = self.connections.insert(ConnectionState::Waiting(now_ms));
         Admission::Admitted { key, replaced }
     }
 
-    /// Records that a request has begun; one on a connection that is about to be closed is served too.
+    /// Records that a request has begun; one on a connection that was about to be closed is served first.
     pub fn begin_request(&mut self, key: ConnectionKey) {
         self.change(key, ConnectionState::Serving);
     }
@@ -107,12 +127,19 @@
     }
 
     fn change(&mut self, key: ConnectionKey, state: ConnectionState) {
-        match self.connections.get_mut(key) {
-            None | Some(ConnectionState::Closing) => {}
-            Some(current) => *current = state,
+        let Some(current) = self.connections.get_mut(key) else { return };
+        if std::mem::replace(current, state) == ConnectionState::Closing {
+            self.closing -= 1;
         }
     }
 
+    fn replace_longest_waiting(&mut self) -> Option<ConnectionKey> {
+        let key = self.longest_waiting()?;
+        self.connections[key] = ConnectionState::Closing;
+        self.closing += 1;
+        Some(key)
+    }
+
     fn longest_waiting(&self) -> Option<ConnectionKey> {
         let mut longest = None;
         for (key, state) in &self.connections {
--- a/crates/core/src/connection_limit/tests.rs
+++ b/crates/core/src/connection_limit/tests.rs
@@ -47,16 +47,23 @@
 }
 
 #[test]
-fn a_request_on_a_replaced_connection_does_not_make_room() {
+fn a_request_on_a_replaced_connection_counts_until_it_ends() {
     let mut limit = ConnectionLimit::new(4);
     let keys: Vec<_> = (0..4).map(|it| open(&mut limit, it).0).collect();
-    assert_eq!(open(&mut limit, 10).1, Some(keys[0]));
-    limit.begin_request(keys[0]);
-    assert!(limit.is_closing());
-    assert_eq!(limit.open(20, || false), Admission::Full);
-    limit.close(keys[0]);
-    assert!(!limit.is_closing());
-    assert_eq!(open(&mut limit, 30).1, Some(keys[1]));
+    let (fifth, replaced) = open(&mut limit, 10);
+    assert_eq!(replaced, Some(keys[0]));
+    assert_eq!(limit.make_room(|| false), Room::Pending { replaced: None });
+    for key in keys.iter().chain([&fifth]) {
+        limit.begin_request(*key);
+    }
+    assert_eq!(limit.open(20, || true), Admission::Full);
+    assert_eq!(limit.make_room(|| false), Room::None);
+    assert_eq!(limit.make_room(|| true), Room::Pending { replaced: None });
+    // The request that was ended early leaves its connection without one.
+    limit.end_request(keys[2], 30);
+    assert_eq!(limit.make_room(|| false), Room::Pending { replaced: Some(keys[2]) });
+    limit.close(keys[2]);
+    assert_eq!(limit.make_room(|| false), Room::Free);
 }
 
 /// A crowd that only opens connections, beside callers that send a request each: all of these are served and
--- a/crates/entry/src/relay/connection/open_connections.rs
+++ b/crates/entry/src/relay/connection/open_connections.rs
@@ -1,13 +1,16 @@
 //! Open connections of callers, whose number is limited.
 
-use std::sync::{Arc, Mutex};
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use log::{debug, warn};
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use yuccatrail_core::{
     FastMap,
-    connection_limit::{Admission, ConnectionKey, ConnectionLimit},
+    connection_limit::{Admission, ConnectionKey, ConnectionLimit, Room},
 };
 use yuccatrail_runtime::clock::Clock;
 
@@ -15,6 +18,8 @@
 
 /// Interval at which refused connections are logged, in milliseconds.
 const LOG_INTERVAL_MS: u64 = 1_000;
+/// Interval at which the accept loop checks for room, in milliseconds.
+const ROOM_POLL_MS: u64 = 10;
 
 /// The open connections of callers.
 #[derive(Debug)]
@@ -54,10 +59,20 @@
         Arc::new(Self { clock, state: Mutex::new(state), closed: Notify::new() })
     }
 
-    /// Waits while connections that were replaced are being closed.
-    pub(crate) async fn until_room(&self) {
-        while lock(&self.state).limit.is_closing() {
-            self.closed.notified().await;
+    /// Waits until a connection can be opened, or all carry a request; `end_request` is as for
+    /// [`open`](Self::open).
+    pub(crate) async fn until_room(&self, end_request: impl Fn() -> bool) {
+        loop {
+            let room = lock(&self.state).make_room(&end_request);
+            if !matches!(room, Room::Pending { .. }) {
+                return;
+            }
+            let poll_interval = Duration::from_millis(ROOM_POLL_MS);
+            tokio::select! {
+                () = self.closed.notified() => {}
+                // A request that was ended early leaves its connection without closing it.
+                () = tokio::time::sleep(poll_interval) => {}
+            }
         }
     }
 
@@ -73,10 +88,7 @@
             state.log_refusal(now_ms);
             return None;
         };
-        if let Some(token) = replaced.and_then(|it| state.replaced.get(&it)) {
-            debug!("idle connection of a caller closed for another one");
-            token.cancel();
-        }
+        state.replace(replaced);
         let replaced = CancellationToken::new();
         state.replaced.insert(key, replaced.clone());
         Some(OpenConnection { connections: self.clone(), key, replaced })
@@ -84,6 +96,22 @@
 }
 
 impl State {
+    fn make_room(&mut self, end_request: impl FnOnce() -> bool) -> Room {
+        let room = self.limit.make_room(end_request);
+        if let Room::Pending { replaced } = room {
+            self.replace(replaced);
+        }
+        room
+    }
+
+    /// Closes a connection that makes room.
+    fn replace(&self, key: Option<ConnectionKey>) {
+        if let Some(token) = key.and_then(|it| self.replaced.get(&it)) {
+            debug!("idle connection of a caller closed for another one");
+            token.cancel();
+        }
+    }
+
     fn log_refusal(&mut self, now_ms: u64) {
         self.refused += 1;
         if self.logged_ms.is_some_and(|it| now_ms < it + LOG_INTERVAL_MS) {
--- a/crates/entry/src/relay/server.rs
+++ b/crates/entry/src/relay/server.rs
@@ -44,8 +44,9 @@
     stop: CancellationToken,
 ) {
     let until_room = || {
-        let connections = relay.caller_connections.clone();
-        async move { connections.until_room().await }
+        let (connections, bodies) =
+            (relay.caller_connections.clone(), relay.request_bodies.clone());
+        async move { connections.until_room(|| bodies.evict_stalled()).await }
     };
     accept_with_room(&listener, &stop, until_room, |stream| {
         if let Err(error) = set_socket_options(&stream) {
--- a/crates/runtime/src/accept.rs
+++ b/crates/runtime/src/accept.rs
@@ -49,7 +49,8 @@
     accept_with_room(listener, stop, || std::future::ready(()), handle).await;
 }
 
-/// Like [`accept`], but waits for `until_room` before each connection, so that it stays in the kernel's queue.
+/// Like [`accept`], but waits for `until_room` before it passes a connection on, while the next ones stay in
+/// the kernel's queue.
 pub async fn accept_with_room<Fut: Future<Output = ()>>(
     listener: &TcpListener,
     stop: &CancellationToken,
@@ -58,10 +59,6 @@
 ) {
     let mut logged_at = None;
     loop {
-        tokio::select! {
-            () = until_room() => {}
-            () = stop.cancelled() => {}
-        }
         let accepted = tokio::select! {
             // Connections that the kernel has accepted by the time of the stop are passed on too.
             biased;
@@ -70,6 +67,10 @@
         };
         match accepted {
             Ok((stream, _)) => {
+                tokio::select! {
+                    () = until_room() => {}
+                    () = stop.cancelled() => {}
+                }
                 // The panic hook has logged the panic.
                 if catch_unwind(AssertUnwindSafe(|| handle(stream))).is_err() {
                     error!("connection closed, its handler panicked");
