Relay: refuse a number of pieces that no stage could run

What callers saw: one request with x-pieces: 100000000,1 took its entry to 6.3 GB; on a machine of 260 MB the process is killed and all its requests are lost.

Cause: the number of pieces of each stage is taken from the header, and the owner of the stage service allocates a place for each result when the work is submitted.

Evidence: a_number_of_pieces_without_a_bound_is_refused: 6,269,020 kB on, 20 MB now; the process lives and answers an ordinary request (debug build, x86-64).

--- a/crates/entry/src/relay/model.rs
+++ b/crates/entry/src/relay/model.rs
@@ -31,6 +31,8 @@
 /// Number of times that lost results are recomputed for one request; its deadline limits it
 /// further.
 const MAX_RESTARTS: u32 = 1;
+/// Most pieces of one stage of a request; the memory for their results is taken before the first one runs.
+const MAX_PIECES: usize = 1_024;
 /// Size from which the computation of a result is delayed, in bytes.
 const LARGE_RESULT_BYTES: u64 = 100_000;
 /// Fraction of its slack by which a stage is delayed; the rest covers errors of the estimates.
@@ -45,6 +47,9 @@
     in_progress: InProgressGuard,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let route = &request.authorized.route;
+    if request.head.pieces.iter().any(|it| *it > MAX_PIECES) {
+        return Err(Refusal::gone("too_many_pieces"));
+    }
     let mut graph = StageGraph::new(&route.stages, &request.head.pieces);
     let mut held = HeldResults::new(relay.clone());
     let data_centre = predicted_data_centre(relay, request);
