Entry: bound the memory of all request bodies together

What callers saw: as with the relay, connections that broke when unfinished bodies of others took the process over the memory of its machine.

Cause: yuccatrail serve had a limit for one body (max_body_bytes), and none for all of them; a stated length over the limit was asked for and read.

A body counts until its request has been answered, since the parsed input takes as much. The stand-in crowd has moved to yuccatrail-fakes.

--- a/crates/entry/src/caller/routes.rs
+++ b/crates/entry/src/caller/routes.rs
@@ -2,8 +2,6 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use log::info;
 use tokio::sync::{mpsc, oneshot};
@@ -14,7 +12,10 @@
     ids::RequestId,
     outcome::{Execution, Refusal},
 };
-use yuccatrail_runtime::http::{Body, respond};
+use yuccatrail_runtime::{
+    http::{Body, respond},
+    request_body::{BodyError, HeldBody},
+};
 
 use super::{
     headers::{CallerHeaders, REQUEST_ID},
@@ -31,6 +32,10 @@
 /// Retry-After while the entry has no configuration, in milliseconds.
 const NO_CONFIGURATION_RETRY_AFTER_MS: u64 = 1000;
 
+/// Retry-After of a request whose body finds no memory, in milliseconds; stalled bodies are evicted within
+/// it, and other entries may have memory.
+pub(crate) const BODY_MEMORY_RETRY_MS: u64 = 250;
+
 /// Identifier and arrival time of a request.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Arrival {
@@ -106,18 +111,18 @@
         let detail = format!("unknown pipeline {name}");
         return Err(Problem::bad_request(StatusCode::NOT_FOUND, "unknown_pipeline", detail));
     };
-    let body = read_body(request, &document.limits).await?;
-    let input: PipelineInput = serde_json::from_slice(&body)
+    let body = read_body(entry, request, &document.limits, &headers.customer).await?;
+    let input: PipelineInput = serde_json::from_slice(body.bytes())
         .map_err(|it| Problem::bad_request(StatusCode::BAD_REQUEST, "bad_body", it.to_string()))?;
     let context = RequestContext {
         id: arrival.id,
         target: name.to_owned(),
-        fingerprint: service::fingerprint(&headers.customer, "POST", name, &body),
+        fingerprint: service::fingerprint(&headers.customer, "POST", name, body.bytes()),
         customer: headers.customer,
         deadline_ms: arrival.deadline_ms(headers.deadline_ms, pipeline.deadline_ms),
     };
     if headers.accepts_event_stream {
-        return Ok(stream_pipeline(entry.clone(), document, pipeline, context, input));
+        return Ok(stream_pipeline(entry.clone(), document, pipeline, context, input, body));
     }
     let result = pipeline::run(entry, &document, &pipeline, &context, &input, None).await;
     record_outcome(entry, &context, result.as_ref().err()).await;
@@ -131,10 +136,13 @@
     pipeline: Pipeline,
     context: RequestContext,
     input: PipelineInput,
+    body: HeldBody,
 ) -> Response<Body> {
     let (sink, chunks) = mpsc::unbounded_channel();
     let (sender, last) = oneshot::channel();
     tokio::spawn(async move {
+        // The input takes as much memory as the body, for which it counts until the end.
+        let _body = body;
         let _work = entry.begin_work();
         let caller_disconnected = sink.clone();
         let run = pipeline::run(&entry, &document, &pipeline, &context, &input, Some(sink));
@@ -203,29 +211,38 @@
     Err(Problem::bad_request(StatusCode::FORBIDDEN, "unknown_customer", detail))
 }
 
-/// Reads a request's body within the configured size and time limits.
+/// Reads the body of a customer's request within the configured size and time limits.
 ///
 /// # Errors
 ///
-/// Returns a problem if the body is too large, too slow or truncated.
+/// Returns a problem if the body is too large, too slow or truncated, or finds no memory.
 pub(crate) async fn read_body(
+    entry: &Entry,
     request: Request<Incoming>,
     limits: &Limits,
-) -> Result<Bytes, Problem> {
+    customer: &str,
+) -> Result<HeldBody, Problem> {
     let timeout = Duration::from_millis(limits.request_read_timeout_ms);
-    let body = Limited::new(request.into_body(), limits.max_body_bytes).collect();
-    let Ok(body) = tokio::time::timeout(timeout, body).await else {
+    let body = request.into_body();
+    let reading = entry.request_bodies.read(body, limits.max_body_bytes, customer);
+    let Ok(body) = tokio::time::timeout(timeout, reading).await else {
         let detail = "the body did not arrive in time";
         return Err(Problem::bad_request(StatusCode::REQUEST_TIMEOUT, "body_too_slow", detail));
     };
-    match body {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            let detail = format!("the body exceeds {} bytes", limits.max_body_bytes);
-            Err(Problem::bad_request(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", detail))
+    body.map_err(|error| match error {
+        BodyError::TooLong { limit_bytes } => {
+            let detail = format!("the body exceeds {limit_bytes} bytes");
+            Problem::bad_request(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", detail)
         }
-        Err(error) => {
-            Err(Problem::bad_request(StatusCode::BAD_REQUEST, "bad_body", error.to_string()))
+        BodyError::NoMemory(_) => Problem {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            reason: "body_memory_full".to_owned(),
+            detail: error.to_string(),
+            outcome: Execution::NotRun,
+            retry_after_ms: Some(BODY_MEMORY_RETRY_MS),
+        },
+        BodyError::Broken(_) => {
+            Problem::bad_request(StatusCode::BAD_REQUEST, "bad_body", error.to_string())
         }
-    }
+    })
 }
--- a/crates/entry/src/caller/service.rs
+++ b/crates/entry/src/caller/service.rs
@@ -50,11 +50,11 @@
         return Err(Problem::bad_request(StatusCode::BAD_REQUEST, "key_required", detail));
     }
     let content_type = content_type(&request);
-    let body = routes::read_body(request, &document.limits).await?;
+    let body = routes::read_body(entry, request, &document.limits, &headers.customer).await?;
     let context = RequestContext {
         id: arrival.id,
         target: name,
-        fingerprint: fingerprint(&headers.customer, &method, target, &body),
+        fingerprint: fingerprint(&headers.customer, &method, target, body.bytes()),
         customer: headers.customer,
         deadline_ms: arrival.deadline_ms(headers.deadline_ms, service.deadline_ms),
     };
@@ -63,7 +63,7 @@
         path,
         content_type,
         idempotency_key: headers.idempotency_key.clone(),
-        body,
+        body: body.bytes().clone(),
         response: ResponseForm::Whole,
     };
     if !idempotent {
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -9,9 +9,15 @@
     attempt::RetryBudget, control::Versions, document::Document, ids::Incarnation, outcome::Reason,
 };
 use yuccatrail_platform::Client;
-use yuccatrail_runtime::{clock::Clock, control::SharedControl};
-
-use crate::{fleet::Fleet, metrics::Metrics, policy::Policy, settings::Settings, strikes::Strikes};
+use yuccatrail_runtime::{clock::Clock, control::SharedControl, request_body::RequestBodies};
+
+use crate::{
+    fleet::Fleet,
+    metrics::Metrics,
+    policy::Policy,
+    settings::{Settings, request_body_bytes},
+    strikes::Strikes,
+};
 
 /// Maximum number of unused retries kept in the retry budget.
 const MAX_SAVED_RETRIES: u32 = 10;
@@ -38,6 +44,8 @@
     pub(crate) policy: Policy,
     /// Metrics of the entry.
     pub(crate) metrics: Metrics,
+    /// Bodies of callers' requests.
+    pub(crate) request_bodies: Arc<RequestBodies>,
     retry_budget: Mutex<RetryBudget>,
     is_stopping: AtomicBool,
     in_progress: Arc<AtomicU32>,
@@ -70,6 +78,7 @@
             platform,
             policy: Policy::new(),
             metrics,
+            request_bodies: RequestBodies::new(request_body_bytes(settings.memory_mb), clock),
             retry_budget: Mutex::new(RetryBudget::new(0, MAX_SAVED_RETRIES)),
             is_stopping: AtomicBool::new(false),
             in_progress: Arc::default(),
--- a/crates/entry/src/relay/rejection.rs
+++ b/crates/entry/src/relay/rejection.rs
@@ -14,15 +14,12 @@
 use yuccatrail_runtime::request_body::{BodyError, HeldBody};
 
 use crate::{
-    caller::problem::Problem,
+    caller::{problem::Problem, routes::BODY_MEMORY_RETRY_MS},
     relay::{metrics::RequestLabels, request::ResponseBody, state::Relay},
 };
 
 /// Retry-After of a stopping entry, in milliseconds; other entries can take the request at once.
 pub(crate) const STOPPING_RETRY_MS: u64 = 20;
-/// Retry-After of a request whose body finds no memory, in milliseconds; stalled bodies are evicted within
-/// it, and other entries may have memory.
-const BODY_MEMORY_RETRY_MS: u64 = 250;
 
 /// Marks the response to a request whose body was not read, so that the caller may still be sending it.
 #[derive(Clone, Copy, Debug)]
--- a/crates/entry/src/relay/settings.rs
+++ b/crates/entry/src/relay/settings.rs
@@ -18,10 +18,6 @@
 /// milliseconds; the platform's bound.
 const DEFAULT_ROLLBACK_MS: f64 = 5_000.0;
 
-/// Memory of the machine unless the settings state another one, in megabytes.
-const DEFAULT_MEMORY_MB: f64 = 256.0;
-/// Least memory with which an entry serves callers, in megabytes.
-const MIN_MEMORY_MB: f64 = 64.0;
 /// File descriptors of the machine unless the settings state another number.
 const DEFAULT_DESCRIPTORS: f64 = 4_096.0;
 /// Fewest file descriptors with which an entry serves callers.
@@ -89,7 +85,7 @@
 impl MachineLimits {
     /// Returns the memory for the bodies of callers' requests, in bytes.
     pub(crate) fn request_body_bytes(self) -> usize {
-        self.memory_mb * 1024 * 1024 / 4
+        entry_settings::request_body_bytes(self.memory_mb)
     }
 
     /// Returns the largest number of callers' connections: their buffers take an eighth of the memory, and
@@ -171,14 +167,7 @@
 }
 
 fn machine() -> impl Parser<MachineLimits> {
-    let memory_mb = long("memory-limit-mb")
-        .env("YUCCATRAIL_MEMORY_LIMIT_MB")
-        .help("Memory that the process may use, in megabytes")
-        .argument("MB")
-        .guard(|it: &f64| *it >= MIN_MEMORY_MB, "memory-limit-mb must be at least 64")
-        .fallback(DEFAULT_MEMORY_MB)
-        .display_fallback()
-        .map(|it| it as usize);
+    let memory_mb = entry_settings::memory_mb();
     let file_descriptors = long("file-descriptor-limit")
         .env("YUCCATRAIL_FILE_DESCRIPTOR_LIMIT")
         .help("File descriptors that the process may have open")
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -6,6 +6,11 @@
 use log::LevelFilter;
 use yuccatrail_runtime::settings;
 
+/// Memory of the machine unless the settings state another one, in megabytes.
+const DEFAULT_MEMORY_MB: f64 = 256.0;
+/// Least memory with which an entry serves callers, in megabytes.
+const MIN_MEMORY_MB: f64 = 64.0;
+
 /// Settings of one entry process.
 #[derive(Clone, Debug)]
 pub(crate) struct Settings {
@@ -27,6 +32,8 @@
     pub(crate) stop_limit_ms: u64,
     /// Least severe level that is logged.
     pub(crate) log_level: LevelFilter,
+    /// Memory that the process may use, in megabytes.
+    pub(crate) memory_mb: usize,
     /// Number of threads that run the process's tasks.
     pub(crate) worker_threads: NonZeroUsize,
 }
@@ -51,6 +58,7 @@
         .fallback(500);
     let stop_limit_ms = settings::stop_limit_ms();
     let log_level = settings::log_level();
+    let memory_mb = memory_mb();
     let worker_threads = settings::worker_threads();
     construct!(Settings {
         name,
@@ -62,10 +70,28 @@
         stop_notice_ms,
         stop_limit_ms,
         log_level,
+        memory_mb,
         worker_threads,
     })
 }
 
+/// Parses the memory that the process may use, in megabytes.
+pub(crate) fn memory_mb() -> impl Parser<usize> {
+    long("memory-limit-mb")
+        .env("YUCCATRAIL_MEMORY_LIMIT_MB")
+        .help("Memory that the process may use, in megabytes")
+        .argument("MB")
+        .guard(|it: &f64| *it >= MIN_MEMORY_MB, "memory-limit-mb must be at least 64")
+        .fallback(DEFAULT_MEMORY_MB)
+        .display_fallback()
+        .map(|it| it as usize)
+}
+
+/// Returns the part of the memory for the bodies of callers' requests, in bytes.
+pub(crate) fn request_body_bytes(memory_mb: usize) -> usize {
+    memory_mb * 1024 * 1024 / 4
+}
+
 /// Parses the address on which callers reach the entry.
 pub(crate) fn listen() -> impl Parser<SocketAddr> {
     settings::address("listen", "YUCCATRAIL_LISTEN", "Address on which callers reach the entry")
--- a/platform/stand-ins/src/crowd.rs
+++ b/crates/fakes/src/crowd.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc, Mutex,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
@@ -18,8 +18,6 @@
     time::Instant,
 };
 
-use crate::lock;
-
 /// Time without any byte written after which a crowd has sent what it can.
 const SETTLE_TIME: Duration = Duration::from_secs(1);
 /// Longest time for which a crowd is waited for.
@@ -153,3 +151,7 @@
     // The caller's own half stays open until the crowd is closed.
     std::future::pending().await
 }
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod bench;
 pub mod capacity;
+pub mod crowd;
 pub mod load;
 pub mod measure;
 pub mod model;
--- a/crates/fakes/src/stack/run.rs
+++ b/crates/fakes/src/stack/run.rs
@@ -284,6 +284,21 @@
     data_centre: &str,
     platform: SocketAddr,
     listen: &str,
+) -> Result<Process, StackError> {
+    start_entry_with_environment(name, data_centre, platform, listen, &[]).await
+}
+
+/// Starts an entry process with further environment variables, as pairs of name and value.
+///
+/// # Errors
+///
+/// Returns an error when the process does not start.
+pub async fn start_entry_with_environment(
+    name: &str,
+    data_centre: &str,
+    platform: SocketAddr,
+    listen: &str,
+    environment: &[(&str, &str)],
 ) -> Result<Process, StackError> {
     let platform = platform.to_string();
     let arguments = to_strings(&[
@@ -301,7 +316,7 @@
         "--environment",
         ENVIRONMENT,
     ]);
-    Ok(Process::start(name, "yuccatrail", &arguments).await?)
+    Ok(Process::start_with_environment(name, "yuccatrail", &arguments, environment).await?)
 }
 
 /// Starts an agent in front of an upstream stand-in.
--- /dev/null
+++ b/crates/fakes/tests/caller_crowds.rs
@@ -0,0 +1,72 @@
+//! Many callers with large unfinished bodies at one entry with the memory of a small machine.
+
+use std::fs;
+
+use bytes::Bytes;
+use yuccatrail_fakes::{
+    crowd::Crowd,
+    stack::{
+        plan::StackPlan,
+        process::Process,
+        run::{Stack, start_entry_with_environment},
+    },
+};
+
+/// Memory of the machine, in megabytes.
+const MEMORY_MB: u64 = 128;
+/// Largest body that the environment document allows, in bytes.
+const BODY_BYTES: usize = 4 * 1024 * 1024;
+/// Callers with large bodies.
+const CROWD: usize = 60;
+
+fn peak_memory_kb(entry: &Process) -> u64 {
+    let id = entry.id().expect("the entry runs");
+    let status = fs::read_to_string(format!("/proc/{id}/status")).expect("the entry runs");
+    let line = status.lines().find(|it| it.starts_with("VmHWM:")).expect("a peak size");
+    line.split_whitespace().nth(1).unwrap().parse().unwrap()
+}
+
+fn head(framing: &str) -> Bytes {
+    format!(
+        "POST /v1/services/work-orders/search HTTP/1.1\r\nhost: a.example\r\n\
+         x-customer: lone-star\r\n{framing}\r\n\r\n"
+    )
+    .into()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn unfinished_bodies_stay_within_the_memory_of_an_entry() {
+    let mut plan = StackPlan::short(&[("work-orders", 2)]);
+    plan.entries.clear();
+    plan.document =
+        plan.document.replace("[limits]", &format!("[limits]\nmax_body_bytes = {BODY_BYTES}"));
+    let stack = Stack::start(plan).await.expect("the stack starts");
+    let memory_mb = MEMORY_MB.to_string();
+    let environment = [("YUCCATRAIL_MEMORY_LIMIT_MB", memory_mb.as_str())];
+    let platform = stack.platform.address;
+    let start = start_entry_with_environment;
+    let mut entry = start("entry-0", "north", platform, "127.0.0.1:0", &environment).await.unwrap();
+    stack.wait_dispatchable(entry.address).await.unwrap();
+    let part = Bytes::from(vec![b'a'; BODY_BYTES - 1]);
+    let over = head(&format!("content-length: {}", BODY_BYTES + 1));
+    let unfinished = head(&format!("content-length: {BODY_BYTES}"));
+    let crowd = Crowd::open(entry.address, CROWD, |_| vec![unfinished.clone(), part.clone()]);
+    crowd.settle().await;
+    assert!(!entry.has_ended(), "the entry has ended");
+    let answer = stack.caller.search(entry.address, "ordinary", &[]).await.unwrap();
+    let memory_kb = peak_memory_kb(&entry);
+    println!("peak memory {memory_kb} kB");
+    assert!(memory_kb <= MEMORY_MB * 1024, "{memory_kb} kB");
+    assert_eq!(answer.status, 200, "an ordinary request beside the crowd");
+    crowd.close().await;
+    // The head says that the body is too long, of which nothing needs to arrive.
+    let refused = Crowd::open(entry.address, 1, |_| vec![over.clone()]);
+    assert_eq!(refused.wait_answered().await[0].status(), Some(413));
+    refused.close().await;
+    let largest = Bytes::from(vec![b'a'; BODY_BYTES]);
+    let path = "/v1/services/work-orders/search";
+    let answer = stack.caller.send(entry.address, "POST", path, &[], largest).await.unwrap();
+    assert_eq!(answer.status, 200, "a body of the largest size");
+    entry.close().await.unwrap();
+    stack.close().await.unwrap();
+}
