Body memory: sort the bodies to evict once

What callers saw: nothing yet; found while reading the change. The search for bodies to evict went through all of them once for each victim, so that a crowd of small stalled bodies could take the processor time of others with few large requests.

Change: candidates are collected and sorted once.

The tests of body_memory are unchanged.

--- a/crates/core/src/body_memory/mod.rs
+++ b/crates/core/src/body_memory/mod.rs
@@ -6,7 +6,7 @@
 //! customer that holds the most. A part is kept for small bodies, and another one for customers that
 //! hold nothing yet. Bodies that are complete are not evicted, since their requests may run.
 
-use std::sync::Arc;
+use std::{cmp::Reverse, sync::Arc};
 
 use derive_more::Display;
 use slotmap::SlotMap;
@@ -70,6 +70,18 @@
     is_complete: bool,
 }
 
+/// A body that may be evicted.
+#[derive(Clone, Copy, Debug)]
+struct Candidate<'a> {
+    key: BodyKey,
+    customer: &'a Arc<str>,
+    /// What its customer holds.
+    use_bytes: usize,
+    held_bytes: usize,
+    is_stalled: bool,
+    is_taken: bool,
+}
+
 impl Body {
     /// Tells whether the body has not arrived as fast as callers send.
     fn is_stalled(&self, now_ms: u64) -> bool {
@@ -186,39 +198,68 @@
             true => (self.total_bytes, usize::MAX),
             false => (large_bytes, (large_bytes as f64 * CUSTOMER_SHARE) as usize),
         };
-        let mut victims = Vec::new();
         let mut total_bytes = self.held_bytes - body.held_bytes + bytes;
-        let own_bytes = self.customers[&body.customer].held_bytes - body.held_bytes + bytes;
+        let mut own_bytes = self.customers[&body.customer].held_bytes - body.held_bytes + bytes;
         if total_bytes <= limit_bytes && own_bytes <= customer_limit_bytes {
-            return Some(victims);
+            return Some(Vec::new());
+        }
+        let mut candidates = self.candidates(key, now_ms);
+        let mut uses: FastMap<&Arc<str>, usize> = FastMap::default();
+        let mut victims = Vec::new();
+        // A single body is always held, whatever its size.
+        for candidate in &mut candidates {
+            if own_bytes <= customer_limit_bytes || own_bytes == bytes {
+                break;
+            }
+            if *candidate.customer == body.customer && candidate.is_stalled {
+                total_bytes -= candidate.held_bytes;
+                own_bytes -= candidate.held_bytes;
+                victims.push(candidate.key);
+                candidate.is_taken = true;
+            }
         }
-        let mut uses = self.customers.clone();
-        uses.entry(body.customer.clone()).or_default().held_bytes = own_bytes;
-        loop {
-            let own_bytes = uses[&body.customer].held_bytes;
-            // A single body is always held, whatever its size.
-            let is_over_share = own_bytes > customer_limit_bytes && own_bytes > bytes;
-            if !is_over_share && (total_bytes <= limit_bytes || total_bytes == bytes) {
-                return Some(victims);
+        if own_bytes > customer_limit_bytes && own_bytes > bytes {
+            return None;
+        }
+        for candidate in candidates.iter().filter(|it| !it.is_taken) {
+            if total_bytes <= limit_bytes || total_bytes == bytes {
+                break;
+            }
+            let is_own = *candidate.customer == body.customer;
+            let use_bytes = uses.entry(candidate.customer).or_insert(candidate.use_bytes);
+            let is_unfair = !is_own && *use_bytes >= own_bytes + candidate.held_bytes;
+            if !candidate.is_stalled && !is_unfair {
+                continue;
+            }
+            total_bytes -= candidate.held_bytes;
+            *use_bytes -= candidate.held_bytes;
+            if is_own {
+                own_bytes -= candidate.held_bytes;
+            }
+            victims.push(candidate.key);
+        }
+        (total_bytes <= limit_bytes || total_bytes == bytes).then_some(victims)
+    }
+
+    /// Returns the bodies that are not complete, except one: first those that have stalled, of these and of
+    /// the others those of the customer that holds the most.
+    fn candidates(&self, except: BodyKey, now_ms: u64) -> Vec<Candidate<'_>> {
+        let mut candidates = Vec::new();
+        for (key, body) in &self.bodies {
+            if key == except || body.is_complete || body.held_bytes == 0 {
+                continue;
             }
-            let candidates = self.bodies.iter().filter(|(it, candidate)| {
-                let is_other = *it != key && !victims.contains(it);
-                let is_own = candidate.customer == body.customer;
-                let use_bytes = uses[&candidate.customer].held_bytes;
-                let is_unfair = use_bytes >= own_bytes + candidate.held_bytes;
-                is_other
-                    && candidate.held_bytes > 0
-                    && (is_own || !is_over_share)
-                    && (candidate.is_stalled(now_ms)
-                        || !is_own && !candidate.is_complete && is_unfair)
+            candidates.push(Candidate {
+                key,
+                customer: &body.customer,
+                use_bytes: self.customers[&body.customer].held_bytes,
+                held_bytes: body.held_bytes,
+                is_stalled: body.is_stalled(now_ms),
+                is_taken: false,
             });
-            let (victim, evicted) = candidates.max_by_key(|(_, it)| {
-                (it.is_stalled(now_ms), uses[&it.customer].held_bytes, it.held_bytes)
-            })?;
-            total_bytes -= evicted.held_bytes;
-            uses.entry(evicted.customer.clone()).or_default().held_bytes -= evicted.held_bytes;
-            victims.push(victim);
         }
+        candidates.sort_by_key(|it| Reverse((it.is_stalled, it.use_bytes, it.held_bytes)));
+        candidates
     }
 
     fn set_held(&mut self, key: BodyKey, bytes: usize) {
