Listeners: limit the connections of every HTTP server

What callers saw: as with the callers of a relay, a crowd of idle connections at yuccatrail serve, or at the listener for readiness checks, metrics or of an agent, took the descriptors of the whole process.

Cause: the limit on callers' connections was the relay's own; the shared HTTP server took all.

Change: the limit has moved to yuccatrail-runtime, and the shared HTTP server counts its connections with it. A connection counts as busy until its responses have been sent, so that no stream is cut for a new connection. Callers of yuccatrail serve get the same number as those of a relay, from the same settings; the other listeners take 32 each.

--- a/crates/agent/src/admin.rs
+++ b/crates/agent/src/admin.rs
@@ -6,7 +6,11 @@
 use prometheus_client::{encoding::text, registry::Registry};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
-use yuccatrail_runtime::http::{self, Body, METRICS_CONTENT_TYPE, respond};
+use yuccatrail_runtime::{
+    clock::Clock,
+    http::{self, Body, METRICS_CONTENT_TYPE, respond},
+    open_connections::OpenConnections,
+};
 
 /// State that the endpoint reports.
 #[derive(Clone)]
@@ -19,7 +23,9 @@
 
 /// Serves the endpoint until `finished` is cancelled.
 pub(crate) async fn serve(listener: TcpListener, admin: AdminState, finished: CancellationToken) {
-    http::serve(Arc::new(listener), finished, move |request| handle(admin.clone(), request)).await;
+    let connections = OpenConnections::for_internal_use(Clock::new());
+    let handler = move |request| handle(admin.clone(), request);
+    http::serve(Arc::new(listener), connections, || false, finished, handler).await;
 }
 
 async fn handle(admin: AdminState, request: Request<Incoming>) -> Response<Body> {
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -11,13 +11,7 @@
 use yuccatrail_platform::Client;
 use yuccatrail_runtime::{clock::Clock, control::SharedControl, request_body::RequestBodies};
 
-use crate::{
-    fleet::Fleet,
-    metrics::Metrics,
-    policy::Policy,
-    settings::{Settings, request_body_bytes},
-    strikes::Strikes,
-};
+use crate::{fleet::Fleet, metrics::Metrics, policy::Policy, settings::Settings, strikes::Strikes};
 
 /// Maximum number of unused retries kept in the retry budget.
 const MAX_SAVED_RETRIES: u32 = 10;
@@ -78,7 +72,7 @@
             platform,
             policy: Policy::new(),
             metrics,
-            request_bodies: RequestBodies::new(request_body_bytes(settings.memory_mb), clock),
+            request_bodies: RequestBodies::new(settings.machine.request_body_bytes(), clock),
             retry_budget: Mutex::new(RetryBudget::new(0, MAX_SAVED_RETRIES)),
             is_stopping: AtomicBool::new(false),
             in_progress: Arc::default(),
--- a/crates/entry/src/relay/connection.rs
+++ b/crates/entry/src/relay/connection.rs
@@ -5,7 +5,6 @@
 
 mod activity;
 mod linger;
-mod open_connections;
 mod tracked_body;
 
 use std::{
@@ -26,6 +25,7 @@
 use log::{debug, info};
 use tokio::{io::AsyncWriteExt, net::TcpStream};
 use tokio_util::sync::CancellationToken;
+use yuccatrail_runtime::open_connections::OpenConnection;
 
 use crate::relay::{
     buffers::MAX_RESPONSE_BYTES,
@@ -39,8 +39,6 @@
     state::Relay,
 };
 
-pub(crate) use open_connections::{OpenConnection, OpenConnections};
-
 /// Smallest read buffer that hyper accepts, in bytes; it panics below.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// Largest read buffer of a connection, in bytes: a head that exceeds it is refused whatever the
--- a/crates/entry/src/relay/connection/activity.rs
+++ b/crates/entry/src/relay/connection/activity.rs
@@ -13,10 +13,9 @@
     time::{Instant, Sleep},
 };
 use yuccatrail_core::route_table::CallerLimits;
+use yuccatrail_runtime::open_connections::OpenConnection;
 
-use crate::relay::{
-    connection::open_connections::OpenConnection, observed_stream::ObservedStream, state::lock,
-};
+use crate::relay::{observed_stream::ObservedStream, state::lock};
 
 /// Least time that a caller has for a head or for reading on, in milliseconds: a lost packet and its
 /// retransmission. With a shorter limit an entry would serve no caller.
--- a/crates/entry/src/relay/settings.rs
+++ b/crates/entry/src/relay/settings.rs
@@ -7,7 +7,7 @@
 use yuccatrail_core::{retry_share::RetryLimit, rollout::ExposureLimit};
 use yuccatrail_runtime::settings;
 
-use crate::settings as entry_settings;
+use crate::settings::{self as entry_settings, MachineLimits};
 
 /// Subcommand whose settings the platform renders.
 const COMMAND: &str = "relay";
@@ -18,15 +18,6 @@
 /// milliseconds; the platform's bound.
 const DEFAULT_ROLLBACK_MS: f64 = 5_000.0;
 
-/// File descriptors of the machine unless the settings state another number.
-const DEFAULT_DESCRIPTORS: f64 = 4_096.0;
-/// Fewest file descriptors with which an entry serves callers.
-const MIN_DESCRIPTORS: f64 = 300.0;
-/// Descriptors for files, listeners, peers and the platform.
-const OWN_DESCRIPTORS: usize = 200;
-/// Memory of a connection that waits for a request, in bytes.
-const CONNECTION_BYTES: usize = 16 * 1024;
-
 /// Settings of one relay process.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct RelaySettings {
@@ -73,30 +64,6 @@
     pub(crate) exposure: Option<ExposureLimit>,
 }
 
-/// What a process may use of its machine; each use has a part, so that they fit together.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct MachineLimits {
-    /// Memory, in megabytes.
-    pub(crate) memory_mb: usize,
-    /// File descriptors.
-    pub(crate) file_descriptors: usize,
-}
-
-impl MachineLimits {
-    /// Returns the memory for the bodies of callers' requests, in bytes.
-    pub(crate) fn request_body_bytes(self) -> usize {
-        entry_settings::request_body_bytes(self.memory_mb)
-    }
-
-    /// Returns the largest number of callers' connections: their buffers take an eighth of the memory, and
-    /// each request may need a connection to an upstream.
-    pub(crate) fn caller_connections(self) -> usize {
-        let by_memory = self.memory_mb * 1024 * 1024 / 8 / CONNECTION_BYTES;
-        let by_descriptors = self.file_descriptors.saturating_sub(OWN_DESCRIPTORS) / 2;
-        by_memory.min(by_descriptors)
-    }
-}
-
 /// Limits of roll-outs as given, with defaults for all but the share.
 #[derive(Clone, Copy, Debug)]
 struct ExposureParts {
@@ -139,7 +106,7 @@
         .argument("PART")
         .guard(|it| *it > 0.0, "cpu-share must be above 0")
         .fallback(1.0);
-    let machine = machine();
+    let machine = entry_settings::machine();
     let limits_upstream_memory = repeatable_flag(
         "upstream-memory-limit",
         "Limit the tokens that requests hold at a model upstream to its memory",
@@ -166,19 +133,6 @@
     })
 }
 
-fn machine() -> impl Parser<MachineLimits> {
-    let memory_mb = entry_settings::memory_mb();
-    let file_descriptors = long("file-descriptor-limit")
-        .env("YUCCATRAIL_FILE_DESCRIPTOR_LIMIT")
-        .help("File descriptors that the process may have open")
-        .argument("NUMBER")
-        .guard(|it: &f64| *it >= MIN_DESCRIPTORS, "file-descriptor-limit must be at least 300")
-        .fallback(DEFAULT_DESCRIPTORS)
-        .display_fallback()
-        .map(|it| it as usize);
-    construct!(MachineLimits { memory_mb, file_descriptors })
-}
-
 fn bounds() -> impl Parser<Bounds> {
     let grace_period_ms = long("grace-period-s")
         .env("YUCCATRAIL_GRACE_PERIOD_S")
--- a/crates/entry/src/relay/state.rs
+++ b/crates/entry/src/relay/state.rs
@@ -22,12 +22,14 @@
     stream_origin::StreamOrigins,
     upstreams::{ListCorrections, Upstreams, UpstreamsSettings},
 };
-use yuccatrail_runtime::{clock::Clock, request_body::RequestBodies, supervisor::Supervisor};
+use yuccatrail_runtime::{
+    clock::Clock, open_connections::OpenConnections, request_body::RequestBodies,
+    supervisor::Supervisor,
+};
 
 use crate::relay::{
     buffers::ResponseBuffers,
     configurations::Configurations,
-    connection::OpenConnections,
     crashes::RequestCrashes,
     listed_versions::ListedVersions,
     metrics::RelayMetrics,
--- a/crates/entry/src/relay/tasks.rs
+++ b/crates/entry/src/relay/tasks.rs
@@ -13,7 +13,10 @@
 };
 use tokio_util::sync::CancellationToken;
 use yuccatrail_platform::Client;
-use yuccatrail_runtime::http::{self, Body};
+use yuccatrail_runtime::{
+    http::{self, Body},
+    open_connections::OpenConnections,
+};
 
 use crate::relay::{
     configurations, feed, listed_versions, memory, peers, platform_check, rollouts,
@@ -94,9 +97,14 @@
         let listener = Arc::new(listener);
         self.spawn(name, move |it| {
             let relay = it.relay;
-            http::serve(listener.clone(), it.finished, move |request| {
-                handle(relay.clone(), request)
-            })
+            let connections = OpenConnections::for_internal_use(relay.clock);
+            http::serve(
+                listener.clone(),
+                connections,
+                || false,
+                it.finished,
+                move |request| handle(relay.clone(), request),
+            )
         });
     }
 
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -7,7 +7,9 @@
 use tokio_util::sync::CancellationToken;
 use yuccatrail_core::drain::{GracefulShutdown, ShutdownPhase, ShutdownSettings};
 use yuccatrail_platform::{Client, ClientSettings};
-use yuccatrail_runtime::{accept::listen, http, logging, shutdown};
+use yuccatrail_runtime::{
+    accept::listen, http, logging, open_connections::OpenConnections, shutdown,
+};
 
 use crate::{
     caller::routes, entry::Entry, gossip, metrics::Metrics, platform_feed, settings::Settings,
@@ -72,7 +74,11 @@
     tasks.spawn(run_housekeeping(entry.clone(), finished.clone()));
     let handler_entry = entry.clone();
     let handler = move |request| routes::handle(handler_entry.clone(), request);
-    let callers = tokio::spawn(http::serve(Arc::new(listener), finished.clone(), handler));
+    let connections = OpenConnections::new(settings.machine.caller_connections(), entry.clock);
+    let bodies = entry.request_bodies.clone();
+    let end_request = move || bodies.evict_stalled();
+    let (listener, stop) = (Arc::new(listener), finished.clone());
+    let callers = tokio::spawn(http::serve(listener, connections, end_request, stop, handler));
     signal.cancelled().await;
     shut_down(&entry, &settings).await;
     finished.cancel();
--- a/crates/fakes/src/upstream/server.rs
+++ b/crates/fakes/src/upstream/server.rs
@@ -14,7 +14,11 @@
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
-use yuccatrail_runtime::http::{self, Body, respond};
+use yuccatrail_runtime::{
+    clock::Clock,
+    http::{self, Body, respond},
+    open_connections::OpenConnections,
+};
 
 use super::{
     engine,
@@ -22,12 +26,16 @@
 };
 
 const JSON: &str = "application/json";
+/// Connections that the stand-in takes; more than any load opens.
+const MAX_CONNECTIONS: usize = 100_000;
 /// Prefix of the log line for a call; the request ID and the idempotency key follow.
 pub const CALL_LINE_PREFIX: &str = "call ";
 
 /// Serves requests until `stop` is cancelled.
 pub async fn serve(listener: TcpListener, upstream: Arc<Upstream>, stop: CancellationToken) {
-    http::serve(Arc::new(listener), stop, move |request| handle(upstream.clone(), request)).await;
+    let connections = OpenConnections::new(MAX_CONNECTIONS, Clock::new());
+    let handler = move |request| handle(upstream.clone(), request);
+    http::serve(Arc::new(listener), connections, || false, stop, handler).await;
 }
 
 /// Body of a text generation request.
--- a/crates/fakes/tests/caller_crowds.rs
+++ b/crates/fakes/tests/caller_crowds.rs
@@ -3,6 +3,7 @@
 use std::fs;
 
 use bytes::Bytes;
+use tokio::sync::Mutex;
 use yuccatrail_fakes::{
     crowd::Crowd,
     stack::{
@@ -16,9 +17,16 @@
 const MEMORY_MB: u64 = 128;
 /// Largest body that the environment document allows, in bytes.
 const BODY_BYTES: usize = 4 * 1024 * 1024;
+/// File descriptors of the machine.
+const FILE_DESCRIPTORS: usize = 500;
+/// Callers that only hold a connection.
+const CONNECTIONS: usize = 600;
 /// Callers with large bodies.
 const CROWD: usize = 60;
 
+/// Lets one crowd run at a time.
+static ALONE: Mutex<()> = Mutex::const_new(());
+
 fn peak_memory_kb(entry: &Process) -> u64 {
     let id = entry.id().expect("the entry runs");
     let status = fs::read_to_string(format!("/proc/{id}/status")).expect("the entry runs");
@@ -34,19 +42,29 @@
     .into()
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn unfinished_bodies_stay_within_the_memory_of_an_entry() {
+/// Starts an entry with the limits of a small machine, and a stack for it.
+async fn start() -> (Stack, Process) {
     let mut plan = StackPlan::short(&[("work-orders", 2)]);
     plan.entries.clear();
-    plan.document =
-        plan.document.replace("[limits]", &format!("[limits]\nmax_body_bytes = {BODY_BYTES}"));
+    let limits = format!("[limits]\nmax_body_bytes = {BODY_BYTES}");
+    plan.document = plan.document.replace("[limits]", &limits);
     let stack = Stack::start(plan).await.expect("the stack starts");
-    let memory_mb = MEMORY_MB.to_string();
-    let environment = [("YUCCATRAIL_MEMORY_LIMIT_MB", memory_mb.as_str())];
-    let platform = stack.platform.address;
-    let start = start_entry_with_environment;
-    let mut entry = start("entry-0", "north", platform, "127.0.0.1:0", &environment).await.unwrap();
-    stack.wait_dispatchable(entry.address).await.unwrap();
+    let (memory_mb, descriptors) = (MEMORY_MB.to_string(), FILE_DESCRIPTORS.to_string());
+    let environment = [
+        ("YUCCATRAIL_MEMORY_LIMIT_MB", memory_mb.as_str()),
+        ("YUCCATRAIL_FILE_DESCRIPTOR_LIMIT", descriptors.as_str()),
+    ];
+    let (platform, listen) = (stack.platform.address, "127.0.0.1:0");
+    let entry = start_entry_with_environment("entry-0", "north", platform, listen, &environment);
+    let entry = entry.await.expect("the entry starts");
+    stack.wait_dispatchable(entry.address).await.expect("the entry reaches the upstreams");
+    (stack, entry)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn unfinished_bodies_stay_within_the_memory_of_an_entry() {
+    let _alone = ALONE.lock().await;
+    let (stack, mut entry) = start().await;
     let part = Bytes::from(vec![b'a'; BODY_BYTES - 1]);
     let over = head(&format!("content-length: {}", BODY_BYTES + 1));
     let unfinished = head(&format!("content-length: {BODY_BYTES}"));
@@ -70,3 +88,24 @@
     entry.close().await.unwrap();
     stack.close().await.unwrap();
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_stay_within_the_descriptors_of_an_entry() {
+    let _alone = ALONE.lock().await;
+    let (stack, mut entry) = start().await;
+    let requested = head("content-length: 0");
+    for request in [Vec::new(), vec![requested.slice(..requested.len() - 2)], vec![requested]] {
+        let crowd = Crowd::open(entry.address, CONNECTIONS, |_| request.clone());
+        crowd.settle().await;
+        assert!(!entry.has_ended(), "the entry has ended");
+        let id = entry.id().expect("the entry runs");
+        let descriptors = fs::read_dir(format!("/proc/{id}/fd")).expect("the entry runs").count();
+        println!("{descriptors} descriptors");
+        assert!(descriptors <= FILE_DESCRIPTORS, "{descriptors} descriptors");
+        let answer = stack.caller.search(entry.address, "ordinary", &[]).await.unwrap();
+        assert_eq!(answer.status, 200, "an ordinary request beside the crowd");
+        crowd.close().await;
+    }
+    entry.close().await.unwrap();
+    stack.close().await.unwrap();
+}
--- a/crates/runtime/src/http.rs
+++ b/crates/runtime/src/http.rs
@@ -15,7 +15,11 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
-use crate::accept::accept;
+use crate::{accept::accept_with_room, open_connections::OpenConnections};
+
+mod counted_body;
+
+use counted_body::CountedBody;
 
 /// Longest time in which a client has to send the head of a request.
 const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(10);
@@ -77,31 +81,53 @@
 }
 
 /// Serves HTTP/1.1 and HTTP/2 until `stop` is cancelled, then waits for the requests in flight.
-pub async fn serve<F, Fut>(listener: Arc<TcpListener>, stop: CancellationToken, handler: F)
-where
+///
+/// The connections count towards `connections`; `end_request` is as for [`OpenConnections::open`].
+pub async fn serve<F, Fut>(
+    listener: Arc<TcpListener>,
+    connections: Arc<OpenConnections>,
+    end_request: impl Fn() -> bool,
+    stop: CancellationToken,
+    handler: F,
+) where
     F: Fn(Request<Incoming>) -> Fut + Clone + Send + 'static,
     Fut: Future<Output = Response<Body>> + Send + 'static,
 {
     let graceful = GracefulShutdown::new();
-    accept(&listener, &stop, |stream| {
-        // With Nagle's algorithm, small responses would wait for the peer's delayed
-        // acknowledgement.
-        let _ = stream.set_nodelay(true);
-        let handler = handler.clone();
-        let service = service_fn(move |request| {
-            let response = handler(request);
-            async move { Ok::<_, Infallible>(response.await) }
-        });
-        let mut builder = auto::Builder::new(TokioExecutor::new());
-        builder.http1().timer(TokioTimer::new()).header_read_timeout(HEADER_READ_TIMEOUT);
-        builder.http2().timer(TokioTimer::new()).max_concurrent_streams(MAX_CONCURRENT_STREAMS);
-        let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
-        let connection = graceful.watch(connection);
-        tokio::spawn(async move {
-            // A broken connection affects only its client.
-            let _ = connection.await;
-        });
-    })
+    accept_with_room(
+        &listener,
+        &stop,
+        || connections.until_room(&end_request),
+        |stream| {
+            let Some(open) = connections.open(&end_request) else { return };
+            let open = Arc::new(open);
+            // With Nagle's algorithm, small responses would wait for the peer's delayed
+            // acknowledgement.
+            let _ = stream.set_nodelay(true);
+            let handler = handler.clone();
+            let service_open = open.clone();
+            let service = service_fn(move |request| {
+                let open_request = service_open.open_request();
+                let response = handler(request);
+                async move {
+                    let response = response.await;
+                    Ok::<_, Infallible>(response.map(|it| CountedBody::new(it, open_request)))
+                }
+            });
+            let mut builder = auto::Builder::new(TokioExecutor::new());
+            builder.http1().timer(TokioTimer::new()).header_read_timeout(HEADER_READ_TIMEOUT);
+            builder.http2().timer(TokioTimer::new()).max_concurrent_streams(MAX_CONCURRENT_STREAMS);
+            let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
+            let connection = graceful.watch(connection);
+            tokio::spawn(async move {
+                tokio::select! {
+                    // A broken connection affects only its client.
+                    _ = connection => {}
+                    () = open.until_replaced_and_idle() => {}
+                }
+            });
+        },
+    )
     .await;
     graceful.shutdown().await;
 }
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod control;
 pub mod http;
 pub mod logging;
+pub mod open_connections;
 pub mod request_body;
 pub mod settings;
 pub mod shutdown;
--- a/crates/entry/src/relay/connection/open_connections.rs
+++ b/crates/runtime/src/open_connections.rs
@@ -1,7 +1,10 @@
-//! Open connections of callers, whose number is limited.
+//! Open connections of a listener, whose number is limited.
 
 use std::{
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
@@ -12,18 +15,20 @@
     FastMap,
     connection_limit::{Admission, ConnectionKey, ConnectionLimit, Room},
 };
-use yuccatrail_runtime::clock::Clock;
 
-use crate::relay::state::lock;
+use crate::clock::Clock;
 
+/// Connections of a listener for health checks and metrics, each of which has a few clients.
+const INTERNAL_CONNECTIONS: usize = 32;
 /// Interval at which refused connections are logged, in milliseconds.
 const LOG_INTERVAL_MS: u64 = 1_000;
-/// Interval at which the accept loop checks for room, in milliseconds.
+/// Interval at which the accept loop checks for room, and a replaced connection for the end of its requests, in
+/// milliseconds.
 const ROOM_POLL_MS: u64 = 10;
 
-/// The open connections of callers.
+/// The open connections of a listener.
 #[derive(Debug)]
-pub(crate) struct OpenConnections {
+pub struct OpenConnections {
     clock: Clock,
     state: Mutex<State>,
     /// Notified when a connection was closed.
@@ -41,15 +46,31 @@
 
 /// One open connection; counts towards the limit until dropped.
 #[derive(Debug)]
-pub(crate) struct OpenConnection {
+pub struct OpenConnection {
     connections: Arc<OpenConnections>,
     key: ConnectionKey,
     replaced: CancellationToken,
+    /// Requests in progress, of which HTTP/2 allows several.
+    requests: AtomicUsize,
+}
+
+/// A request in progress on a connection, until dropped.
+#[derive(Debug)]
+pub struct OpenRequest {
+    connection: Arc<OpenConnection>,
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        if self.connection.requests.fetch_sub(1, Ordering::Relaxed) == 1 {
+            self.connection.end_request();
+        }
+    }
 }
 
 impl OpenConnections {
     /// Limits the number of connections.
-    pub(crate) fn new(max_connections: usize, clock: Clock) -> Arc<Self> {
+    pub fn new(max_connections: usize, clock: Clock) -> Arc<Self> {
         let state = State {
             limit: ConnectionLimit::new(max_connections),
             replaced: FastMap::default(),
@@ -59,9 +80,14 @@
         Arc::new(Self { clock, state: Mutex::new(state), closed: Notify::new() })
     }
 
+    /// Limits the connections of a listener for health checks and metrics.
+    pub fn for_internal_use(clock: Clock) -> Arc<Self> {
+        Self::new(INTERNAL_CONNECTIONS, clock)
+    }
+
     /// Waits until a connection can be opened, or all carry a request; `end_request` is as for
     /// [`open`](Self::open).
-    pub(crate) async fn until_room(&self, end_request: impl Fn() -> bool) {
+    pub async fn until_room(&self, end_request: impl Fn() -> bool) {
         loop {
             let room = lock(&self.state).make_room(&end_request);
             if !matches!(room, Room::Pending { .. }) {
@@ -78,10 +104,7 @@
 
     /// Counts a connection that was accepted; none if it has to be closed. If all others carry a request,
     /// `end_request` is called to end one of them early and tells whether it could.
-    pub(crate) fn open(
-        self: &Arc<Self>,
-        end_request: impl FnOnce() -> bool,
-    ) -> Option<OpenConnection> {
+    pub fn open(self: &Arc<Self>, end_request: impl FnOnce() -> bool) -> Option<OpenConnection> {
         let mut state = lock(&self.state);
         let now_ms = self.clock.now_ms();
         let Admission::Admitted { key, replaced } = state.limit.open(now_ms, end_request) else {
@@ -91,7 +114,12 @@
         state.replace(replaced);
         let replaced = CancellationToken::new();
         state.replaced.insert(key, replaced.clone());
-        Some(OpenConnection { connections: self.clone(), key, replaced })
+        Some(OpenConnection {
+            connections: self.clone(),
+            key,
+            replaced,
+            requests: AtomicUsize::new(0),
+        })
     }
 }
 
@@ -107,7 +135,7 @@
     /// Closes a connection that makes room.
     fn replace(&self, key: Option<ConnectionKey>) {
         if let Some(token) = key.and_then(|it| self.replaced.get(&it)) {
-            debug!("idle connection of a caller closed for another one");
+            debug!("idle connection closed for another one");
             token.cancel();
         }
     }
@@ -119,24 +147,40 @@
         }
         self.logged_ms = Some(now_ms);
         let refused = std::mem::take(&mut self.refused);
-        warn!(refused = refused, open = self.limit.connections(); "connections of callers refused, all carry requests");
+        warn!(refused = refused, open = self.limit.connections(); "connections refused, all others carry requests");
     }
 }
 
 impl OpenConnection {
+    /// Counts a request until the returned guard is dropped.
+    pub fn open_request(self: &Arc<Self>) -> OpenRequest {
+        if self.requests.fetch_add(1, Ordering::Relaxed) == 0 {
+            self.begin_request();
+        }
+        OpenRequest { connection: self.clone() }
+    }
+
+    /// Waits until the connection has to make room for another one and carries no request.
+    pub async fn until_replaced_and_idle(&self) {
+        self.replaced.cancelled().await;
+        while self.requests.load(Ordering::Relaxed) > 0 {
+            tokio::time::sleep(Duration::from_millis(ROOM_POLL_MS)).await;
+        }
+    }
+
     /// Records that a request has begun.
-    pub(super) fn begin_request(&self) {
+    pub fn begin_request(&self) {
         lock(&self.connections.state).limit.begin_request(self.key);
     }
 
     /// Records that the connection waits for its next request.
-    pub(super) fn end_request(&self) {
+    pub fn end_request(&self) {
         let now_ms = self.connections.clock.now_ms();
         lock(&self.connections.state).limit.end_request(self.key, now_ms);
     }
 
     /// Waits until the connection has to make room for another one.
-    pub(super) async fn until_replaced(&self) {
+    pub async fn until_replaced(&self) {
         self.replaced.cancelled().await;
     }
 }
@@ -151,3 +195,7 @@
         self.connections.closed.notify_one();
     }
 }
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
