Listeners: do not close a connection before its response is written

What callers saw: nothing reported; found while reading the change. A response that its caller read slowly could be cut when its connection made room for another one, although it carries a length or chunks that show it.

Cause: a connection counted as idle once hyper had taken over the last bytes of the response, not once they were written.

Change: a relay's connection carries its request until hyper has written all; the shared HTTP server shuts a replaced connection down gracefully and leaves it 200 ms. A relay's connection that is already closing can be replaced as well.

Evidence: by reading; the tests of callers' limits, planned stops, graceful shutdowns and crowds pass. No test shows the cut.

--- a/crates/entry/src/relay/connection.rs
+++ b/crates/entry/src/relay/connection.rs
@@ -116,8 +116,8 @@
                 }
                 return;
             }
-            () = activity.until_replaced(), if !is_closing => {
-                if !activity.is_serving() {
+            () = activity.until_replaced(), if !is_closing || !activity.has_request() => {
+                if !activity.has_request() {
                     return;
                 }
             }
--- a/crates/entry/src/relay/connection/activity.rs
+++ b/crates/entry/src/relay/connection/activity.rs
@@ -13,7 +13,7 @@
     time::{Instant, Sleep},
 };
 use yuccatrail_core::route_table::CallerLimits;
-use yuccatrail_runtime::open_connections::OpenConnection;
+use yuccatrail_runtime::open_connections::{OpenConnection, OpenRequest};
 
 use crate::relay::{observed_stream::ObservedStream, state::lock};
 
@@ -53,13 +53,15 @@
     is_flushed: bool,
     /// Whether the last request was answered before its body was read.
     has_unread_body: bool,
+    /// The request in progress; a connection with one is not closed for another one.
+    request: Option<OpenRequest>,
 }
 
 /// Activity of one connection.
 #[derive(Debug)]
 pub(super) struct Activity {
     state: Mutex<State>,
-    open: OpenConnection,
+    open: Arc<OpenConnection>,
 }
 
 impl Activity {
@@ -70,8 +72,9 @@
             since: Instant::now(),
             is_flushed: true,
             has_unread_body: false,
+            request: None,
         };
-        Self { state: Mutex::new(state), open }
+        Self { state: Mutex::new(state), open: Arc::new(open) }
     }
 
     /// Returns the connection's socket, whose traffic is recorded.
@@ -92,8 +95,7 @@
         let mut state = lock(&self.state);
         state.phase = Phase::Serving;
         state.has_unread_body = false;
-        drop(state);
-        self.open.begin_request();
+        state.request = Some(self.open.open_request());
     }
 
     /// Records that the request is answered although its body was not read.
@@ -109,7 +111,6 @@
     /// Records that hyper has taken over the last bytes of a response.
     pub(super) fn end_response(&self) {
         lock(&self.state).enter(Phase::Idle);
-        self.open.end_request();
     }
 
     /// Waits until the connection has to make room for another one.
@@ -117,9 +118,9 @@
         self.open.until_replaced().await;
     }
 
-    /// Tells whether a request is being served.
-    pub(super) fn is_serving(&self) -> bool {
-        lock(&self.state).phase == Phase::Serving
+    /// Tells whether a request is being served, or its response still has to be written.
+    pub(super) fn has_request(&self) -> bool {
+        lock(&self.state).request.is_some()
     }
 
     /// Records that bytes have arrived.
@@ -141,7 +142,11 @@
 
     /// Records that nothing is left to be written.
     fn record_flushed(&self) {
-        lock(&self.state).is_flushed = true;
+        let mut state = lock(&self.state);
+        state.is_flushed = true;
+        if state.phase != Phase::Serving {
+            state.request = None;
+        }
     }
 
     /// Tells whether all that was written so far has been handed to the operating system.
--- a/crates/runtime/src/http.rs
+++ b/crates/runtime/src/http.rs
@@ -1,6 +1,6 @@
 //! HTTP server and response helpers shared by the binaries.
 
-use std::{convert::Infallible, future::Future, sync::Arc, time::Duration};
+use std::{convert::Infallible, future::Future, pin::pin, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use derive_more::Display;
@@ -10,12 +10,16 @@
 };
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
-    server::{conn::auto, graceful::GracefulShutdown},
+    server::conn::auto,
 };
-use tokio::net::TcpListener;
-use tokio_util::sync::CancellationToken;
+use log::debug;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::{accept::accept_with_room, open_connections::OpenConnections};
+use crate::{
+    accept::accept_with_room,
+    open_connections::{OpenConnection, OpenConnections},
+};
 
 mod counted_body;
 
@@ -23,6 +27,8 @@
 
 /// Longest time in which a client has to send the head of a request.
 const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time in which a connection that makes room for another one has to send the rest of its last response.
+const REPLACED_TIMEOUT: Duration = Duration::from_millis(200);
 /// Largest number of concurrent HTTP/2 streams on one connection.
 const MAX_CONCURRENT_STREAMS: u32 = 1024;
 
@@ -93,43 +99,61 @@
     F: Fn(Request<Incoming>) -> Fut + Clone + Send + 'static,
     Fut: Future<Output = Response<Body>> + Send + 'static,
 {
-    let graceful = GracefulShutdown::new();
-    accept_with_room(
-        &listener,
-        &stop,
-        || connections.until_room(&end_request),
-        |stream| {
-            let Some(open) = connections.open(&end_request) else { return };
-            let open = Arc::new(open);
-            // With Nagle's algorithm, small responses would wait for the peer's delayed
-            // acknowledgement.
-            let _ = stream.set_nodelay(true);
-            let handler = handler.clone();
-            let service_open = open.clone();
-            let service = service_fn(move |request| {
-                let open_request = service_open.open_request();
-                let response = handler(request);
-                async move {
-                    let response = response.await;
-                    Ok::<_, Infallible>(response.map(|it| CountedBody::new(it, open_request)))
-                }
-            });
-            let mut builder = auto::Builder::new(TokioExecutor::new());
-            builder.http1().timer(TokioTimer::new()).header_read_timeout(HEADER_READ_TIMEOUT);
-            builder.http2().timer(TokioTimer::new()).max_concurrent_streams(MAX_CONCURRENT_STREAMS);
-            let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
-            let connection = graceful.watch(connection);
-            tokio::spawn(async move {
-                tokio::select! {
-                    // A broken connection affects only its client.
-                    _ = connection => {}
-                    () = open.until_replaced_and_idle() => {}
-                }
-            });
-        },
-    )
+    let tasks = TaskTracker::new();
+    let until_room = || connections.until_room(&end_request);
+    accept_with_room(&listener, &stop, until_room, |stream| {
+        let Some(open) = connections.open(&end_request) else { return };
+        tasks.spawn(serve_connection(stream, open, stop.clone(), handler.clone()));
+    })
     .await;
-    graceful.shutdown().await;
+    tasks.close();
+    tasks.wait().await;
+}
+
+/// Serves one connection until its client closes it, or `stop` or another connection ends it after the requests
+/// in flight.
+async fn serve_connection<F, Fut>(
+    stream: TcpStream,
+    open: OpenConnection,
+    stop: CancellationToken,
+    handler: F,
+) where
+    F: Fn(Request<Incoming>) -> Fut + Send + 'static,
+    Fut: Future<Output = Response<Body>> + Send + 'static,
+{
+    // With Nagle's algorithm, small responses would wait for the peer's delayed acknowledgement.
+    let _ = stream.set_nodelay(true);
+    let open = Arc::new(open);
+    let service_open = open.clone();
+    let service = service_fn(move |request| {
+        let open_request = service_open.open_request();
+        let response = handler(request);
+        async move {
+            let response = response.await;
+            Ok::<_, Infallible>(response.map(|it| CountedBody::new(it, open_request)))
+        }
+    });
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder.http1().timer(TokioTimer::new()).header_read_timeout(HEADER_READ_TIMEOUT);
+    builder.http2().timer(TokioTimer::new()).max_concurrent_streams(MAX_CONCURRENT_STREAMS);
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let is_replaced = tokio::select! {
+        ended = connection.as_mut() => {
+            if let Err(error) = ended {
+                debug!(error:% = error; "connection of a client failed");
+            }
+            return;
+        }
+        () = stop.cancelled() => false,
+        () = open.until_replaced_and_idle() => true,
+    };
+    connection.as_mut().graceful_shutdown();
+    let limit = if is_replaced { REPLACED_TIMEOUT } else { Duration::MAX };
+    match tokio::time::timeout(limit, connection).await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => debug!(error:% = error; "connection of a client failed"),
+        Err(_) => debug!("connection of a client closed for another one"),
+    }
 }
 
 #[cfg(test)]
--- a/crates/runtime/src/open_connections.rs
+++ b/crates/runtime/src/open_connections.rs
@@ -62,8 +62,10 @@
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
-        if self.connection.requests.fetch_sub(1, Ordering::Relaxed) == 1 {
-            self.connection.end_request();
+        let OpenConnection { connections, key, requests, .. } = &*self.connection;
+        if requests.fetch_sub(1, Ordering::Relaxed) == 1 {
+            let now_ms = connections.clock.now_ms();
+            lock(&connections.state).limit.end_request(*key, now_ms);
         }
     }
 }
@@ -155,7 +157,7 @@
     /// Counts a request until the returned guard is dropped.
     pub fn open_request(self: &Arc<Self>) -> OpenRequest {
         if self.requests.fetch_add(1, Ordering::Relaxed) == 0 {
-            self.begin_request();
+            lock(&self.connections.state).limit.begin_request(self.key);
         }
         OpenRequest { connection: self.clone() }
     }
@@ -168,17 +170,6 @@
         }
     }
 
-    /// Records that a request has begun.
-    pub fn begin_request(&self) {
-        lock(&self.connections.state).limit.begin_request(self.key);
-    }
-
-    /// Records that the connection waits for its next request.
-    pub fn end_request(&self) {
-        let now_ms = self.connections.clock.now_ms();
-        lock(&self.connections.state).limit.end_request(self.key, now_ms);
-    }
-
     /// Waits until the connection has to make room for another one.
     pub async fn until_replaced(&self) {
         self.replaced.cancelled().await;
