--- a/crates/entry/src/relay/metrics.rs
+++ b/crates/entry/src/relay/metrics.rs
@@ -109,6 +109,10 @@
     pub(crate) memory_report_age_ms: Family<ServiceLabels, Gauge>,
     /// Requests refused because no model upstream had room.
     pub(crate) memory_refusals: Family<ServiceLabels, Counter>,
+    /// Bytes that the bodies of requests in progress hold.
+    pub(crate) request_body_bytes: Gauge,
+    /// Open connections of callers.
+    pub(crate) caller_connections: Gauge,
     requests: Family<RequestLabels, Counter>,
     first_bytes: Family<ServiceLabels, Histogram>,
     registry: Registry,
@@ -126,6 +130,8 @@
         let memory_share_tokens = Family::default();
         let memory_report_age_ms = Family::default();
         let memory_refusals = Family::default();
+        let request_body_bytes = Gauge::default();
+        let caller_connections = Gauge::default();
         let requests = Family::default();
         let first_bytes: Family<ServiceLabels, Histogram> =
             Family::new_with_constructor(|| Histogram::new(LATENCY_BOUNDS_S));
@@ -141,6 +147,10 @@
         registry.register("model_memory_report_age_ms", help, memory_report_age_ms.clone());
         let help = "Requests refused because no model upstream had room";
         registry.register("model_memory_refusals", help, memory_refusals.clone());
+        let help = "Bytes that the bodies of requests in progress hold";
+        registry.register("request_body_bytes", help, request_body_bytes.clone());
+        let help = "Open connections of callers";
+        registry.register("caller_connections", help, caller_connections.clone());
         registry.register("requests", "Finished requests", requests.clone());
         let help = "Time from a request's arrival to the first bytes of its answer, in seconds";
         registry.register("first_bytes_seconds", help, first_bytes.clone());
@@ -158,6 +168,8 @@
             memory_share_tokens,
             memory_report_age_ms,
             memory_refusals,
+            request_body_bytes,
+            caller_connections,
             requests,
             first_bytes,
             registry,
--- a/crates/fakes/src/crowd.rs
+++ b/crates/fakes/src/crowd.rs
@@ -106,11 +106,6 @@
         }
     }
 
-    /// Returns the members.
-    pub fn members(&self) -> &[Arc<Member>] {
-        &self.members
-    }
-
     /// Closes all connections.
     pub async fn close(mut self) {
         self.tasks.shutdown().await;
--- a/crates/fakes/src/stack/process.rs
+++ b/crates/fakes/src/stack/process.rs
@@ -137,6 +137,19 @@
         self.child.id()
     }
 
+    /// Returns the largest amount of memory that the process has used so far, in kilobytes; none if it has
+    /// exited.
+    pub fn peak_memory_kb(&self) -> Option<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.id()?)).ok()?;
+        let line = status.lines().find(|it| it.starts_with("VmHWM:"))?;
+        line.split_whitespace().nth(1)?.parse().ok()
+    }
+
+    /// Returns the number of file descriptors that the process has open; none if it has exited.
+    pub fn open_descriptors(&self) -> Option<usize> {
+        Some(std::fs::read_dir(format!("/proc/{}/fd", self.id()?)).ok()?.count())
+    }
+
     /// Sends a signal; does nothing if the process was found to have exited.
     ///
     /// # Errors
--- a/crates/fakes/tests/caller_crowds.rs
+++ b/crates/fakes/tests/caller_crowds.rs
@@ -1,7 +1,5 @@
 //! Many callers with large unfinished bodies at one entry with the memory of a small machine.
 
-use std::fs;
-
 use bytes::Bytes;
 use tokio::sync::Mutex;
 use yuccatrail_fakes::{
@@ -27,13 +25,6 @@
 /// Lets one crowd run at a time.
 static ALONE: Mutex<()> = Mutex::const_new(());
 
-fn peak_memory_kb(entry: &Process) -> u64 {
-    let id = entry.id().expect("the entry runs");
-    let status = fs::read_to_string(format!("/proc/{id}/status")).expect("the entry runs");
-    let line = status.lines().find(|it| it.starts_with("VmHWM:")).expect("a peak size");
-    line.split_whitespace().nth(1).unwrap().parse().unwrap()
-}
-
 fn head(framing: &str) -> Bytes {
     format!(
         "POST /v1/services/work-orders/search HTTP/1.1\r\nhost: a.example\r\n\
@@ -72,7 +63,7 @@
     crowd.settle().await;
     assert!(!entry.has_ended(), "the entry has ended");
     let answer = stack.caller.search(entry.address, "ordinary", &[]).await.unwrap();
-    let memory_kb = peak_memory_kb(&entry);
+    let memory_kb = entry.peak_memory_kb().expect("the entry runs");
     println!("peak memory {memory_kb} kB");
     assert!(memory_kb <= MEMORY_MB * 1024, "{memory_kb} kB");
     assert_eq!(answer.status, 200, "an ordinary request beside the crowd");
@@ -98,8 +89,7 @@
         let crowd = Crowd::open(entry.address, CONNECTIONS, |_| request.clone());
         crowd.settle().await;
         assert!(!entry.has_ended(), "the entry has ended");
-        let id = entry.id().expect("the entry runs");
-        let descriptors = fs::read_dir(format!("/proc/{id}/fd")).expect("the entry runs").count();
+        let descriptors = entry.open_descriptors().expect("the entry runs");
         println!("{descriptors} descriptors");
         assert!(descriptors <= FILE_DESCRIPTORS, "{descriptors} descriptors");
         let answer = stack.caller.search(entry.address, "ordinary", &[]).await.unwrap();
--- a/crates/runtime/src/open_connections.rs
+++ b/crates/runtime/src/open_connections.rs
@@ -87,6 +87,11 @@
         Self::new(INTERNAL_CONNECTIONS, clock)
     }
 
+    /// Returns the number of open connections.
+    pub fn count(&self) -> usize {
+        lock(&self.state).limit.connections()
+    }
+
     /// Waits until a connection can be opened, or all carry a request; `end_request` is as for
     /// [`open`](Self::open).
     pub async fn until_room(&self, end_request: impl Fn() -> bool) {
