--- a/review/harness-2/src/http.rs
+++ b/review/harness-2/src/http.rs
@@ -1,10 +1,10 @@
 //! Minimal HTTP/1.1, written by hand so that a stand-in decides on every byte that it sends.
 
-use std::{io, net::SocketAddr};
+use std::{io, net::SocketAddr, time::Duration};
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
+    net::{TcpSocket, TcpStream},
 };
 
 /// Largest head of a message, in bytes.
@@ -50,27 +50,47 @@
 pub struct Connection {
     pub stream: TcpStream,
     buffer: Vec<u8>,
+    /// Most bytes that are read at once.
+    chunk_bytes: usize,
+    /// Pause before each read.
+    pause: Duration,
 }
 
 impl Connection {
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Self { stream, buffer: Vec::new() }
+        Self { stream, buffer: Vec::new(), chunk_bytes: 16 * 1024, pause: Duration::ZERO }
     }
 
     pub async fn open(address: SocketAddr) -> io::Result<Self> {
         Ok(Self::new(TcpStream::connect(address).await?))
     }
 
+    /// Opens a connection whose receive window is small.
+    pub async fn open_with_window(address: SocketAddr, bytes: u32) -> io::Result<Self> {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_recv_buffer_size(bytes)?;
+        Ok(Self::new(socket.connect(address).await?))
+    }
+
+    /// Reads no more than a number of bytes after each pause from now on.
+    pub fn read_slowly(&mut self, chunk_bytes: usize, pause: Duration) {
+        (self.chunk_bytes, self.pause) = (chunk_bytes, pause);
+    }
+
     /// Reads more bytes; returns false at the end of the connection.
     async fn fill(&mut self) -> io::Result<bool> {
-        let mut chunk = [0; 16 * 1024];
+        if !self.pause.is_zero() {
+            tokio::time::sleep(self.pause).await;
+        }
+        let mut chunk = vec![0; self.chunk_bytes];
         let read = self.stream.read(&mut chunk).await?;
         self.buffer.extend_from_slice(&chunk[..read]);
         Ok(read > 0)
     }
 
-    async fn read_head(&mut self) -> io::Result<Option<Message>> {
+    /// Reads the head of a response, whose body is left unread.
+    pub async fn read_head(&mut self) -> io::Result<Option<Message>> {
         let end = loop {
             if let Some(at) = self.buffer.windows(4).position(|it| it == b"\r\n\r\n") {
                 break at + 4;
@@ -119,7 +139,8 @@
         }
     }
 
-    async fn read_chunks(&mut self, message: &mut Message) -> io::Result<bool> {
+    /// Reads a body that is sent in chunks; returns whether it was complete.
+    pub async fn read_chunks(&mut self, message: &mut Message) -> io::Result<bool> {
         loop {
             let Some(line) = self.read_line().await? else { return Ok(false) };
             let size = usize::from_str_radix(line.split(';').next().unwrap_or("").trim(), 16);
@@ -171,12 +192,6 @@
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.stream.write_all(bytes).await
     }
-
-    /// Waits until the peer closes the connection or sends something.
-    pub async fn until_closed_or_readable(&self) {
-        let mut byte = [0];
-        let _ = self.stream.peek(&mut byte).await;
-    }
 }
 
 /// Builds a complete response.
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -8,6 +8,7 @@
 mod deadly_request;
 mod http;
 mod relay;
+mod slow_reader;
 mod stage_extra;
 mod store;
 mod world;
@@ -47,6 +48,7 @@
     let ran = match case.as_str() {
         "stage-extra" => stage_extra::run(run).await,
         "deadly-request" => deadly_request::run(run).await,
+        "slow-reader" => slow_reader::run(run).await,
         other => Err(std::io::Error::other(format!("unknown case {other}"))),
     };
     let summary = match &ran {
