--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -7,6 +7,7 @@
 
 mod deadly_request;
 mod http;
+mod late_record;
 mod relay;
 mod slow_reader;
 mod stage_extra;
@@ -49,6 +50,7 @@
         "stage-extra" => stage_extra::run(run).await,
         "deadly-request" => deadly_request::run(run).await,
         "slow-reader" => slow_reader::run(run).await,
+        "late-record" => late_record::run(run).await,
         other => Err(std::io::Error::other(format!("unknown case {other}"))),
     };
     let summary = match &ran {
