--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -7,6 +7,7 @@
 
 mod deadly_request;
 mod http;
+mod lost_answers;
 mod late_record;
 mod relay;
 mod slow_reader;
@@ -51,6 +52,7 @@
         "deadly-request" => deadly_request::run(run).await,
         "slow-reader" => slow_reader::run(run).await,
         "late-record" => late_record::run(run).await,
+        "lost-answers" => lost_answers::run(run).await,
         other => Err(std::io::Error::other(format!("unknown case {other}"))),
     };
     let summary = match &ran {
