--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -6,6 +6,7 @@
 //! the disruption is left out.
 
 mod deadly_request;
+mod foreign_names;
 mod http;
 mod late_record;
 mod relay;
@@ -49,6 +50,7 @@
         "deadly-request" => deadly_request::run(run).await,
         "slow-reader" => slow_reader::run(run).await,
         "late-record" => late_record::run(run).await,
+        "foreign-names" => foreign_names::run(run).await,
         other => Err(std::io::Error::other(format!("unknown case {other}"))),
     };
     let summary = match &ran {
--- a/review/harness-2/src/store.rs
+++ b/review/harness-2/src/store.rs
@@ -4,7 +4,10 @@
     collections::BTreeMap,
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -13,8 +16,8 @@
 
 use crate::http::{Connection, Message, response};
 
-/// Objects on one page of a list.
-const PAGE_SIZE: usize = 500;
+/// Objects on one page of a list, as in the site files (`discovery`, page).
+const PAGE_SIZE: usize = 50;
 
 #[derive(Debug, Default)]
 struct State {
@@ -30,6 +33,7 @@
     pub address: SocketAddr,
     state: Arc<Mutex<State>>,
     changed: watch::Sender<u64>,
+    calls: Arc<AtomicU64>,
 }
 
 impl Store {
@@ -37,7 +41,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let (changed, _) = watch::channel(0);
-        let store = Self { address, state: Arc::default(), changed };
+        let store = Self { address, state: Arc::default(), changed, calls: Arc::default() };
         let served = store.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -45,6 +49,7 @@
                 tokio::spawn(async move {
                     let mut connection = Connection::new(stream);
                     while let Ok(Some(request)) = connection.read_request().await {
+                        store.calls.fetch_add(1, Ordering::Relaxed);
                         let (status, body) = store.answer(&request).await;
                         let headers =
                             [("Content-Type", "application/json"), ("Store-Era", "1")];
@@ -65,6 +70,11 @@
         self.changed.send_modify(|it| *it += 1);
     }
 
+    /// Returns the number of calls so far.
+    pub fn calls(&self) -> u64 {
+        self.calls.load(Ordering::Relaxed)
+    }
+
     pub fn remove(&self, kind: &str, name: &str) {
         self.state.lock().unwrap().remove(kind, name);
         self.changed.send_modify(|it| *it += 1);
@@ -78,7 +88,7 @@
         let is_status = segments.next() == Some("status");
         let parameter = |wanted: &str| {
             let mut pairs = query.split('&').filter_map(|it| it.split_once('='));
-            pairs.find(|(name, _)| *name == wanted).map(|(_, value)| value.to_owned())
+            pairs.find(|(name, _)| *name == wanted).map(|(_, value)| decode(value))
         };
         if request.method() == "GET" {
             if let Some(name) = name {
@@ -196,3 +206,22 @@
         (200, self.objects[&(kind.to_owned(), name)].clone())
     }
 }
+
+/// Decodes the percent-encoding of a query.
+fn decode(text: &str) -> String {
+    let (mut bytes, mut rest) = (Vec::new(), text.as_bytes());
+    while let Some((first, after)) = rest.split_first() {
+        let coded = after.get(..2).and_then(|it| std::str::from_utf8(it).ok());
+        match coded.and_then(|it| u8::from_str_radix(it, 16).ok()) {
+            Some(byte) if *first == b'%' => {
+                bytes.push(byte);
+                rest = &after[2..];
+            }
+            _ => {
+                bytes.push(*first);
+                rest = after;
+            }
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
