--- a/review/harness-2/src/deadly_request.rs
+++ b/review/harness-2/src/deadly_request.rs
@@ -224,9 +224,8 @@
     let mut relays = Vec::new();
     for zone in ZONES {
         let name = format!("front-{zone}-1");
-        relays.push(
-            Relay::start(&run.root, &run.folder, &name, zone, store.address, &bounds).await?,
-        );
+        relays
+            .push(Relay::start(&run.root, &run.folder, &name, zone, store.address, &bounds).await?);
     }
     let entries: Vec<SocketAddr> = relays.iter().map(|it| it.address).collect();
     let background = {
--- a/review/harness-2/src/late_record.rs
+++ b/review/harness-2/src/late_record.rs
@@ -79,7 +79,12 @@
     }
 }
 
-async fn serve(shared: &Shared, id: &str, connection: &mut Connection, call: &Message) -> io::Result<()> {
+async fn serve(
+    shared: &Shared,
+    id: &str,
+    connection: &mut Connection,
+    call: &Message,
+) -> io::Result<()> {
     let request_id = call.header("x-request-id").unwrap_or_default().to_owned();
     let common = [("X-Request-Id", request_id.as_str()), ("X-Response-Seal", "s")];
     if call.header("x-expect-instance").is_some_and(|it| it != id) {
@@ -103,11 +108,7 @@
     connection.write(&response(200, &common, "done")).await
 }
 
-fn accept(
-    shared: Arc<Shared>,
-    id: String,
-    listener: TcpListener,
-) -> tokio::task::JoinHandle<()> {
+fn accept(shared: Arc<Shared>, id: String, listener: TcpListener) -> tokio::task::JoinHandle<()> {
     tokio::spawn(async move {
         let mut connections = JoinSet::new();
         while let Ok((stream, _)) = listener.accept().await {
@@ -184,9 +185,8 @@
 async fn play(shared: Arc<Shared>, has_trouble: bool) -> io::Result<()> {
     let world = shared.world.clone();
     let begun_ms = world.now_ms();
-    let until = |at_ms: u64| {
-        Duration::from_millis((begun_ms + at_ms).saturating_sub(world.now_ms()))
-    };
+    let until =
+        |at_ms: u64| Duration::from_millis((begun_ms + at_ms).saturating_sub(world.now_ms()));
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?;
     *shared.leaving.lock().unwrap() = Engine {
@@ -269,9 +269,8 @@
     let mut relays = Vec::new();
     for zone in ZONES {
         let name = format!("front-{zone}-1");
-        relays.push(
-            Relay::start(&run.root, &run.folder, &name, zone, store.address, &bounds).await?,
-        );
+        relays
+            .push(Relay::start(&run.root, &run.folder, &name, zone, store.address, &bounds).await?);
     }
     tokio::time::sleep(Duration::from_secs(1)).await;
     let entries: Vec<SocketAddr> = relays.iter().map(|it| it.address).collect();
--- a/review/harness-2/src/relay.rs
+++ b/review/harness-2/src/relay.rs
@@ -128,7 +128,8 @@
     /// Tells the process that its settings file has changed (SIGHUP).
     pub fn hang_up(&self) -> io::Result<()> {
         let pid = self.child.id().ok_or_else(|| io::Error::other("the relay has ended"))?;
-        let signal = std::process::Command::new("kill").args(["-HUP", &pid.to_string()]).status()?;
+        let signal =
+            std::process::Command::new("kill").args(["-HUP", &pid.to_string()]).status()?;
         if signal.success() { Ok(()) } else { Err(io::Error::other("kill -HUP failed")) }
     }
 
--- a/review/harness-2/src/store.rs
+++ b/review/harness-2/src/store.rs
@@ -51,8 +51,7 @@
                     while let Ok(Some(request)) = connection.read_request().await {
                         store.calls.fetch_add(1, Ordering::Relaxed);
                         let (status, body) = store.answer(&request).await;
-                        let headers =
-                            [("Content-Type", "application/json"), ("Store-Era", "1")];
+                        let headers = [("Content-Type", "application/json"), ("Store-Era", "1")];
                         let bytes = response(status, &headers, &body.to_string());
                         if connection.write(&bytes).await.is_err() {
                             return;
@@ -105,7 +104,8 @@
             return self.watch(&kind, from, wait_ms).await;
         }
         let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
-        let answer = self.state.lock().unwrap().write(request.method(), &kind, name, is_status, &body);
+        let answer =
+            self.state.lock().unwrap().write(request.method(), &kind, name, is_status, &body);
         self.changed.send_modify(|it| *it += 1);
         answer
     }
