--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -14,6 +14,7 @@
     client::legacy::{self, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
 };
+use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::sync::watch;
 
@@ -233,7 +234,8 @@
         let settings = &self.inner.settings;
         let path = collection_path(&settings.environment, kind)?;
         let query = format!(
-            "watch=true&allowWatchBookmarks=true&resourceVersion={from}&timeoutSeconds={}",
+            "watch=true&allowWatchBookmarks=true&resourceVersion={}&timeoutSeconds={}",
+            utf8_percent_encode(&from.0, NON_ALPHANUMERIC),
             settings.watch_timeout_s
         );
         let context = CallContext::new(CallKind::Watch, self.collection_name(kind));
