Lists: use the pages that can be read

What callers saw: a page of a list that can't be read, whatever the reason, kept a started entry from the whole list and so from being ready; a running one missed every change after a cut poll.

Cause: a list counted only as a whole and began again at its first page after each failure.

Why this works: a part is an update of its own, which adds what was read and removes nothing. An entry without a complete list serves with it, but is no source for others, does not treat upstreams that appear later as new and cold, and confirms no software version. Where the platform does not respond, the part is delivered from the second failure on, so that a short failure delays nothing and changes nothing.

--- a/crates/core/src/upstreams/directory.rs
+++ b/crates/core/src/upstreams/directory.rs
@@ -51,6 +51,8 @@
     Snapshot(Vec<UpstreamRecord>),
     /// All upstreams in the list of another entry, received from it.
     FromPeer(Vec<UpstreamRecord>),
+    /// Some of the upstreams that the platform lists; the others are unknown.
+    Part(Vec<UpstreamRecord>),
     /// An upstream was added to the list, or its record changed.
     Listed(UpstreamRecord),
     /// An upstream was removed from the list.
@@ -85,6 +87,8 @@
     removal_grace_until_ms: u64,
     /// Whether a list has been received, from the platform or from another entry.
     has_list: bool,
+    /// Whether a complete list has been received, so that an upstream which appears later is new.
+    has_complete_list: bool,
     /// Whether a list has been received from the platform itself.
     has_platform_list: bool,
     pub(crate) revisions: ListRevisions,
@@ -254,8 +258,14 @@
             ListUpdate::FromPeer(records) => {
                 self.replace_all(records, RecordSource::PeerList, now_ms);
             }
+            ListUpdate::Part(records) => {
+                self.has_list = true;
+                for record in records {
+                    self.upsert(record, RecordSource::PlatformList, self.has_complete_list, now_ms);
+                }
+            }
             ListUpdate::Listed(record) => {
-                self.upsert(record, RecordSource::PlatformChange, self.has_list, now_ms);
+                self.upsert(record, RecordSource::PlatformChange, self.has_complete_list, now_ms);
             }
             ListUpdate::Unlisted { id } => self.unlist(&id, now_ms),
         }
@@ -315,7 +325,7 @@
         for id in missing {
             self.unlist(&id, now_ms);
         }
-        let has_earlier_list = self.has_list;
+        let has_earlier_list = std::mem::replace(&mut self.has_complete_list, true);
         self.has_list = true;
         self.versions.begin(now_ms);
         for record in records {
--- a/crates/core/src/upstreams/tests.rs
+++ b/crates/core/src/upstreams/tests.rs
@@ -60,6 +60,23 @@
     assert!(upstreams.is_empty());
 }
 
+#[test]
+fn a_part_of_a_list_adds_upstreams_that_are_not_new_and_removes_none() {
+    let mut part = Upstreams::new(UpstreamsSettings::default(), "entry-1");
+    part.set_cold_starts([("s".into(), (3_000, 4.0))].into_iter().collect());
+    part.update(ListUpdate::Part(vec![record("a", "x")]), revision(0), 0);
+    assert!(part.has_list() && !part.has_platform_list());
+    part.update(ListUpdate::Listed(record("b", "x")), revision(1), 5);
+    part.update(ListUpdate::Snapshot(vec![record("b", "x"), record("c", "x")]), revision(1), 10);
+    assert!(part.has_platform_list());
+    let coldest = |it: &Upstreams| it.all.values().map(|it| it.cold_until_ms).max();
+    assert_eq!(coldest(&part), Some(10));
+    part.update(ListUpdate::Part(vec![record("d", "x")]), revision(1), 20);
+    let ids: BTreeSet<&str> = part.all.values().map(|it| it.record.id.as_str()).collect();
+    assert_eq!(ids, BTreeSet::from(["b", "c", "d"]));
+    assert_eq!(coldest(&part), Some(3_020));
+}
+
 /// Returns upstreams that hold the platform's list at a revision.
 fn at_revision(records: Vec<UpstreamRecord>, number: u64) -> Upstreams {
     let mut upstreams = upstreams(Vec::new());
--- a/crates/entry/src/relay/feed.rs
+++ b/crates/entry/src/relay/feed.rs
@@ -122,7 +122,7 @@
     while let Some(update) = feed.next().await {
         let (items, is_snapshot) = match update {
             PollUpdate::Snapshot { items, .. } => (items, true),
-            PollUpdate::Changes { items, .. } => (items, false),
+            PollUpdate::Part { items } | PollUpdate::Changes { items, .. } => (items, false),
             PollUpdate::Unavailable(_) => {
                 relay.check_platform_now.notify_one();
                 continue;
@@ -167,6 +167,11 @@
                 relay.apply_update(PlatformUpdate::Evacuations { revision, listed });
                 relay.mark_fresh(PlatformData::Evacuations);
             }
+            PollUpdate::Part { items } => {
+                let revision = relay.upstreams().revisions().evacuations;
+                let changes = items.iter().map(evacuation_change).collect();
+                relay.apply_update(PlatformUpdate::EvacuationChanges { revision, changes });
+            }
             PollUpdate::Changes { items, revision } => {
                 let changes = items.iter().map(evacuation_change).collect();
                 relay.apply_update(PlatformUpdate::EvacuationChanges { revision, changes });
@@ -200,16 +205,13 @@
                 let listed = items.into_iter().map(rollout_change).collect();
                 relay.apply_update(PlatformUpdate::Rollouts { revision, listed });
             }
+            PollUpdate::Part { items } => {
+                let revision = relay.upstreams().revisions().rollouts;
+                let changes = readable_rollout_changes(items);
+                relay.apply_update(PlatformUpdate::RolloutChanges { revision, changes });
+            }
             PollUpdate::Changes { items, revision } => {
-                let mut changes = Vec::with_capacity(items.len());
-                for item in items {
-                    let is_unreadable = matches!(item, StoreChange::Unreadable { .. });
-                    let change = rollout_change(item);
-                    // It changes nothing, while no object would mean that the order was removed.
-                    if !is_unreadable {
-                        changes.push(change);
-                    }
-                }
+                let changes = readable_rollout_changes(items);
                 relay.apply_update(PlatformUpdate::RolloutChanges { revision, changes });
             }
             PollUpdate::Unavailable(_) | PollUpdate::Available => {}
@@ -218,6 +220,22 @@
     feed.close().await;
 }
 
+/// Returns the changes of roll-outs without the objects that can't be read. Such an object changes
+/// nothing, while none would mean that the order was removed.
+fn readable_rollout_changes(
+    items: Vec<StoreChange<RolloutObject>>,
+) -> Vec<(String, Option<RolloutObject>)> {
+    let mut changes = Vec::with_capacity(items.len());
+    for item in items {
+        let is_unreadable = matches!(item, StoreChange::Unreadable { .. });
+        let change = rollout_change(item);
+        if !is_unreadable {
+            changes.push(change);
+        }
+    }
+    changes
+}
+
 /// Returns the name of a roll-out's object, and the object if it exists and can be read.
 fn rollout_change(change: StoreChange<RolloutObject>) -> (String, Option<RolloutObject>) {
     match change {
@@ -237,15 +255,11 @@
         feed.coalesce_for(relay.upstreams().entry_count());
         match update {
             PollUpdate::Snapshot { items, revision } => {
-                let changes = items.into_iter().map(upstream_change);
-                let records = changes.filter_map(|it| match it {
-                    UpstreamChange::Listed(record) => Some(record),
-                    UpstreamChange::Unlisted(_) => None,
-                });
-                let records = records.collect();
+                let records = listed_upstreams(items);
                 relay.apply_update(PlatformUpdate::Upstreams { revision, records });
                 relay.mark_fresh(PlatformData::Upstreams);
             }
+            PollUpdate::Part { items } => relay.apply_partial_upstreams(listed_upstreams(items)),
             PollUpdate::Changes { items, revision } => {
                 let changes = items.into_iter().map(upstream_change).collect();
                 relay.apply_update(PlatformUpdate::UpstreamChanges { revision, changes });
@@ -264,6 +278,16 @@
     feed.close().await;
 }
 
+/// Returns the records of a list that name an upstream to use.
+fn listed_upstreams(items: Vec<StoreChange<UpstreamRecord>>) -> Vec<UpstreamRecord> {
+    let changes = items.into_iter().map(upstream_change);
+    let records = changes.filter_map(|it| match it {
+        UpstreamChange::Listed(record) => Some(record),
+        UpstreamChange::Unlisted(_) => None,
+    });
+    records.collect()
+}
+
 /// Returns a change of the list of upstreams; an unreadable record names no upstream to use.
 fn upstream_change(change: StoreChange<UpstreamRecord>) -> UpstreamChange {
     match change {
@@ -291,6 +315,10 @@
                 let entries = entries.collect();
                 relay.apply_update(PlatformUpdate::Entries { revision, entries });
             }
+            PollUpdate::Part { items } => {
+                let changes = items.into_iter().filter_map(entry_change).collect();
+                relay.apply_partial_entries(changes);
+            }
             PollUpdate::Changes { items, .. } => {
                 let changes = items.into_iter().filter_map(entry_change).collect();
                 relay.apply_update(PlatformUpdate::EntryChanges { changes });
--- a/crates/entry/src/relay/listed_versions.rs
+++ b/crates/entry/src/relay/listed_versions.rs
@@ -10,7 +10,7 @@
 use tokio_util::sync::CancellationToken;
 use yuccatrail_adapter::{StoreChange, servers_protocol};
 use yuccatrail_core::{FastMap, FastSet, upstreams::UpstreamRecord};
-use yuccatrail_platform::{CallKind, Client, PlatformError};
+use yuccatrail_platform::{Client, PlatformError};
 
 use crate::relay::state::Relay;
 
@@ -96,24 +96,16 @@
 }
 
 async fn read(client: &Client) -> Result<VersionsByService, PlatformError> {
-    let protocol = servers_protocol();
+    let listing = client.list_pages(&servers_protocol()).await?;
+    // A page that can't be read may hold another version.
+    if let Some(error) = listing.failure {
+        return Err(error);
+    }
     let mut by_service: VersionsByService = FastMap::default();
-    let mut after = None;
-    loop {
-        let path = (protocol.list_path)(protocol.kind, after.as_deref());
-        let reply = client.read(CallKind::Read, protocol.kind, &path, 0).await?;
-        let undecodable = |detail| PlatformError::Unavailable {
-            object: protocol.kind.to_owned(),
-            detail,
-            retry_after_ms: None,
-        };
-        let page = (protocol.decode_list)(&reply.body).map_err(undecodable)?;
-        for change in page.items {
-            let StoreChange::Present { content, .. } = change else { continue };
-            let UpstreamRecord { service, version, .. } = content;
-            by_service.entry(service).or_default().insert(version);
-        }
-        let Some(next) = page.next else { return Ok(by_service) };
-        after = Some(next);
+    for change in listing.items {
+        let StoreChange::Present { content, .. } = change else { continue };
+        let UpstreamRecord { service, version, .. } = content;
+        by_service.entry(service).or_default().insert(version);
     }
+    Ok(by_service)
 }
--- a/crates/entry/src/relay/updates.rs
+++ b/crates/entry/src/relay/updates.rs
@@ -3,7 +3,7 @@
 
 use std::sync::{Arc, Mutex};
 
-use log::info;
+use log::{info, warn};
 use tokio::sync::watch;
 use yuccatrail_core::{
     FastSet,
@@ -11,7 +11,7 @@
     platform_updates::{EntryChange, PlatformUpdate, UpdateLog, UpstreamChange},
     revision::Revision,
     rollout::RolloutObject,
-    upstreams::ListUpdate,
+    upstreams::{ListUpdate, UpstreamRecord},
 };
 use yuccatrail_rpc::entries::{FollowerState, UpdatesReply};
 
@@ -133,6 +133,32 @@
         self.stages.start_all_calls(self);
     }
 
+    /// Applies the upstreams of a list of which only a part could be read; the others stay as they are
+    /// known.
+    pub(crate) fn apply_partial_upstreams(self: &Arc<Self>, records: Vec<UpstreamRecord>) {
+        warn!(upstreams = records.len(); "only a part of the upstreams can be listed");
+        let revision = self.upstreams().revisions().upstreams;
+        self.upstreams().update(ListUpdate::Part(records.clone()), revision, self.now_ms());
+        let changes = records.into_iter().map(UpstreamChange::Listed).collect();
+        lock(&self.updates.log).append(PlatformUpdate::UpstreamChanges { revision, changes });
+        self.updates.notify();
+        self.stages.start_all_calls(self);
+    }
+
+    /// Applies the entries of a list of which only a part could be read.
+    pub(crate) fn apply_partial_entries(self: &Arc<Self>, changes: Vec<EntryChange>) {
+        warn!(entries = changes.len(); "only a part of the entries can be listed");
+        if self.upstreams().has_entries() {
+            self.apply_update(PlatformUpdate::EntryChanges { changes });
+            return;
+        }
+        // The entries share limits, so fewer of them than there are must not count as all.
+        for change in changes {
+            let EntryChange::Listed(entry) = change else { continue };
+            self.peers.set_address(self, entry);
+        }
+    }
+
     fn replace_entries(&self, entries: &[EntryAddress], revision: Revision, now_ms: u64) {
         let names: FastSet<String> = entries.iter().map(|it| it.name.clone()).collect();
         if !names.contains(&self.settings.name) {
--- a/crates/platform/src/poll.rs
+++ b/crates/platform/src/poll.rs
@@ -20,7 +20,7 @@
 use tokio_util::sync::CancellationToken;
 use yuccatrail_core::revision::Revision;
 
-use crate::{Backoff, BackoffSettings, CallKind, Client, PlatformError};
+use crate::{Backoff, BackoffSettings, CallKind, Client, Listing, PlatformError};
 
 /// Time for which a poll was open from which its failure may be a cut without an outage, in
 /// milliseconds; polls that fail sooner are not repeated at once.
@@ -33,6 +33,8 @@
 pub struct ListPage<T> {
     /// Objects of the page.
     pub items: Vec<T>,
+    /// Number of objects that are left out because they have no readable name.
+    pub unnamed: usize,
     /// Number of the store's revision when the page was read.
     pub revision_number: u64,
     /// Name after which the next page begins; `None` for the last page.
@@ -44,6 +46,8 @@
 pub struct ChangesPage<T> {
     /// The changes in the order in which they were made; may be empty.
     pub items: Vec<T>,
+    /// Number of changes that are left out because their objects have no readable name.
+    pub unnamed: usize,
     /// Number of the store's revision from which the next poll continues.
     pub revision_number: u64,
 }
@@ -78,7 +82,8 @@
     /// in quick succession into one call.
     pub coalesce_ms: u64,
     /// Delay after a failed call while slow retry is set, in milliseconds; see
-    /// [`Poller::set_slow_retry`].
+    /// [`Poller::set_slow_retry`]. Also the time after which a list is read again of which a page
+    /// can't be decoded.
     pub slow_retry_delay_ms: u64,
     /// Whether the poller makes no calls until [`Poller::set_paused`].
     pub starts_paused: bool,
@@ -114,6 +119,11 @@
         /// Revision of the store when the first page of the list was read.
         revision: Revision,
     },
+    /// Some of the objects of the kind; a later page of the list can't be read.
+    Part {
+        /// The objects that were read; others may exist.
+        items: Vec<T>,
+    },
     /// Changes since the last update.
     Changes {
         /// The changes in the order in which they were made; may be empty.
@@ -161,6 +171,7 @@
             retries_slowly: retries_slowly.clone(),
             busy_coalesce_ms: busy_coalesce_ms.clone(),
             revision: None,
+            relist_at: None,
             is_available: true,
             poll_started: None,
             changed: None,
@@ -221,6 +232,8 @@
     busy_coalesce_ms: Arc<AtomicU64>,
     /// Revision up to which all changes have been delivered; `None` if the kind has to be listed.
     revision: Option<Revision>,
+    /// Time at which the kind is listed again because the last list was incomplete.
+    relist_at: Option<Instant>,
     is_available: bool,
     /// Start of the poll in progress or of the last one.
     poll_started: Option<Instant>,
@@ -267,9 +280,12 @@
     /// Lists or polls once and delivers the result. The future may be dropped at any time if the
     /// kind is listed next.
     async fn list_or_poll(&mut self) -> Result<(), ConsumerGone> {
+        if self.relist_at.is_some_and(|it| it <= Instant::now()) {
+            self.revision = None;
+        }
         let response = match self.revision {
             Some(revision) => self.poll(revision).await,
-            None => self.list().await,
+            None => return self.list().await,
         };
         match response {
             Ok(update) => self.deliver(update).await,
@@ -277,30 +293,35 @@
         }
     }
 
-    async fn list(&mut self) -> Result<PollUpdate<T>, PlatformError> {
-        let mut items = Vec::new();
-        let mut after: Option<String> = None;
-        let mut first_revision = None;
-        loop {
-            let path = (self.protocol.list_path)(self.protocol.kind, after.as_deref());
-            let reply = self.client.read(CallKind::Read, self.protocol.kind, &path, 0).await?;
-            let page = (self.protocol.decode_list)(&reply.body).map_err(|it| self.invalid(it))?;
-            items.extend(page.items);
-            let read_at = Revision::new(reply.era, page.revision_number);
-            // Polling from the revision of the first page also delivers changes made between pages.
-            let revision = *first_revision.get_or_insert(read_at);
-            if revision.era != reply.era {
-                return Err(self.restored());
-            }
-            match page.next {
-                Some(name) => after = Some(name),
-                None => return Ok(PollUpdate::Snapshot { items, revision }),
-            }
+    /// Lists the kind and delivers what could be read.
+    async fn list(&mut self) -> Result<(), ConsumerGone> {
+        self.relist_at = None;
+        let listing = match self.client.list_pages(&self.protocol).await {
+            Ok(listing) => listing,
+            Err(error) => return self.back_off(error).await,
+        };
+        let Listing { items, revision, failure } = listing;
+        let Some(error) = failure else {
+            return self.deliver(PollUpdate::Snapshot { items, revision }).await;
+        };
+        if matches!(error, PlatformError::Invalid { .. }) {
+            // Listing again at once would fail at the same page; changes can be polled meanwhile.
+            let delay = Duration::from_millis(self.settings.slow_retry_delay_ms);
+            self.relist_at = Some(Instant::now() + delay);
+            self.revision = Some(revision);
+            return self.deliver(PollUpdate::Part { items }).await;
         }
+        // The first failure is mostly a short one, after which the list is complete.
+        if !self.is_available {
+            self.send(PollUpdate::Part { items }).await?;
+        }
+        self.back_off(error).await
     }
 
     async fn poll(&mut self, revision: Revision) -> Result<PollUpdate<T>, PlatformError> {
-        let wait_ms = self.settings.wait_ms;
+        let until_relist = self.relist_at.map(|it| it.duration_since(Instant::now()));
+        let until_relist_ms = until_relist.map_or(u64::MAX, |it| it.as_millis() as u64);
+        let wait_ms = self.settings.wait_ms.min(until_relist_ms);
         let path = (self.protocol.poll_path)(self.protocol.kind, revision.number, wait_ms);
         self.poll_started = Some(Instant::now());
         let reply = self.client.read(CallKind::Watch, self.protocol.kind, &path, wait_ms).await?;
@@ -308,6 +329,9 @@
             return Err(self.restored());
         }
         let page = (self.protocol.decode_changes)(&reply.body).map_err(|it| self.invalid(it))?;
+        if page.unnamed > 0 {
+            warn!(kind = self.protocol.kind, objects = page.unnamed; "changed objects have no readable name");
+        }
         let revision = Revision::new(reply.era, page.revision_number);
         Ok(PollUpdate::Changes { items: page.items, revision })
     }
@@ -323,7 +347,7 @@
             PollUpdate::Snapshot { revision, .. } | PollUpdate::Changes { revision, .. } => {
                 self.revision = Some(*revision);
             }
-            PollUpdate::Unavailable(_) | PollUpdate::Available => {}
+            PollUpdate::Part { .. } | PollUpdate::Unavailable(_) | PollUpdate::Available => {}
         }
         let has_changes = matches!(&update, PollUpdate::Changes { items, .. } if !items.is_empty());
         self.send(update).await?;
