Relay: count a crash before the request that caused it is retried

What callers saw: a repeatable request that crashes its upstreams crashed a fourth one.

Cause: whether an upstream has crashed is checked beside the retry, unless a part of the prompt has strikes. A request whose parts have none, such as one of a plain route, was thus retried after its third crash, and the limit was not asked again before the retry.

Evidence: a_request_is_not_retried_after_its_last_allowed_crash fails before: 2, 2 and 0 upstreams received the three copies.

Requests without strikes are retried as before.

Result: 2, 1 and 0.

--- a/crates/core/src/quarantine/crashes.rs
+++ b/crates/core/src/quarantine/crashes.rs
@@ -118,6 +118,11 @@
         self.quarantine.admit(fingerprint, now_ms) == Admission::Refused
     }
 
+    /// Returns whether crashes count against a request.
+    pub fn has_strikes(&self, fingerprint: Digest, now_ms: u64) -> bool {
+        self.quarantine.strike_count(fingerprint, now_ms) > 0
+    }
+
     /// Records that the upstream incarnation `upstream` crashed while running a request; returns
     /// whether the crash counts against the request.
     pub fn on_crash(
--- a/crates/entry/src/relay/crashes.rs
+++ b/crates/entry/src/relay/crashes.rs
@@ -42,6 +42,12 @@
         !tracker.is_empty() && tracker.is_refused(request_digest(request), now_ms)
     }
 
+    /// Tells whether crashes count against a request.
+    fn has_strikes(&self, request: &CallerRequest, now_ms: u64) -> bool {
+        let tracker = lock(&self.tracker);
+        !tracker.is_empty() && tracker.has_strikes(request_digest(request), now_ms)
+    }
+
     /// Decides about a request by the crashes counted against the parts of its prompt.
     pub(crate) fn judge_parts(&self, request: &CallerRequest, now_ms: u64) -> PartVerdict {
         let mut tracker = lock(&self.tracker);
@@ -103,15 +109,20 @@
 
     /// Tells whether the request may be sent to another upstream.
     ///
-    /// Waits for the result of the check only if a part of the prompt has strikes already.
+    /// Waits for the result of the check only if the request or a part of its prompt has strikes already.
     pub(crate) async fn allows_retry(self) -> bool {
         let (relay, request) = (self.relay.clone(), self.request.clone());
-        if relay.crashes.judge_parts(&request, relay.now_ms()) == PartVerdict::Clear {
+        let crashes = &relay.crashes;
+        let has_part_strikes =
+            || crashes.judge_parts(&request, relay.now_ms()) != PartVerdict::Clear;
+        if !crashes.has_strikes(&request, relay.now_ms()) && !has_part_strikes() {
             self.check_in_background();
             return true;
         }
         self.check().await;
-        relay.crashes.judge_parts(&request, relay.now_ms()) < PartVerdict::NoRetry
+        let now_ms = relay.now_ms();
+        !crashes.is_refused(&request, now_ms)
+            && crashes.judge_parts(&request, now_ms) < PartVerdict::NoRetry
     }
 
     async fn check(self) {
