Relay: record crashes on the platform, so that they count after a loss of all entries

What callers saw: after all entries were killed, or stopped at once, a request that had crashed three upstreams crashed three more, and the streams of other callers on these were cut.

Cause: the strikes against requests were kept in the entries' memory and passed on between them only.

With the entries killed one after the other the request stays refused.

Why this works: each entry writes the crashes that it has observed to one object of its own, within milliseconds and on the condition that the object is the one it last wrote; a started entry reads the objects of all before it decides, for which it waits 1 s at the most. The crashes of a request that completes are removed. A part of prompts, which sound requests share, stays one crash below the limit unless its cause was established before.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -96,6 +96,27 @@
     }
 }
 
+/// The text is not the hexadecimal form of a digest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, derive_more::Error)]
+#[display("not a digest of 64 hexadecimal digits")]
+pub struct ParseDigestError;
+
+impl std::str::FromStr for Digest {
+    type Err = ParseDigestError;
+
+    fn from_str(text: &str) -> Result<Self, ParseDigestError> {
+        let mut digest = [0; 32];
+        if text.len() != 2 * digest.len() || !text.is_ascii() {
+            return Err(ParseDigestError);
+        }
+        for (index, byte) in digest.iter_mut().enumerate() {
+            let digits = &text[2 * index..2 * index + 2];
+            *byte = u8::from_str_radix(digits, 16).map_err(|_| ParseDigestError)?;
+        }
+        Ok(Self(digest))
+    }
+}
+
 impl std::fmt::Display for Digest {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         for byte in self.0 {
--- a/crates/core/src/quarantine/crashes.rs
+++ b/crates/core/src/quarantine/crashes.rs
@@ -28,6 +28,7 @@
 //! refuse it again.
 
 mod parts;
+mod record;
 
 use crate::{
     FastMap,
@@ -36,7 +37,13 @@
     switch::MechanismSwitch,
 };
 
-pub use self::parts::{PartVerdict, SOUND_EVENTS};
+pub use self::{
+    parts::{PartVerdict, SOUND_EVENTS},
+    record::{
+        CrashRecord, Moment, RecordOutcome, RecordWrite, RecordedCrash, RecordedSuspect,
+        SuspectKind,
+    },
+};
 
 /// Number of upstream crashes after which a request is refused: as many as the requirements on the
 /// service allow.
@@ -78,6 +85,8 @@
     PartStrikes,
     /// An answered request does not show that its parts are sound.
     SoundParts,
+    /// Crashes that were recorded before the start are ignored.
+    Restore,
 }
 
 impl Default for CrashTracker {
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -50,7 +50,10 @@
 mod suspects;
 
 pub use self::{
-    crashes::{CRASH_LIMIT, CrashSabotage, CrashTracker, PartVerdict, RequestHash, SOUND_EVENTS},
+    crashes::{
+        CRASH_LIMIT, CrashRecord, CrashSabotage, CrashTracker, Moment, PartVerdict, RecordOutcome,
+        RecordWrite, RecordedCrash, RecordedSuspect, RequestHash, SOUND_EVENTS, SuspectKind,
+    },
     registry::{Admission, Quarantine, QuarantineLimits},
     strike::Strike,
     suspects::{SuspectTracker, exclusive_upstream},
--- a/crates/core/src/quarantine/registry.rs
+++ b/crates/core/src/quarantine/registry.rs
@@ -191,6 +191,13 @@
         strikes
     }
 
+    /// Tells whether the first crash of an agent counts against a request.
+    pub(crate) fn counts(&self, fingerprint: Digest, agent: Incarnation, now_ms: u64) -> bool {
+        let stored = self.strikes.get(&fingerprint);
+        let strike = stored.and_then(|it| it.get(&CrashId { agent, number: 1 }));
+        strike.is_some_and(|it| !it.cleared && it.expires_ms > now_ms)
+    }
+
     /// Returns the number of strikes that count against a request.
     pub fn strike_count(&self, fingerprint: Digest, now_ms: u64) -> u32 {
         let stored = self.strikes.get(&fingerprint).into_iter().flat_map(BTreeMap::values);
--- a/crates/core/tests/crashes_fuzz.rs
+++ b/crates/core/tests/crashes_fuzz.rs
@@ -3,7 +3,8 @@
 //!
 //! For each entry and request the oracle records the crashes that the entry has seen or received,
 //! and those that a completion has cleared. A request must be refused exactly if the number of
-//! uncleared crashes has reached the limit.
+//! uncleared crashes has reached the limit. At the end all entries are lost at once, and the same requests
+//! have to be refused by those that start from what was recorded on the platform.
 
 mod harness;
 
@@ -13,7 +14,10 @@
 use proptest::prelude::*;
 use yuccatrail_core::{
     ids::{Digest, Incarnation},
-    quarantine::{CRASH_LIMIT, CrashSabotage, CrashTracker, RequestHash},
+    quarantine::{
+        CRASH_LIMIT, CrashRecord, CrashSabotage, CrashTracker, Moment, RecordOutcome, RecordWrite,
+        RecordedSuspect, RequestHash, SuspectKind,
+    },
 };
 
 const FUZZ: FuzzSettings = FuzzSettings { seed: 7_607, cases: 1_000, steps: 120 };
@@ -22,6 +26,10 @@
 const REQUESTS: usize = 5;
 /// Requests with a smaller number crash every upstream that runs them.
 const CRASHING: usize = 2;
+/// Time in which everything that is due has been recorded, in milliseconds.
+const RECORDING_MS: u64 = 5_000;
+/// Interval at which an entry looks for what is due, in milliseconds.
+const RECORDING_INTERVAL_MS: u64 = 500;
 
 steps! {
     12 Send { request: usize = 0..REQUESTS, entry: usize = 0..ENTRIES, upstream: usize = 0..UPSTREAMS }
@@ -47,6 +55,9 @@
 
 struct Entry {
     tracker: CrashTracker,
+    record: CrashRecord,
+    /// What the platform holds of this entry.
+    stored: Vec<RecordedSuspect>,
     expected: [ExpectedState; REQUESTS],
 }
 
@@ -57,6 +68,7 @@
 }
 
 struct Crashes {
+    disabled: Option<CrashSabotage>,
     entries: Vec<Entry>,
     upstreams: Vec<Upstream>,
     next_incarnation: u64,
@@ -73,7 +85,7 @@
 
 impl Crashes {
     fn send(&mut self, request: usize, entry: usize, upstream: usize) {
-        let Entry { tracker, expected } = &self.entries[entry];
+        let Entry { tracker, expected, .. } = &self.entries[entry];
         let is_refused = tracker.is_refused(digest(request), self.now_ms);
         assert_eq!(
             is_refused,
@@ -92,8 +104,11 @@
     fn crash(&mut self, upstream: usize) {
         let incarnation = self.upstreams[upstream].incarnation;
         for (entry, request) in std::mem::take(&mut self.upstreams[upstream].calls) {
-            let Entry { tracker, expected } = &mut self.entries[entry];
-            tracker.on_crash(Incarnation(incarnation), digest(request), hash(request), self.now_ms);
+            let Entry { tracker, record, expected, .. } = &mut self.entries[entry];
+            let (upstream, digest) = (Incarnation(incarnation), digest(request));
+            if tracker.on_crash(upstream, digest, hash(request), self.now_ms) {
+                record.observe(digest, SuspectKind::Request, upstream, true, self.now_ms);
+            }
             if !expected[request].has_completed {
                 expected[request].crashes.insert(incarnation);
             }
@@ -104,7 +119,7 @@
 
     fn complete(&mut self, upstream: usize) {
         let Some((entry, request)) = self.upstreams[upstream].calls.pop() else { return };
-        let Entry { tracker, expected } = &mut self.entries[entry];
+        let Entry { tracker, expected, .. } = &mut self.entries[entry];
         tracker.on_complete(hash(request), || digest(request), self.now_ms);
         let expected = &mut expected[request];
         expected.has_completed = true;
@@ -114,7 +129,7 @@
     fn gossip(&mut self, from: usize, to: usize) {
         let strikes = self.entries[from].tracker.recent_strikes(self.now_ms);
         let received = self.entries[from].expected.clone();
-        let Entry { tracker, expected } = &mut self.entries[to];
+        let Entry { tracker, expected, .. } = &mut self.entries[to];
         tracker.merge(&strikes, self.now_ms);
         for (expected, received) in expected.iter_mut().zip(received) {
             expected.crashes.extend(received.crashes);
@@ -123,6 +138,24 @@
     }
 }
 
+impl Entry {
+    /// Makes the write that is due take effect, if any.
+    fn write(&mut self, now_ms: u64) {
+        let Some(write) = self.record.next_write(&self.tracker, now_ms) else { return };
+        let outcome = match &write {
+            RecordWrite::Create(suspects) | RecordWrite::Replace { suspects, .. } => {
+                self.stored = suspects.clone();
+                RecordOutcome::Done(Some(now_ms))
+            }
+            RecordWrite::Delete { .. } => {
+                self.stored.clear();
+                RecordOutcome::Done(None)
+            }
+        };
+        self.record.on_outcome(&write, outcome, now_ms);
+    }
+}
+
 impl harness::Simulation for Crashes {
     type Mechanism = CrashSabotage;
     type Step = Step;
@@ -132,12 +165,17 @@
         for _ in 0..ENTRIES {
             let mut tracker = CrashTracker::new();
             harness::sabotage!(tracker, disabled);
-            entries.push(Entry { tracker, expected: Default::default() });
+            entries.push(Entry {
+                tracker,
+                record: CrashRecord::default(),
+                stored: Vec::new(),
+                expected: Default::default(),
+            });
         }
         let upstreams = (0..UPSTREAMS as u64)
             .map(|incarnation| Upstream { incarnation, calls: Vec::new() })
             .collect();
-        Self { entries, upstreams, next_incarnation: UPSTREAMS as u64, now_ms: 0 }
+        Self { disabled, entries, upstreams, next_incarnation: UPSTREAMS as u64, now_ms: 0 }
     }
 
     fn step() -> BoxedStrategy<Step> {
@@ -173,6 +211,19 @@
                 assert_eq!(is_refused, crashes >= CRASH_LIMIT as usize);
             }
         }
+        for _ in 0..RECORDING_MS / RECORDING_INTERVAL_MS {
+            self.now_ms += RECORDING_INTERVAL_MS;
+            self.entries.iter_mut().for_each(|it| it.write(self.now_ms));
+        }
+        let mut started = CrashTracker::new();
+        harness::sabotage!(started, self.disabled);
+        for entry in &self.entries {
+            started.restore(&entry.stored, Moment { now_ms: 0, unix_ms: self.now_ms });
+        }
+        for (request, expected) in self.entries[0].expected.iter().enumerate() {
+            let is_refused = started.is_refused(digest(request), 0);
+            assert_eq!(is_refused, expected.is_refused(), "request {request} after the loss");
+        }
     }
 }
 
@@ -184,9 +235,9 @@
 #[cfg(feature = "sabotage")]
 #[test]
 fn each_disabled_mechanism_is_detected() {
-    use CrashSabotage::{EarlierCompletion, LaterCompletion, Merge};
+    use CrashSabotage::{EarlierCompletion, LaterCompletion, Merge, Restore};
 
-    for disabled in [Merge, EarlierCompletion, LaterCompletion] {
+    for disabled in [Merge, EarlierCompletion, LaterCompletion, Restore] {
         harness::assert_detected::<Crashes>(FUZZ, disabled);
     }
 }
--- a/crates/entry/src/relay/crashes.rs
+++ b/crates/entry/src/relay/crashes.rs
@@ -14,13 +14,17 @@
 use yuccatrail_adapter::CallerHeaders;
 use yuccatrail_core::{
     ids::{Digest, Incarnation},
-    quarantine::{CrashTracker, PartVerdict, RequestHash, SOUND_EVENTS, Strike},
+    quarantine::{
+        CrashRecord, CrashTracker, Moment, PartVerdict, RecordOutcome, RecordWrite,
+        RecordedSuspect, RequestHash, SOUND_EVENTS, Strike, SuspectKind,
+    },
     upstreams::UpstreamRecord,
 };
 
 use crate::{
     caller::service::fingerprint,
     relay::{
+        crash_record::{CrashRecordState, moment},
         request::CallerRequest,
         state::{Relay, lock},
     },
@@ -30,27 +34,41 @@
 const CRASH_CHECK_TIMEOUT_MS: u64 = 300;
 
 /// Crashes counted against requests; shared by all tasks of the relay.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct RequestCrashes {
-    tracker: Mutex<CrashTracker>,
+    counted: Mutex<CountedCrashes>,
+    /// Whether the crashes of earlier runs are known, and requests to write.
+    pub(crate) record_state: CrashRecordState,
+}
+
+/// Crashes as known to this entry, and those of them that it keeps on the platform.
+#[derive(Debug, Default)]
+struct CountedCrashes {
+    tracker: CrashTracker,
+    record: CrashRecord,
 }
 
 impl RequestCrashes {
+    /// Creates the state of an entry that starts.
+    pub(crate) fn new(is_first_start: bool) -> Self {
+        Self { counted: Mutex::default(), record_state: CrashRecordState::new(is_first_start) }
+    }
+
     /// Tells whether a request is refused because of the crashes counted against it.
     pub(crate) fn is_refused(&self, request: &CallerRequest, now_ms: u64) -> bool {
-        let tracker = lock(&self.tracker);
+        let tracker = &lock(&self.counted).tracker;
         !tracker.is_empty() && tracker.is_refused(request_digest(request), now_ms)
     }
 
     /// Tells whether crashes count against a request.
     fn has_strikes(&self, request: &CallerRequest, now_ms: u64) -> bool {
-        let tracker = lock(&self.tracker);
+        let tracker = &lock(&self.counted).tracker;
         !tracker.is_empty() && tracker.has_strikes(request_digest(request), now_ms)
     }
 
     /// Decides about a request by the crashes counted against the parts of its prompt.
     pub(crate) fn judge_parts(&self, request: &CallerRequest, now_ms: u64) -> PartVerdict {
-        let mut tracker = lock(&self.tracker);
+        let tracker = &mut lock(&self.counted).tracker;
         if tracker.is_empty() {
             return PartVerdict::Clear;
         }
@@ -61,30 +79,77 @@
     /// sound.
     pub(crate) fn record_sound(&self, request: &CallerRequest, now_ms: u64) {
         if !request.part_digests.is_empty() {
-            lock(&self.tracker).on_parts_sound(&request.part_digests, now_ms);
+            lock(&self.counted).tracker.on_parts_sound(&request.part_digests, now_ms);
         }
     }
 
     /// Records that an upstream completed a request.
     pub(crate) fn record_completed(&self, request: &CallerRequest, now_ms: u64) {
-        lock(&self.tracker).on_complete(request_hash(request), || request_digest(request), now_ms);
+        lock(&self.counted).tracker.on_complete(
+            request_hash(request),
+            || request_digest(request),
+            now_ms,
+        );
     }
 
     /// Returns the recent strikes, to share with other entries.
     pub(crate) fn recent(&self, now_ms: u64) -> Vec<Strike> {
-        lock(&self.tracker).recent_strikes(now_ms)
+        lock(&self.counted).tracker.recent_strikes(now_ms)
     }
 
     /// Merges strikes that another entry shared.
     pub(crate) fn merge(&self, strikes: &[Strike], now_ms: u64) {
-        if !strikes.is_empty() {
-            lock(&self.tracker).merge(strikes, now_ms);
+        if strikes.is_empty() {
+            return;
+        }
+        let mut counted = lock(&self.counted);
+        counted.tracker.merge(strikes, now_ms);
+        // With the crashes that others have observed, one of this entry's own may have to be recorded.
+        if !counted.record.is_empty() {
+            self.record_state.changed.notify_one();
         }
     }
 
+    /// Takes over the crashes that an entry has recorded; `own_revision` is the revision of the record if
+    /// it is one of an earlier run of this entry.
+    pub(crate) fn restore(
+        &self,
+        suspects: &[RecordedSuspect],
+        own_revision: Option<u64>,
+        moment: Moment,
+    ) {
+        let mut counted = lock(&self.counted);
+        counted.tracker.restore(suspects, moment);
+        if let Some(revision) = own_revision {
+            counted.record.take_over(suspects, revision);
+        }
+    }
+
+    /// Returns the time after which a write to the record may be due without another crash, in
+    /// milliseconds; none if nothing is recorded or could be.
+    pub(crate) fn next_check_ms(&self, now_ms: u64) -> Option<u64> {
+        lock(&self.counted).record.next_check_ms(now_ms)
+    }
+
+    /// Returns the write to the record that is due, if any.
+    pub(crate) fn next_write(&self, now_ms: u64) -> Option<RecordWrite> {
+        let CountedCrashes { tracker, record } = &mut *lock(&self.counted);
+        record.next_write(tracker, now_ms)
+    }
+
+    /// Records the outcome of a write to the record.
+    pub(crate) fn on_write_outcome(
+        &self,
+        write: &RecordWrite,
+        outcome: RecordOutcome,
+        now_ms: u64,
+    ) {
+        lock(&self.counted).record.on_outcome(write, outcome, now_ms);
+    }
+
     /// Drops strikes that no longer count.
     pub(crate) fn expire(&self, now_ms: u64) {
-        lock(&self.tracker).expire(now_ms);
+        lock(&self.counted).tracker.expire(now_ms);
     }
 }
 
@@ -130,16 +195,26 @@
         if !has_crashed(upstream.address).await {
             return;
         }
-        let now_ms = relay.now_ms();
+        let Moment { now_ms, unix_ms } = moment(&relay);
         let incarnation = incarnation_of(&upstream);
+        let had_just_begun = events < SOUND_EVENTS;
         let counts = {
-            let mut tracker = lock(&relay.crashes.tracker);
-            if events < SOUND_EVENTS {
+            let CountedCrashes { tracker, record } = &mut *lock(&relay.crashes.counted);
+            if had_just_begun {
                 tracker.on_part_crash(incarnation, &request.part_digests, now_ms);
+                for part in &request.part_digests {
+                    record.observe(*part, SuspectKind::Part, incarnation, true, unix_ms);
+                }
             }
             let digest = request_digest(&request);
-            tracker.on_crash(incarnation, digest, request_hash(&request), now_ms)
+            let counts = tracker.on_crash(incarnation, digest, request_hash(&request), now_ms);
+            if counts {
+                let kind = SuspectKind::Request;
+                record.observe(digest, kind, incarnation, had_just_begun, unix_ms);
+            }
+            counts
         };
+        relay.crashes.record_state.changed.notify_one();
         info!(
             id:% = request.id,
             upstream:% = upstream.id,
--- a/crates/entry/src/relay/metrics.rs
+++ b/crates/entry/src/relay/metrics.rs
@@ -113,6 +113,8 @@
     pub(crate) request_body_bytes: Gauge,
     /// Open connections of callers.
     pub(crate) caller_connections: Gauge,
+    /// Writes of this entry's record of crashes.
+    pub(crate) crash_record_writes: Counter,
     requests: Family<RequestLabels, Counter>,
     first_bytes: Family<ServiceLabels, Histogram>,
     registry: Registry,
@@ -151,6 +153,9 @@
         registry.register("request_body_bytes", help, request_body_bytes.clone());
         let help = "Open connections of callers";
         registry.register("caller_connections", help, caller_connections.clone());
+        let crash_record_writes = Counter::default();
+        let help = "Writes of this entry's record of crashes";
+        registry.register("crash_record_writes", help, crash_record_writes.clone());
         registry.register("requests", "Finished requests", requests.clone());
         let help = "Time from a request's arrival to the first bytes of its answer, in seconds";
         registry.register("first_bytes_seconds", help, first_bytes.clone());
@@ -170,6 +175,7 @@
             memory_refusals,
             request_body_bytes,
             caller_connections,
+            crash_record_writes,
             requests,
             first_bytes,
             registry,
--- a/crates/entry/src/relay/mod.rs
+++ b/crates/entry/src/relay/mod.rs
@@ -4,6 +4,7 @@
 mod buffers;
 mod configurations;
 mod connection;
+mod crash_record;
 mod crashes;
 mod feed;
 mod listed_versions;
--- a/crates/entry/src/relay/request.rs
+++ b/crates/entry/src/relay/request.rs
@@ -355,6 +355,7 @@
     if let Some(refusal) = refusal {
         return request.refuse(&relay, &refusal);
     }
+    relay.crashes.record_state.until_known(relay.now_ms()).await;
     if relay.crashes.is_refused(&request, arrived_ms) {
         return request.refuse(&relay, &Refusal::crashing("crashes_upstreams"));
     }
--- a/crates/entry/src/relay/state.rs
+++ b/crates/entry/src/relay/state.rs
@@ -159,7 +159,7 @@
             reading: Reading::new(clock.now_ms()),
             releases: ResultReleases::default(),
             rollouts: RelayRollouts::new(settings.bounds.exposure),
-            crashes: RequestCrashes::default(),
+            crashes: RequestCrashes::new(is_first_start),
             prompt_holders: PromptHolderSearch::default(),
             listed_versions: ListedVersions::default(),
             metrics: RelayMetrics::new(settings.bounds.exposure.is_some()),
@@ -228,6 +228,7 @@
         let table = Arc::new(table);
         *current = Some(table.clone());
         drop(current);
+        self.crashes.record_state.set_configured(self.now_ms());
         self.limits.send_if_modified(|it| std::mem::replace(it, table.limits()) != table.limits());
         self.configurations.record_active(table);
         self.updates.notify();
@@ -399,13 +400,14 @@
         follows && self.upstreams().has_platform_list()
     }
 
-    /// Tells whether the relay takes callers: it has a configuration and a list of upstreams, all its
-    /// tasks run, and it is not stopping.
+    /// Tells whether the relay takes callers: it has a configuration and a list of upstreams, knows the
+    /// recorded crashes, all its tasks run, and it is not stopping.
     pub(crate) fn is_ready(&self) -> bool {
         self.stop.get().is_none()
             && self.supervisor.is_healthy()
             && lock(&self.table).is_some()
             && self.upstreams().has_list()
+            && self.crashes.record_state.is_known(self.now_ms())
     }
 }
 
--- a/crates/entry/src/relay/tasks.rs
+++ b/crates/entry/src/relay/tasks.rs
@@ -19,7 +19,7 @@
 };
 
 use crate::relay::{
-    configurations, feed, listed_versions, memory, peers, platform_check, rollouts,
+    configurations, crash_record, feed, listed_versions, memory, peers, platform_check, rollouts,
     settings::{self, RelaySettings},
     state::Relay,
     updates::log_evacuations,
@@ -74,6 +74,7 @@
             listed_versions::read_when_wanted(it.relay, it.client, it.finished)
         });
         self.spawn("platform_check", |it| platform_check::check(it.relay, it.client, it.finished));
+        self.spawn("crash_record", |it| crash_record::keep(it.relay, it.client, it.finished));
         self.spawn("housekeeping", |it| run_housekeeping(it.relay, it.finished));
         self.spawn("reload", move |it| reload_on_hangup(it.relay, hangup.clone(), it.finished));
         Ok(())
