Upstreams: a status that is undefined or was not asked for is no answer

What callers saw: 600 and 999 of an upstream in trouble, and 101, 206, 226 and 304 to requests that ask for none of them.

Cause: hyper accepts every status from 100 to 999 and ends its reading at 101; the relay and the agents forwarded what it accepted.

Why this works: one function decides by the status and the headers of the request, before anything else of the response is used. Such a response is damaged: repeatable requests go on at another upstream, others get 502. An undefined status of the store leaves a write's outcome unknown.

--- a/crates/agent/src/upstream.rs
+++ b/crates/agent/src/upstream.rs
@@ -20,7 +20,7 @@
 use eventsource_stream::Eventsource;
 use futures::{Stream, StreamExt};
 use http_body_util::{BodyExt, BodyStream, Full, Limited};
-use hyper::{Request, Response, Uri, body::Incoming, header};
+use hyper::{HeaderMap, Request, Response, Uri, body::Incoming, header};
 use hyper_util::{
     client::{
         self,
@@ -33,7 +33,7 @@
 use tower_service::Service;
 use yuccatrail_core::{agent::ProbeResult, ids::AttemptId};
 use yuccatrail_rpc::messages::{ResponseForm, UpstreamCall};
-use yuccatrail_runtime::http::BodyFraming;
+use yuccatrail_runtime::http::{BodyFraming, is_expected_status};
 
 use self::connect::BootConnector;
 
@@ -205,6 +205,10 @@
             return Err(CallError::NotConnected);
         };
         let response = map_send_error(self.client.request(request).await)?;
+        // The request has no headers that ask for a special status.
+        if !is_expected_status(response.status(), &HeaderMap::new()) {
+            return Err(CallError::Lost);
+        }
         on_limit(stated_limit(&response));
         let head = ResponseHead {
             status: response.status().as_u16(),
--- a/crates/agent/src/upstream/tests.rs
+++ b/crates/agent/src/upstream/tests.rs
@@ -166,6 +166,41 @@
     }
 }
 
+/// Engine whose responses have a status, but for those of its health endpoint.
+async fn start_engine_with_status(status: u16) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let service = service_fn(move |request: Request<Incoming>| async move {
+                let body = Full::new(Bytes::from_static(br#"{"boot_id":"1"}"#));
+                let mut response = Response::new(body);
+                if request.uri().path() != "/health" {
+                    *response.status_mut() = hyper::StatusCode::from_u16(status).unwrap();
+                }
+                Ok::<_, Infallible>(response)
+            });
+            tokio::spawn(
+                hyper::server::conn::http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service),
+            );
+        }
+    });
+    address
+}
+
+/// Guards against MIXED: such a response counted as the engine's answer.
+#[tokio::test]
+async fn a_response_whose_status_nobody_asked_for_is_lost() {
+    for (status, is_answer) in [(206, false), (304, false), (600, false), (999, false), (299, true)]
+    {
+        let client = UpstreamClient::new(start_engine_with_status(status).await);
+        let result = call(&client.current_boot()).await;
+        assert_eq!(result.is_ok(), is_answer, "{status}: {result:?}");
+        assert!(is_answer || result == Err(CallError::Lost), "{status}: {result:?}");
+    }
+}
+
 /// Engine whose responses never end, but for those of its health endpoint.
 async fn start_endless_engine() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
--- a/crates/entry/src/relay/attempt.rs
+++ b/crates/entry/src/relay/attempt.rs
@@ -15,6 +15,7 @@
         Upstreams,
     },
 };
+use yuccatrail_runtime::http::is_expected_status;
 
 use crate::relay::{
     pool::{Connection, SendError},
@@ -160,6 +161,11 @@
                 return Err(AttemptError::Lost(error.to_string()));
             }
         };
+        if !is_expected_status(response.status(), &request.headers) {
+            self.end(CallEnd::Failed);
+            let detail = format!("unexpected status {}", response.status().as_u16());
+            return Err(AttemptError::Damaged(detail));
+        }
         let now_ms = self.relay.now_ms();
         self.latency_ms = now_ms.saturating_sub(self.started_ms) as f64;
         let meta = decode_response_meta(response.status(), response.headers());
--- a/crates/platform/src/response.rs
+++ b/crates/platform/src/response.rs
@@ -174,7 +174,10 @@
             StatusCode::SERVICE_UNAVAILABLE if self.retry_after_ms.is_some() => {
                 context.unavailable(detail, self.retry_after_ms)
             }
-            status if status.is_server_error() => context.response_lost(detail),
+            // A status that HTTP does not define says nothing of the request either.
+            status if status.as_u16() < 200 || status.as_u16() >= 500 => {
+                context.response_lost(detail)
+            }
             _ => context.invalid(detail),
         };
         Err(error)
--- a/crates/runtime/src/http.rs
+++ b/crates/runtime/src/http.rs
@@ -67,6 +67,23 @@
     }
 }
 
+/// Tells whether a response to a request with these headers may have this status (RFC 9110, section 15).
+///
+/// Statuses outside the five classes are invalid, informational ones end no request, and some have a
+/// meaning only for a client that has asked for it: a part of the content, or none because it is known.
+pub fn is_expected_status(status: StatusCode, request: &HeaderMap) -> bool {
+    match status.as_u16() {
+        ..200 | 600.. => false,
+        206 => request.contains_key(header::RANGE),
+        226 => request.contains_key("a-im"),
+        304 => {
+            request.contains_key(header::IF_NONE_MATCH)
+                || request.contains_key(header::IF_MODIFIED_SINCE)
+        }
+        _ => true,
+    }
+}
+
 /// Creates a complete body from bytes.
 pub fn full(bytes: impl Into<Bytes>) -> Body {
     Full::new(bytes.into()).boxed_unsync()
