Relay: don't forward an upstream's promise that it has not made

What callers saw: nothing reported; found while looking at every status. 408, 429 and 503 of an upstream that may have run an order reached the caller, who takes them as the promise that it has not run and sends it again (REFUSED).

Cause: statuses were forwarded unchanged. Upstreams state that they have not run a request by a header, and by nothing else.

Why this works: where a request may run once only, such a response counts as damaged after a possible run, and the caller gets 502. With the statement nothing changes, nor for requests that may be repeated.

--- a/crates/entry/src/relay/attempt.rs
+++ b/crates/entry/src/relay/attempt.rs
@@ -254,6 +254,11 @@
 
     /// Ends the call as failed by the upstream, and closes the connection.
     pub(crate) fn fail(mut self) {
+        self.record_failure();
+    }
+
+    /// Records that the upstream failed the call.
+    pub(crate) fn record_failure(&mut self) {
         self.end(CallEnd::Failed);
     }
 
--- a/crates/entry/src/relay/request.rs
+++ b/crates/entry/src/relay/request.rs
@@ -13,7 +13,8 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming, header};
 use log::info;
 use yuccatrail_adapter::{
-    AddedHeaders, CallerHeaders, ResponseMeta, decode_caller_headers, upstream_headers,
+    AddedHeaders, CallerHeaders, ResponseMeta, decode_caller_headers, promises_not_run,
+    upstream_headers,
 };
 use yuccatrail_core::{
     ids::Digest,
@@ -185,6 +186,16 @@
         };
         if is_not_run {
             self.possible_runs.fetch_sub(1, Ordering::Relaxed);
+            return sent;
+        }
+        if let Ok((response, _)) = &sent
+            && promises_not_run(response.status())
+            && !self.authorized.route.is_repeatable()
+        {
+            // The caller would send a request again that may have run.
+            attempt.record_failure();
+            let detail = format!("status {} without a statement", response.status().as_u16());
+            return Err(AttemptError::Damaged(detail));
         }
         sent
     }
