Upstreams: believe the end of a response only once its request was received

What callers saw: an upstream that answered an upload at once without a length, sent a part, closed its side and reset the connection while the upload was still being written; the part came as a complete 200, also for orders.

Cause: the closed side is the end of a response without a length. hyper ends the connection there and drops the rest of the request, so that the reset comes too late; and after a closed side only the error of the socket tells of a reset. The agents had the same fault.

Why this works: for requests of 16 kB or more the end is held back until the request has been written and for 200 ms more, and the system takes over at most 16 kB unsent, so that "written" means received but for what fits into the upstream's buffer. A reset until then makes the response incomplete. An upstream that reads on after its response still ends it properly.

--- a/crates/agent/src/upstream/connect.rs
+++ b/crates/agent/src/upstream/connect.rs
@@ -13,12 +13,12 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, StatusCode, Uri, client::conn::http1, header};
 use hyper_util::{client::legacy::connect::HttpConnector, rt::TokioIo};
-use tokio::net::TcpStream;
 use tower_service::Service;
+use yuccatrail_runtime::response_end::EndCheckedStream;
 
 use super::{Health, MAX_HEALTH_BYTES};
 
-type Connection = TokioIo<TcpStream>;
+type Connection = TokioIo<EndCheckedStream>;
 type Connecting = Pin<Box<dyn Future<Output = io::Result<Connection>> + Send>>;
 
 /// Opens connections, and closes those that reach another boot than the expected one.
@@ -57,6 +57,7 @@
             // The error remains in the source chain, by which a refused connection is
             // distinguished.
             let connection = connecting.await.map_err(io::Error::other)?;
+            let connection = TokioIo::new(EndCheckedStream::unannounced(connection.into_inner()));
             let (connection, boot_id) = fetch_boot_id(connection, address).await?;
             if expected.is_some_and(|it| it != boot_id) {
                 return Err(io::Error::other("the upstream has been restarted"));
--- a/crates/agent/src/upstream/tests.rs
+++ b/crates/agent/src/upstream/tests.rs
@@ -10,7 +10,11 @@
     service::service_fn,
 };
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpListener, sync::watch};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+    sync::watch,
+};
 use yuccatrail_core::ids::{AttemptId, Incarnation, RequestId, StageIndex};
 
 use super::*;
@@ -75,15 +79,18 @@
 async fn call(client: &BootClient) -> Result<ResponseHead, CallError> {
     let attempt =
         AttemptId { request: RequestId(7), stage: StageIndex(0), number: 0, entry: Incarnation(1) };
-    let call = UpstreamCall {
+    client.call(attempt, plain_call(), |_| {}, |_| {}).await
+}
+
+fn plain_call() -> UpstreamCall {
+    UpstreamCall {
         method: "POST".to_owned(),
         path: "/v1/search".to_owned(),
         content_type: None,
         idempotency_key: None,
         body: Bytes::new(),
         response: ResponseForm::Whole,
-    };
-    client.call(attempt, call, |_| {}, |_| {}).await
+    }
 }
 
 /// Probes until the engine answers, and sets the boot that answered.
@@ -166,6 +173,45 @@
     }
 }
 
+/// Engine that sends a part of a response without a length before it has read the request, closes its side
+/// and resets the connection.
+async fn start_engine_that_breaks_off() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut request = [0; 4096];
+                loop {
+                    let bytes = stream.read(&mut request).await.unwrap();
+                    if !request[..bytes].starts_with(b"GET /health") {
+                        break;
+                    }
+                    let health = "HTTP/1.1 200 OK\r\ncontent-length: 15\r\n\r\n{\"boot_id\":\"1\"}";
+                    stream.write_all(health.as_bytes()).await.unwrap();
+                }
+                stream.write_all(b"HTTP/1.1 200 OK\r\n\r\na part").await.unwrap();
+                stream.shutdown().await.unwrap();
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+            });
+        }
+    });
+    address
+}
+
+/// Guards against MIXED: the end of the connection after a part, while the request was still being written,
+/// made that part a complete response.
+#[tokio::test]
+async fn a_part_of_a_response_to_an_unfinished_request_is_lost() {
+    let client = UpstreamClient::new(start_engine_that_breaks_off().await);
+    let attempt =
+        AttemptId { request: RequestId(7), stage: StageIndex(0), number: 0, entry: Incarnation(1) };
+    let call = UpstreamCall { body: vec![b'u'; 4 << 20].into(), ..plain_call() };
+    let result = client.current_boot().call(attempt, call, |_| {}, |_| {}).await;
+    assert_eq!(result, Err(CallError::Lost));
+}
+
 /// Engine whose responses have a status, but for those of its health endpoint.
 async fn start_engine_with_status(status: u16) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
--- a/crates/entry/src/relay/observed_stream.rs
+++ b/crates/entry/src/relay/observed_stream.rs
@@ -12,8 +12,8 @@
 };
 
 /// A socket whose traffic is reported.
-pub(crate) struct ObservedStream {
-    stream: TcpStream,
+pub(crate) struct ObservedStream<S = TcpStream> {
+    stream: S,
     /// Called with the number of bytes of each read; an error fails the read.
     on_read: Box<dyn FnMut(usize) -> io::Result<()> + Send>,
     /// Called after each write.
@@ -22,10 +22,10 @@
     on_flush: Box<dyn FnMut() + Send>,
 }
 
-impl ObservedStream {
+impl<S> ObservedStream<S> {
     /// Reports the bytes that are read from a socket.
     pub(crate) fn new(
-        stream: TcpStream,
+        stream: S,
         on_read: impl FnMut(usize) -> io::Result<()> + Send + 'static,
     ) -> Self {
         let on_read = Box::new(on_read);
@@ -42,12 +42,12 @@
     }
 
     /// Returns the socket.
-    pub(crate) fn into_inner(self) -> TcpStream {
+    pub(crate) fn into_inner(self) -> S {
         self.stream
     }
 }
 
-impl AsyncRead for ObservedStream {
+impl<S: AsyncRead + Unpin> AsyncRead for ObservedStream<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -59,7 +59,7 @@
     }
 }
 
-impl AsyncWrite for ObservedStream {
+impl<S: AsyncWrite + Unpin> AsyncWrite for ObservedStream<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
--- a/crates/entry/src/relay/pool.rs
+++ b/crates/entry/src/relay/pool.rs
@@ -14,12 +14,20 @@
 use bytes::Bytes;
 use derive_more::{Display, Error, From};
 use http_body_util::Full;
-use hyper::{Request, Response, body::Incoming, client::conn::http1};
+use hyper::{
+    Request, Response,
+    body::{Body, Incoming},
+    client::conn::http1,
+};
 use hyper_util::rt::TokioIo;
 use log::debug;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::JoinHandle};
 use yuccatrail_core::{FastMap, upstreams::UpstreamKey};
+use yuccatrail_runtime::{
+    http::BodyFraming,
+    response_end::{EndCheckedStream, EndHold},
+};
 
 use crate::relay::{pool::head_limit::HeadLimit, state::lock};
 
@@ -64,6 +72,7 @@
 pub(crate) struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     head_limit: Arc<HeadLimit>,
+    end_hold: Arc<EndHold>,
     driver: JoinHandle<()>,
 }
 
@@ -142,6 +151,8 @@
         let stream = connecting.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))?;
         set_socket_options(&stream)?;
         let head_limit = Arc::new(HeadLimit::default());
+        let end_hold = Arc::new(EndHold::default());
+        let stream = EndCheckedStream::new(stream, end_hold.clone());
         let io = TokioIo::new(head_limit.apply(stream));
         let mut builder = http1::Builder::new();
         builder.max_buf_size(READ_BUFFER_BYTES);
@@ -152,7 +163,7 @@
                 debug!(error:% = error; "connection to an upstream failed");
             }
         });
-        Ok(Self { sender, head_limit, driver })
+        Ok(Self { sender, head_limit, end_hold, driver })
     }
 
     /// Sends a request and waits for the response headers.
@@ -164,6 +175,7 @@
             return Err(SendError::NotSent);
         }
         self.head_limit.begin();
+        self.end_hold.begin(request.body().size_hint().exact().unwrap_or(u64::MAX));
         let response = self.sender.try_send_request(request).await.map_err(|mut error| {
             if error.take_message().is_some() {
                 return SendError::NotSent;
@@ -171,6 +183,9 @@
             SendError::Lost(error.into_error())
         })?;
         self.head_limit.lift();
+        if BodyFraming::of(response.status(), response.headers()) != BodyFraming::Close {
+            self.end_hold.release();
+        }
         Ok(response)
     }
 }
--- a/crates/entry/src/relay/pool/head_limit.rs
+++ b/crates/entry/src/relay/pool/head_limit.rs
@@ -11,7 +11,7 @@
     },
 };
 
-use tokio::net::TcpStream;
+use yuccatrail_runtime::response_end::EndCheckedStream;
 
 use crate::relay::observed_stream::ObservedStream;
 
@@ -34,7 +34,10 @@
 
 impl HeadLimit {
     /// Returns a connection that fails once the limit is exceeded.
-    pub(super) fn apply(self: &Arc<Self>, stream: TcpStream) -> ObservedStream {
+    pub(super) fn apply(
+        self: &Arc<Self>,
+        stream: EndCheckedStream,
+    ) -> ObservedStream<EndCheckedStream> {
         let limit = self.clone();
         ObservedStream::new(stream, move |bytes| limit.take(bytes))
     }
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod logging;
 pub mod open_connections;
 pub mod request_body;
+pub mod response_end;
 pub mod settings;
 pub mod shutdown;
 pub mod supervisor;
