Upstreams: ignore late records of former runs

What callers saw: requests reached an upstream that drained, later than the bound, after a write of its former run was executed late.

Cause: a record with another start replaced the known one, also if that run had begun before; what was known of the present run went with it. A late record also brought an upstream back that had left.

Why this works: an earlier start is ignored, unless that run goes on to write while the known one does not, as after a clock that was set back. The log line of a listed upstream states the start.

--- a/crates/core/src/upstreams/departure.rs
+++ b/crates/core/src/upstreams/departure.rs
@@ -116,6 +116,12 @@
         true
     }
 
+    /// Returns the latest start of the runs of an upstream that have left; none if none has, as far as is
+    /// remembered.
+    pub(crate) fn latest_start(&self, id: &str) -> Option<i64> {
+        self.all.keys().filter(|(it, _)| it == id).filter_map(|(_, started)| *started).max()
+    }
+
     /// Returns what an upstream that is listed again had asked for.
     pub(crate) fn demands(&self, record: &UpstreamRecord) -> Option<Demands> {
         let key = (record.id.clone(), record.started_unix_ms);
--- a/crates/core/src/upstreams/directory.rs
+++ b/crates/core/src/upstreams/directory.rs
@@ -11,8 +11,8 @@
     rollout::Rollouts,
     switch::MechanismSwitch,
     upstreams::{
-        Balance, Demands, Departures, Evacuations, ListRevisions, ModelMemory, Pace, Upstream,
-        UpstreamKey, UpstreamRecord, VersionHistory,
+        Balance, Demands, Departures, Evacuations, FormerRuns, ListRevisions, ModelMemory, Pace,
+        Upstream, UpstreamKey, UpstreamRecord, VersionHistory,
     },
 };
 
@@ -71,6 +71,7 @@
     pub(crate) by_service: FastMap<Arc<str>, Vec<UpstreamKey>>,
     pub(crate) evacuations: Evacuations,
     pub(crate) departures: Departures,
+    former_runs: FormerRuns,
     pub(crate) pace: Pace,
     pub(crate) memory: ModelMemory,
     pub(super) balance: Balance,
@@ -360,6 +361,9 @@
                 self.unlist(&record.id, now_ms);
                 return;
             }
+            if self.former_runs.ignores(&record, upstream.record.started_unix_ms) {
+                return;
+            }
             if is_same_incarnation {
                 upstream.remove_at_ms = None;
                 // An upstream that drains does not come back, so a record of the same number is older.
@@ -383,6 +387,11 @@
                 return;
             }
             self.remove(key, now_ms);
+        } else {
+            let departed = self.departures.latest_start(&record.id);
+            if self.former_runs.ignores(&record, departed) {
+                return;
+            }
         }
         let mut upstream = Upstream::new(record);
         upstream.listed_era = era;
--- a/crates/entry/src/relay/updates.rs
+++ b/crates/entry/src/relay/updates.rs
@@ -274,7 +274,8 @@
                 address:% = record.address,
                 is_draining = record.is_draining,
                 cold_remaining_ms = record.cold_remaining_ms,
-                sequence = record.sequence;
+                sequence = record.sequence,
+                started_unix_ms = record.started_unix_ms.unwrap_or_default();
                 "upstream listed"
             );
         }
