Tests: show that each part of holding back an end is needed

Found in reading the change once more: early_ends passes with the 200 ms switched off, and with the limit on unsent bytes switched off, since each covers for the other there. Three tests of response_end, with one connection and no relay: a reset 50 ms after a request that the receiver's buffer holds fails without the 200 ms; one 400 ms after a request of 1 MB fails without the limit; the end of a response to a short request passes. No code of the product has changed.

--- a/crates/runtime/src/response_end.rs
+++ b/crates/runtime/src/response_end.rs
@@ -196,3 +196,6 @@
         self.stream.connected()
     }
 }
+
+#[cfg(test)]
+mod tests;
