Streams: write what was received before a failure

A caller of a stream that can't be resumed got nothing, not even the head, if the upstream reset the connection right after its first events.

Cause: hyper polls a body until it has to wait and writes only then. A body that fails before ends the connection, and head and events are dropped with hyper's buffer. Only the time at which the reset arrived decided.

Ruled out: a reset of the entry, since the upload had been read. Both tests of tracked_body failed before.

The body holds its failure back until hyper has flushed. hyper flushes at the end of each poll in which the body has to wait, so the wait ends as soon as the system has taken the bytes over.

--- a/crates/entry/src/relay/connection/activity.rs
+++ b/crates/entry/src/relay/connection/activity.rs
@@ -4,7 +4,7 @@
     future::poll_fn,
     pin::Pin,
     sync::{Arc, Mutex},
-    task::{Poll, ready},
+    task::{Poll, Waker, ready},
     time::Duration,
 };
 
@@ -51,6 +51,8 @@
     since: Instant,
     /// Whether all that was written so far has been handed to the operating system.
     is_flushed: bool,
+    /// Task that waits for the next flush.
+    flush_waiter: Option<Waker>,
     /// Whether the last request was answered before its body was read.
     has_unread_body: bool,
     /// The request in progress; a connection with one is not closed for another one.
@@ -71,6 +73,7 @@
             phase: Phase::Opened,
             since: Instant::now(),
             is_flushed: true,
+            flush_waiter: None,
             has_unread_body: false,
             request: None,
         };
@@ -147,6 +150,19 @@
         if state.phase != Phase::Serving {
             state.request = None;
         }
+        if let Some(waiter) = state.flush_waiter.take() {
+            waiter.wake();
+        }
+    }
+
+    /// Begins to wait until nothing is left to be written, hyper's own buffer included; wakes a task then.
+    pub(super) fn await_flush(&self, waiter: &Waker) {
+        lock(&self.state).flush_waiter = Some(waiter.clone());
+    }
+
+    /// Tells whether that is still awaited.
+    pub(super) fn awaits_flush(&self) -> bool {
+        lock(&self.state).flush_waiter.is_some()
     }
 
     /// Tells whether all that was written so far has been handed to the operating system.
