Crash records: write them again after the store was restored from a copy

A request that crashes its upstreams crashed three more if the store was restored from a copy without the record and all entries were lost after that.

Cause: the entry compared what it wants recorded with what it had last written, whatever the era of the store.

Evidence: recorded_crashes, a store restored from a copy without the record, timed out before: the record did not come back. crashes_fuzz, extended by copies and restores of the platform, finds the fault with the new call switched off.

When the era rises, the entry reads the revision of its object and writes what it holds at once, or deletes an object that the copy has brought back, which would count against a sound request.

--- a/crates/core/src/quarantine/crashes.rs
+++ b/crates/core/src/quarantine/crashes.rs
@@ -40,8 +40,7 @@
 pub use self::{
     parts::{PartVerdict, SOUND_EVENTS},
     record::{
-        CrashRecord, Moment, RecordOutcome, RecordWrite, RecordedCrash, RecordedSuspect,
-        SuspectKind,
+        CrashRecord, Moment, RecordCall, RecordOutcome, RecordedCrash, RecordedSuspect, SuspectKind,
     },
 };
 
--- a/crates/core/src/quarantine/crashes/record.rs
+++ b/crates/core/src/quarantine/crashes/record.rs
@@ -95,9 +95,11 @@
     pub unix_ms: u64,
 }
 
-/// Write that brings the record on the platform up to date.
+/// Call that brings the record on the platform up to date.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum RecordWrite {
+pub enum RecordCall {
+    /// Read the revision of the object, which is not known.
+    Read,
     /// Create the object.
     Create(Vec<RecordedSuspect>),
     /// Replace the object, if its revision is still this one.
@@ -114,12 +116,12 @@
     },
 }
 
-/// Result of a write.
+/// Result of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RecordOutcome {
     /// The write has taken effect; the object has this revision now, none if it was deleted.
     Done(Option<u64>),
-    /// The object has another revision than expected; none if it does not exist.
+    /// The object has another revision than expected, or has been read; none if it does not exist.
     Conflict(Option<u64>),
     /// The write may have had no effect, or not yet.
     Unknown,
@@ -136,7 +138,9 @@
     stored: BTreeSet<(CrashKey, bool)>,
     /// Revision of the object; none if there is none.
     revision: Option<u64>,
-    /// Number of writes that have failed since the last successful one.
+    /// Whether the platform has been restored from a copy, whose object is not known.
+    must_read: bool,
+    /// Number of calls that have failed since the last successful one.
     failures: u32,
     /// Time before which nothing is written, in milliseconds.
     not_before_ms: u64,
@@ -172,8 +176,8 @@
     /// Takes over what the platform holds of an earlier run of this entry.
     pub fn take_over(&mut self, suspects: &[RecordedSuspect], revision: u64) {
         self.revision = Some(revision);
+        self.stored.extend(keys_of(suspects));
         for suspect in suspects {
-            let is_refused_part = suspect.kind == SuspectKind::RefusedPart;
             for it in &suspect.crashes {
                 let crash = ObservedCrash {
                     is_part: suspect.kind != SuspectKind::Request,
@@ -181,17 +185,21 @@
                     crashed_unix_ms: it.crashed_unix_ms,
                 };
                 self.observed.insert((suspect.fingerprint, it.upstream), crash);
-                self.stored.insert(((suspect.fingerprint, it.upstream), is_refused_part));
             }
         }
     }
 
+    /// Records that the platform was restored from a copy, which may lack the object or hold an earlier one.
+    pub fn on_platform_restored(&mut self) {
+        self.must_read = true;
+    }
+
     /// Tells whether there is neither an object nor a crash that could be recorded.
     pub fn is_empty(&self) -> bool {
-        self.observed.is_empty() && self.revision.is_none()
+        self.observed.is_empty() && self.revision.is_none() && !self.must_read
     }
 
-    /// Returns the time after which a write may be due without another crash, in milliseconds; none if
+    /// Returns the time after which a call may be due without another crash, in milliseconds; none if
     /// nothing is recorded or could be.
     pub fn next_check_ms(&self, now_ms: u64) -> Option<u64> {
         if self.is_empty() {
@@ -201,8 +209,8 @@
         Some(if wait_ms > 0 { wait_ms } else { CHECK_INTERVAL_MS })
     }
 
-    /// Returns the write that is due, if any; its outcome has to be passed to [`Self::on_outcome`].
-    pub fn next_write(&mut self, tracker: &CrashTracker, now_ms: u64) -> Option<RecordWrite> {
+    /// Returns the call that is due, if any; its outcome has to be passed to [`Self::on_outcome`].
+    pub fn next_call(&mut self, tracker: &CrashTracker, now_ms: u64) -> Option<RecordCall> {
         // Crashes that are too old or cleared no longer count in the tracker either.
         self.observed.retain(|(fingerprint, upstream), _| {
             tracker.quarantine.counts(*fingerprint, *upstream, now_ms)
@@ -210,6 +218,9 @@
         if now_ms < self.not_before_ms {
             return None;
         }
+        if self.must_read {
+            return Some(RecordCall::Read);
+        }
         let wanted = self.wanted(tracker, now_ms);
         let keys = keys_of(&wanted);
         let exists = self.revision.is_some();
@@ -225,29 +236,30 @@
         }
         match self.revision {
             None if keys.is_empty() => None,
-            None => Some(RecordWrite::Create(wanted)),
-            Some(revision) if keys.is_empty() => Some(RecordWrite::Delete { revision }),
-            Some(revision) => Some(RecordWrite::Replace { revision, suspects: wanted }),
+            None => Some(RecordCall::Create(wanted)),
+            Some(revision) if keys.is_empty() => Some(RecordCall::Delete { revision }),
+            Some(revision) => Some(RecordCall::Replace { revision, suspects: wanted }),
         }
     }
 
-    /// Records the outcome of a write.
-    pub fn on_outcome(&mut self, write: &RecordWrite, outcome: RecordOutcome, now_ms: u64) {
+    /// Records the outcome of a call.
+    pub fn on_outcome(&mut self, call: &RecordCall, outcome: RecordOutcome, now_ms: u64) {
         self.removal_due_ms = None;
         match outcome {
             RecordOutcome::Done(revision) => {
                 self.revision = revision;
-                self.stored = match write {
-                    RecordWrite::Create(suspects) | RecordWrite::Replace { suspects, .. } => {
+                self.stored = match call {
+                    RecordCall::Create(suspects) | RecordCall::Replace { suspects, .. } => {
                         keys_of(suspects)
                     }
-                    RecordWrite::Delete { .. } => BTreeSet::new(),
+                    RecordCall::Delete { .. } | RecordCall::Read => BTreeSet::new(),
                 };
                 self.failures = 0;
                 self.not_before_ms = now_ms + WRITE_INTERVAL_MS;
             }
             RecordOutcome::Conflict(revision) => {
-                // An earlier write was executed late; what it holds is not known.
+                // An earlier write was executed late, or undone; what the object holds is not known.
+                self.must_read &= *call != RecordCall::Read;
                 self.revision = revision;
                 self.stored.clear();
                 self.not_before_ms = now_ms;
--- a/crates/core/src/quarantine/crashes/record/tests.rs
+++ b/crates/core/src/quarantine/crashes/record/tests.rs
@@ -36,14 +36,14 @@
         }
     }
 
-    fn next_write(&mut self, now_ms: u64) -> Option<RecordWrite> {
-        self.record.next_write(&self.tracker, now_ms)
+    fn next_call(&mut self, now_ms: u64) -> Option<RecordCall> {
+        self.record.next_call(&self.tracker, now_ms)
     }
 
     /// Makes the write that is due take effect as the given revision; returns what the object holds.
     fn write(&mut self, revision: u64, now_ms: u64) -> Vec<RecordedSuspect> {
-        let write = self.next_write(now_ms).expect("a write is due");
-        let (RecordWrite::Create(suspects) | RecordWrite::Replace { suspects, .. }) = &write else {
+        let write = self.next_call(now_ms).expect("a write is due");
+        let (RecordCall::Create(suspects) | RecordCall::Replace { suspects, .. }) = &write else {
             panic!("unexpected {write:?}");
         };
         let suspects = suspects.clone();
@@ -55,15 +55,15 @@
 #[test]
 fn each_crash_is_recorded_at_once_and_refuses_the_request_after_a_restart() {
     let mut entry = Entry::default();
-    assert_eq!((entry.next_write(0), entry.record.next_check_ms(0)), (None, None));
+    assert_eq!((entry.next_call(0), entry.record.next_check_ms(0)), (None, None));
     entry.crash(1, 0);
     assert_eq!(entry.write(7, 0)[0].crashes.len(), 1);
-    assert_eq!(entry.next_write(50), None);
+    assert_eq!(entry.next_call(50), None);
     entry.crash(2, 60);
-    assert_eq!(entry.next_write(60), None, "writes in quick succession share one");
+    assert_eq!(entry.next_call(60), None, "writes in quick succession share one");
     assert_eq!(entry.record.next_check_ms(60), Some(40));
     entry.crash(3, 70);
-    let Some(RecordWrite::Replace { revision: 7, .. }) = entry.next_write(100) else {
+    let Some(RecordCall::Replace { revision: 7, .. }) = entry.next_call(100) else {
         panic!("the object is replaced");
     };
     let recorded = entry.write(8, 100);
@@ -71,7 +71,7 @@
     restarted.tracker.restore(&recorded, Moment { now_ms: 5, unix_ms: moment(9_000).unix_ms });
     restarted.record.take_over(&recorded, 8);
     assert!(restarted.tracker.is_refused(REQUEST, 5));
-    assert_eq!(restarted.next_write(5), None);
+    assert_eq!(restarted.next_call(5), None);
     // The crashes count for as long as they would have without the restart.
     let remaining_ms = STRIKE_RETENTION_MS - 9_000 + 70 + 5;
     assert!(restarted.tracker.is_refused(REQUEST, remaining_ms - 75));
@@ -86,12 +86,12 @@
     }
     entry.write(7, 0);
     entry.tracker.on_complete(HASH, || REQUEST, 1_000);
-    assert_eq!(entry.next_write(1_000), None, "further crashes may follow");
-    let delete = RecordWrite::Delete { revision: 7 };
-    assert_eq!(entry.next_write(1_000 + REMOVAL_DELAY_MS), Some(delete.clone()));
+    assert_eq!(entry.next_call(1_000), None, "further crashes may follow");
+    let delete = RecordCall::Delete { revision: 7 };
+    assert_eq!(entry.next_call(1_000 + REMOVAL_DELAY_MS), Some(delete.clone()));
     entry.record.on_outcome(&delete, RecordOutcome::Done(None), 3_000);
     assert!(entry.record.is_empty());
-    assert_eq!(entry.next_write(10_000), None);
+    assert_eq!(entry.next_call(10_000), None);
 }
 
 #[test]
@@ -99,9 +99,9 @@
     let mut entry = Entry::default();
     entry.crash(1, 0);
     let recorded = entry.write(7, 0);
-    assert_eq!(entry.next_write(STRIKE_RETENTION_MS), None);
+    assert_eq!(entry.next_call(STRIKE_RETENTION_MS), None);
     let removed_ms = STRIKE_RETENTION_MS + REMOVAL_DELAY_MS;
-    assert_eq!(entry.next_write(removed_ms), Some(RecordWrite::Delete { revision: 7 }));
+    assert_eq!(entry.next_call(removed_ms), Some(RecordCall::Delete { revision: 7 }));
     let now_unix_ms = moment(STRIKE_RETENTION_MS).unix_ms;
     assert!(recorded[0].has_expired(now_unix_ms) && !recorded[0].has_expired(now_unix_ms - 1));
     let mut restarted = CrashTracker::new();
@@ -118,7 +118,7 @@
 fn restored_crashes_never_refuse_a_part_whose_cause_was_not_established() {
     let mut entry = Entry::default();
     entry.crash_parts(0, &[PART, OTHER_PART], 0);
-    assert_eq!(entry.next_write(0), None, "a single crash of parts is not recorded");
+    assert_eq!(entry.next_call(0), None, "a single crash of parts is not recorded");
     for upstream in 1..5 {
         entry.crash_parts(upstream, &[PART, OTHER_PART], 0);
     }
@@ -164,22 +164,22 @@
     let mut now_ms = 0;
     let mut delays_ms = Vec::new();
     for _ in 0..7 {
-        let write = entry.next_write(now_ms).unwrap();
+        let write = entry.next_call(now_ms).unwrap();
         entry.record.on_outcome(&write, RecordOutcome::Unknown, now_ms);
-        assert_eq!(entry.next_write(now_ms), None);
+        assert_eq!(entry.next_call(now_ms), None);
         let delay_ms = entry.record.next_check_ms(now_ms).unwrap();
         delays_ms.push(delay_ms);
         now_ms += delay_ms;
     }
     assert_eq!(delays_ms, [250, 500, 1_000, 2_000, 4_000, 4_000, 4_000]);
     // One of them has taken effect after all.
-    let write = entry.next_write(now_ms).unwrap();
-    assert!(matches!(write, RecordWrite::Create(_)));
+    let write = entry.next_call(now_ms).unwrap();
+    assert!(matches!(write, RecordCall::Create(_)));
     entry.record.on_outcome(&write, RecordOutcome::Conflict(Some(12)), now_ms);
-    let write = entry.next_write(now_ms);
-    assert!(matches!(write, Some(RecordWrite::Replace { revision: 12, .. })), "{write:?}");
+    let write = entry.next_call(now_ms);
+    assert!(matches!(write, Some(RecordCall::Replace { revision: 12, .. })), "{write:?}");
     entry.record.on_outcome(&write.unwrap(), RecordOutcome::Done(Some(13)), now_ms);
-    assert_eq!(entry.next_write(now_ms + WRITE_INTERVAL_MS), None);
+    assert_eq!(entry.next_call(now_ms + WRITE_INTERVAL_MS), None);
 }
 
 #[test]
@@ -197,5 +197,5 @@
     let recorded = entry.write(7, 0);
     assert_eq!(recorded.len(), MAX_SUSPECTS);
     assert!(recorded.iter().all(|it| it.crashes.len() == 2));
-    assert_eq!(entry.next_write(WRITE_INTERVAL_MS), None);
+    assert_eq!(entry.next_call(WRITE_INTERVAL_MS), None);
 }
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -51,8 +51,8 @@
 
 pub use self::{
     crashes::{
-        CRASH_LIMIT, CrashRecord, CrashSabotage, CrashTracker, Moment, PartVerdict, RecordOutcome,
-        RecordWrite, RecordedCrash, RecordedSuspect, RequestHash, SOUND_EVENTS, SuspectKind,
+        CRASH_LIMIT, CrashRecord, CrashSabotage, CrashTracker, Moment, PartVerdict, RecordCall,
+        RecordOutcome, RecordedCrash, RecordedSuspect, RequestHash, SOUND_EVENTS, SuspectKind,
     },
     registry::{Admission, Quarantine, QuarantineLimits},
     strike::Strike,
--- a/crates/core/tests/crashes_fuzz.rs
+++ b/crates/core/tests/crashes_fuzz.rs
@@ -15,7 +15,7 @@
 use yuccatrail_core::{
     ids::{Digest, Incarnation},
     quarantine::{
-        CRASH_LIMIT, CrashRecord, CrashSabotage, CrashTracker, Moment, RecordOutcome, RecordWrite,
+        CRASH_LIMIT, CrashRecord, CrashSabotage, CrashTracker, Moment, RecordCall, RecordOutcome,
         RecordedSuspect, RequestHash, SuspectKind,
     },
 };
@@ -36,6 +36,9 @@
     4 Complete { upstream: usize = 0..UPSTREAMS }
     2 Crash { upstream: usize = 0..UPSTREAMS }
     8 Gossip { from: usize = 0..ENTRIES, to: usize = 0..ENTRIES }
+    4 Record { entry: usize = 0..ENTRIES }
+    1 CopyPlatform { entry: usize = 0..ENTRIES }
+    1 RestorePlatform { entry: usize = 0..ENTRIES }
     2 Advance { ms: u64 = 1..300_u64 }
 }
 
@@ -56,11 +59,21 @@
 struct Entry {
     tracker: CrashTracker,
     record: CrashRecord,
-    /// What the platform holds of this entry.
-    stored: Vec<RecordedSuspect>,
+    platform: Platform,
+    /// State of the platform when it was last copied.
+    copy: Platform,
     expected: [ExpectedState; REQUESTS],
 }
 
+/// What the platform holds of an entry.
+#[derive(Clone, Default)]
+struct Platform {
+    /// Revision of the last change.
+    revision: u64,
+    /// Revision and content of the object.
+    object: Option<(u64, Vec<RecordedSuspect>)>,
+}
+
 struct Upstream {
     incarnation: u64,
     /// Entry and request of each call in progress.
@@ -139,20 +152,41 @@
 }
 
 impl Entry {
-    /// Makes the write that is due take effect, if any.
-    fn write(&mut self, now_ms: u64) {
-        let Some(write) = self.record.next_write(&self.tracker, now_ms) else { return };
-        let outcome = match &write {
-            RecordWrite::Create(suspects) | RecordWrite::Replace { suspects, .. } => {
-                self.stored = suspects.clone();
-                RecordOutcome::Done(Some(now_ms))
+    /// Makes the call that is due, if any.
+    fn record(&mut self, now_ms: u64) {
+        let Some(call) = self.record.next_call(&self.tracker, now_ms) else { return };
+        let outcome = self.platform.make(&call);
+        self.record.on_outcome(&call, outcome, now_ms);
+    }
+
+    /// Restores the platform from its copy.
+    fn restore_platform(&mut self) {
+        self.platform = self.copy.clone();
+        self.record.on_platform_restored();
+    }
+}
+
+impl Platform {
+    fn make(&mut self, call: &RecordCall) -> RecordOutcome {
+        let current = self.object.as_ref().map(|it| it.0);
+        let expected = match call {
+            RecordCall::Read => return RecordOutcome::Conflict(current),
+            RecordCall::Create(_) => None,
+            RecordCall::Replace { revision, .. } | RecordCall::Delete { revision } => {
+                Some(*revision)
             }
-            RecordWrite::Delete { .. } => {
-                self.stored.clear();
-                RecordOutcome::Done(None)
+        };
+        if expected != current {
+            return RecordOutcome::Conflict(current);
+        }
+        self.revision += 1;
+        self.object = match call {
+            RecordCall::Create(suspects) | RecordCall::Replace { suspects, .. } => {
+                Some((self.revision, suspects.clone()))
             }
+            RecordCall::Delete { .. } | RecordCall::Read => None,
         };
-        self.record.on_outcome(&write, outcome, now_ms);
+        RecordOutcome::Done(self.object.as_ref().map(|it| it.0))
     }
 }
 
@@ -168,7 +202,8 @@
             entries.push(Entry {
                 tracker,
                 record: CrashRecord::default(),
-                stored: Vec::new(),
+                platform: Platform::default(),
+                copy: Platform::default(),
                 expected: Default::default(),
             });
         }
@@ -188,6 +223,12 @@
             Step::Complete { upstream } => self.complete(upstream),
             Step::Crash { upstream } => self.crash(upstream),
             Step::Gossip { from, to } => self.gossip(from, to),
+            Step::Record { entry } => self.entries[entry].record(self.now_ms),
+            Step::CopyPlatform { entry } => {
+                let Entry { platform, copy, .. } = &mut self.entries[entry];
+                copy.clone_from(platform);
+            }
+            Step::RestorePlatform { entry } => self.entries[entry].restore_platform(),
             Step::Advance { ms } => self.now_ms += ms,
         }
     }
@@ -213,12 +254,13 @@
         }
         for _ in 0..RECORDING_MS / RECORDING_INTERVAL_MS {
             self.now_ms += RECORDING_INTERVAL_MS;
-            self.entries.iter_mut().for_each(|it| it.write(self.now_ms));
+            self.entries.iter_mut().for_each(|it| it.record(self.now_ms));
         }
         let mut started = CrashTracker::new();
         harness::sabotage!(started, self.disabled);
         for entry in &self.entries {
-            started.restore(&entry.stored, Moment { now_ms: 0, unix_ms: self.now_ms });
+            let suspects = entry.platform.object.as_ref().map_or(&[][..], |it| &it.1);
+            started.restore(suspects, Moment { now_ms: 0, unix_ms: self.now_ms });
         }
         for (request, expected) in self.entries[0].expected.iter().enumerate() {
             let is_refused = started.is_refused(digest(request), 0);
--- a/crates/entry/src/relay/crash_record.rs
+++ b/crates/entry/src/relay/crash_record.rs
@@ -15,7 +15,7 @@
     StoreChange, crash_collection_path, crash_record_deletion_path, crash_record_path,
     crashes_protocol, encode_crash_record, object_revision,
 };
-use yuccatrail_core::quarantine::{Moment, RecordOutcome, RecordWrite, RecordedSuspect};
+use yuccatrail_core::quarantine::{Moment, RecordCall, RecordOutcome, RecordedSuspect};
 use yuccatrail_platform::{Backoff, BackoffSettings, Client, ConditionalReply, PlatformError};
 
 use crate::relay::{peers::Owner, state::Relay};
@@ -95,17 +95,27 @@
     while !*relay.crashes.record_state.is_restored.borrow() {
         restore(&relay, &client).await;
     }
+    let mut era = client.era();
     let mut swept_ms = relay.now_ms();
     while !stop.is_cancelled() {
         let wait_ms = relay.crashes.next_check_ms(relay.now_ms()).unwrap_or(SWEEP_INTERVAL_MS);
-        let changed = relay.crashes.record_state.changed.notified();
-        if tokio::time::timeout(Duration::from_millis(wait_ms), changed).await.is_ok() {
+        let is_idle = tokio::select! {
+            () = relay.crashes.record_state.changed.notified() => false,
+            Ok(()) = era.changed() => {
+                relay.crashes.on_platform_restored();
+                false
+            }
+            () = tokio::time::sleep(Duration::from_millis(wait_ms)) => true,
+        };
+        if !is_idle {
             let limit_ms = relay.upstreams().entry_count() as u64 * SPREAD_MS_PER_ENTRY;
             tokio::time::sleep(Duration::from_millis(rand::random_range(0..=limit_ms))).await;
         }
-        if let Some(write) = relay.crashes.next_write(relay.now_ms()) {
-            let outcome = send(&relay, &client, &write).await;
-            relay.crashes.on_write_outcome(&write, outcome, relay.now_ms());
+        // A read or a conflict is followed by a write at once.
+        for _ in 0..2 {
+            let Some(call) = relay.crashes.next_call(relay.now_ms()) else { break };
+            let outcome = send(&relay, &client, &call).await;
+            relay.crashes.on_call_outcome(&call, outcome, relay.now_ms());
         }
         let now_ms = relay.now_ms();
         if now_ms >= swept_ms + SWEEP_INTERVAL_MS {
@@ -160,36 +170,35 @@
     info!(records = count, suspects = suspects; "read recorded crashes");
 }
 
-/// Makes a write and returns its outcome.
-async fn send(relay: &Relay, client: &Client, write: &RecordWrite) -> RecordOutcome {
+/// Makes a call and returns its outcome.
+async fn send(relay: &Relay, client: &Client, call: &RecordCall) -> RecordOutcome {
     let name = &relay.settings.name;
-    let (method, path, body) = match write {
-        RecordWrite::Create(suspects) => {
+    let (method, path, body) = match call {
+        RecordCall::Read => return read_revision(relay, client).await,
+        RecordCall::Create(suspects) => {
             (Method::POST, crash_collection_path(), encode_crash_record(name, None, suspects))
         }
-        RecordWrite::Replace { revision, suspects } => {
+        RecordCall::Replace { revision, suspects } => {
             let body = encode_crash_record(name, Some(*revision), suspects);
             (Method::PUT, crash_record_path(name), body)
         }
-        RecordWrite::Delete { revision } => {
+        RecordCall::Delete { revision } => {
             (Method::DELETE, crash_record_deletion_path(name, *revision), Bytes::new())
         }
     };
     let sent_ms = relay.now_ms();
     let reply = client.write_if_unchanged(name, method, &path, body).await;
     let outcome = match reply {
-        Ok(ConditionalReply::Written(reply)) => match write {
-            RecordWrite::Delete { .. } => RecordOutcome::Done(None),
-            RecordWrite::Create(_) | RecordWrite::Replace { .. } => {
-                match object_revision(&reply.body) {
-                    Some(revision) => RecordOutcome::Done(Some(revision)),
-                    None => read_back(relay, client).await,
-                }
-            }
+        Ok(ConditionalReply::Written(_)) if matches!(call, RecordCall::Delete { .. }) => {
+            RecordOutcome::Done(None)
+        }
+        Ok(ConditionalReply::Written(reply)) => match object_revision(&reply.body) {
+            Some(revision) => RecordOutcome::Done(Some(revision)),
+            None => read_revision(relay, client).await,
         },
         Ok(ConditionalReply::Changed(reply)) => match object_revision(&reply.body) {
             Some(revision) => RecordOutcome::Conflict(Some(revision)),
-            None => read_back(relay, client).await,
+            None => read_revision(relay, client).await,
         },
         Ok(ConditionalReply::Missing) => RecordOutcome::Conflict(None),
         Err(error) => {
@@ -197,9 +206,9 @@
             RecordOutcome::Unknown
         }
     };
-    let suspects = match write {
-        RecordWrite::Create(suspects) | RecordWrite::Replace { suspects, .. } => suspects.len(),
-        RecordWrite::Delete { .. } => 0,
+    let suspects = match call {
+        RecordCall::Create(suspects) | RecordCall::Replace { suspects, .. } => suspects.len(),
+        RecordCall::Delete { .. } | RecordCall::Read => 0,
     };
     let took_ms = relay.now_ms().saturating_sub(sent_ms);
     info!(suspects = suspects, outcome:? = outcome, took_ms = took_ms; "recorded crashes");
@@ -207,8 +216,8 @@
     outcome
 }
 
-/// Reads the revision of this entry's record, which the response to a write did not state.
-async fn read_back(relay: &Relay, client: &Client) -> RecordOutcome {
+/// Reads the revision of this entry's record.
+async fn read_revision(relay: &Relay, client: &Client) -> RecordOutcome {
     let name = &relay.settings.name;
     match client.read_if_present(name, &crash_record_path(name)).await {
         Ok(reply) => RecordOutcome::Conflict(reply.and_then(|it| object_revision(&it.body))),
--- a/crates/entry/src/relay/crashes.rs
+++ b/crates/entry/src/relay/crashes.rs
@@ -15,8 +15,8 @@
 use yuccatrail_core::{
     ids::{Digest, Incarnation},
     quarantine::{
-        CrashRecord, CrashTracker, Moment, PartVerdict, RecordOutcome, RecordWrite,
-        RecordedSuspect, RequestHash, SOUND_EVENTS, Strike, SuspectKind,
+        CrashRecord, CrashTracker, Moment, PartVerdict, RecordCall, RecordOutcome, RecordedSuspect,
+        RequestHash, SOUND_EVENTS, Strike, SuspectKind,
     },
     upstreams::UpstreamRecord,
 };
@@ -125,26 +125,26 @@
         }
     }
 
-    /// Returns the time after which a write to the record may be due without another crash, in
+    /// Returns the time after which a call for the record may be due without another crash, in
     /// milliseconds; none if nothing is recorded or could be.
     pub(crate) fn next_check_ms(&self, now_ms: u64) -> Option<u64> {
         lock(&self.counted).record.next_check_ms(now_ms)
     }
 
-    /// Returns the write to the record that is due, if any.
-    pub(crate) fn next_write(&self, now_ms: u64) -> Option<RecordWrite> {
+    /// Returns the call that keeps the record up to date and is due, if any.
+    pub(crate) fn next_call(&self, now_ms: u64) -> Option<RecordCall> {
         let CountedCrashes { tracker, record } = &mut *lock(&self.counted);
-        record.next_write(tracker, now_ms)
+        record.next_call(tracker, now_ms)
     }
 
-    /// Records the outcome of a write to the record.
-    pub(crate) fn on_write_outcome(
-        &self,
-        write: &RecordWrite,
-        outcome: RecordOutcome,
-        now_ms: u64,
-    ) {
-        lock(&self.counted).record.on_outcome(write, outcome, now_ms);
+    /// Records the outcome of such a call.
+    pub(crate) fn on_call_outcome(&self, call: &RecordCall, outcome: RecordOutcome, now_ms: u64) {
+        lock(&self.counted).record.on_outcome(call, outcome, now_ms);
+    }
+
+    /// Records that the platform was restored from a copy.
+    pub(crate) fn on_platform_restored(&self) {
+        lock(&self.counted).record.on_platform_restored();
     }
 
     /// Drops strikes that no longer count.
