--- a/crates/entry/src/relay/crash_record.rs
+++ b/crates/entry/src/relay/crash_record.rs
@@ -12,10 +12,10 @@
 use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 use yuccatrail_adapter::{
-    StoreChange, crash_collection_path, crash_record_deletion_path, crash_record_path,
-    crashes_protocol, encode_crash_record, object_revision,
+    CrashRecordContent, StoreChange, crash_collection_path, crash_record_deletion_path,
+    crash_record_path, crashes_protocol, encode_crash_record, object_revision,
 };
-use yuccatrail_core::quarantine::{Moment, RecordCall, RecordOutcome, RecordedSuspect};
+use yuccatrail_core::quarantine::{Moment, RecordCall, RecordOutcome};
 use yuccatrail_platform::{Backoff, BackoffSettings, Client, ConditionalReply, PlatformError};
 
 use crate::relay::{peers::Owner, state::Relay};
@@ -84,8 +84,10 @@
 
 /// Returns the current time on both clocks.
 pub(crate) fn moment(relay: &Relay) -> Moment {
-    // A clock before 1970 makes crashes count for longer.
-    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_else(|error| {
+        warn!(error:% = error; "crashes are recorded as too old, since the clock shows a time before 1970");
+        Duration::ZERO
+    });
     Moment { now_ms: relay.now_ms(), unix_ms: unix.as_millis() as u64 }
 }
 
@@ -149,16 +151,20 @@
     relay.crashes.record_state.is_restored.send_replace(true);
 }
 
-fn take_over(relay: &Relay, records: Vec<StoreChange<Vec<RecordedSuspect>>>) {
+fn take_over(relay: &Relay, records: Vec<StoreChange<CrashRecordContent>>) {
     let moment = moment(relay);
     let mut suspects = 0;
     let count = records.len();
     for record in records {
         match record {
             StoreChange::Present { name, changed_at, content } => {
-                suspects += content.len();
+                if content.unreadable > 0 {
+                    let suspects = content.unreadable;
+                    warn!(entry:% = name, suspects = suspects; "suspects of recorded crashes can't be read");
+                }
+                suspects += content.suspects.len();
                 let own_revision = (name == relay.settings.name).then_some(changed_at);
-                relay.crashes.restore(&content, own_revision, moment);
+                relay.crashes.restore(&content.suspects, own_revision, moment);
             }
             StoreChange::Unreadable { name, detail } => {
                 // An own record like that is replaced by the next write, after a conflict.
@@ -240,7 +246,10 @@
     let now_unix_ms = moment(relay).unix_ms;
     for item in listing.items {
         let StoreChange::Present { name, changed_at, content } = item else { continue };
-        if name == relay.settings.name || !content.iter().all(|it| it.has_expired(now_unix_ms)) {
+        // An entry of another version may read what this one can't.
+        let has_expired = content.unreadable == 0
+            && content.suspects.iter().all(|it| it.has_expired(now_unix_ms));
+        if name == relay.settings.name || !has_expired {
             continue;
         }
         let path = crash_record_deletion_path(&name, changed_at);
