--- a/crates/entry/src/relay/connection.rs
+++ b/crates/entry/src/relay/connection.rs
@@ -35,7 +35,7 @@
         tracked_body::TrackedBody,
     },
     rejection::UnreadBody,
-    request::{ResponseBody, handle_request},
+    request::{ResponseBody, ResponseDeadline, handle_request},
     state::Relay,
 };
 
@@ -77,7 +77,7 @@
     let service_activity = activity.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         service_activity.begin_request();
-        let activity = service_activity.clone();
+        let (activity, clock) = (service_activity.clone(), relay.clock());
         let version = request.version();
         let has_body = !request.body().is_end_stream();
         let response = handle_request(relay.clone(), request);
@@ -86,6 +86,9 @@
             if has_body && response.extensions().get::<UnreadBody>().is_some() {
                 activity.record_unread_body();
             }
+            if let Some(ResponseDeadline(at_ms)) = response.extensions().get() {
+                activity.begin_response(clock.instant_at(*at_ms).into());
+            }
             let response = match version {
                 Version::HTTP_10 => with_length(response).await,
                 _ => response,
--- a/crates/entry/src/relay/connection/activity.rs
+++ b/crates/entry/src/relay/connection/activity.rs
@@ -21,6 +21,10 @@
 /// retransmission. With a shorter limit an entry would serve no caller.
 const MIN_TIMEOUT_MS: u64 = 1_000;
 
+/// Time after the deadline of a request for which its response may still be on its way to the caller, in
+/// milliseconds.
+const LATE_RESPONSE_MS: u64 = 1_500;
+
 /// Which limit a connection has reached.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Expired {
@@ -28,6 +32,8 @@
     Idle,
     /// A head has begun to arrive, and is not complete in time.
     Head,
+    /// The caller has not taken its response in time.
+    Response,
 }
 
 /// What a connection is doing.
@@ -53,6 +59,8 @@
     is_flushed: bool,
     /// Task that waits for the next flush.
     flush_waiter: Option<Waker>,
+    /// Deadline of a response that has not been written yet.
+    response_due: Option<Instant>,
     /// Whether the last request was answered before its body was read.
     has_unread_body: bool,
     /// The request in progress; a connection with one is not closed for another one.
@@ -74,6 +82,7 @@
             since: Instant::now(),
             is_flushed: true,
             flush_waiter: None,
+            response_due: None,
             has_unread_body: false,
             request: None,
         };
@@ -98,6 +107,7 @@
         let mut state = lock(&self.state);
         state.phase = Phase::Serving;
         state.has_unread_body = false;
+        state.response_due = None;
         state.request = Some(self.open.open_request());
     }
 
@@ -111,6 +121,11 @@
         lock(&self.state).has_unread_body
     }
 
+    /// Records the deadline of the request whose response begins.
+    pub(super) fn begin_response(&self, due: Instant) {
+        lock(&self.state).response_due = Some(due);
+    }
+
     /// Records that hyper has taken over the last bytes of a response.
     pub(super) fn end_response(&self) {
         lock(&self.state).enter(Phase::Idle);
@@ -149,6 +164,7 @@
         state.is_flushed = true;
         if state.phase != Phase::Serving {
             state.request = None;
+            state.response_due = None;
         }
         if let Some(waiter) = state.flush_waiter.take() {
             waiter.wake();
@@ -206,20 +222,33 @@
     /// Returns when the connection reaches a limit, and which; none while it reaches none.
     fn expires(&self, limits: CallerLimits) -> Option<(Instant, Expired)> {
         let state = lock(&self.state);
+        let response = state.response_due.and_then(|it| after_ms(it, LATE_RESPONSE_MS));
+        let response = response.map(|it| (it, Expired::Response));
+        response.into_iter().chain(state.phase_expires(limits)).min_by_key(|it| it.0)
+    }
+}
+
+/// Returns the time that many milliseconds later, none if that is too far away.
+fn after_ms(since: Instant, ms: u64) -> Option<Instant> {
+    since.checked_add(Duration::from_millis(ms))
+}
+
+impl State {
+    /// Returns when the current phase reaches its limit, and which.
+    fn phase_expires(&self, limits: CallerLimits) -> Option<(Instant, Expired)> {
         let header_timeout_ms = limits.header_timeout_ms.max(MIN_TIMEOUT_MS);
         let idle_timeout_ms = limits.idle_timeout_ms;
-        let (limit_ms, expired) = match state.phase {
-            Phase::Idle if state.is_flushed => (idle_timeout_ms, Expired::Idle),
+        let (limit_ms, expired) = match self.phase {
+            Phase::Idle if self.response_due.is_some() => return None,
+            Phase::Idle if self.is_flushed => (idle_timeout_ms, Expired::Idle),
             Phase::Idle => (idle_timeout_ms.max(MIN_TIMEOUT_MS), Expired::Idle),
             Phase::Opened => (idle_timeout_ms.max(header_timeout_ms), Expired::Idle),
             Phase::ReadingHead => (header_timeout_ms, Expired::Head),
             Phase::Serving => return None,
         };
-        Some((state.since.checked_add(Duration::from_millis(limit_ms))?, expired))
+        Some((after_ms(self.since, limit_ms)?, expired))
     }
-}
 
-impl State {
     fn enter(&mut self, phase: Phase) {
         self.phase = phase;
         self.since = Instant::now();
--- a/crates/entry/src/relay/pool.rs
+++ b/crates/entry/src/relay/pool.rs
@@ -33,8 +33,8 @@
 
 /// Timeout for opening a connection, in milliseconds; far above a round trip within a region.
 const CONNECT_TIMEOUT_MS: u64 = 300;
-/// Time after which a connection with unacknowledged bytes is closed (`TCP_USER_TIMEOUT`), in
-/// milliseconds.
+/// Time after which a connection with unacknowledged bytes, or whose peer has no room for more, is closed
+/// (`TCP_USER_TIMEOUT`), in milliseconds.
 const UNACKNOWLEDGED_TIMEOUT_MS: u64 = 1_500;
 /// Size of the read buffer of a connection, in bytes, and thus of the largest head of a response. Hundreds
 /// of connections to upstreams that send without end must fit into the memory of a small instance.
@@ -191,7 +191,15 @@
 }
 
 /// Sets the options that detect a peer that has silently gone, and disables Nagle's algorithm.
-pub(crate) fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
+fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
+    set_options(stream, Duration::from_millis(UNACKNOWLEDGED_TIMEOUT_MS))
+}
+
+/// Sets the same options; `unacknowledged_timeout` is the `TCP_USER_TIMEOUT`.
+pub(crate) fn set_options(
+    stream: &TcpStream,
+    unacknowledged_timeout: Duration,
+) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
@@ -199,5 +207,5 @@
         .with_interval(Duration::from_secs(KEEPALIVE_INTERVAL_S))
         .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(Duration::from_millis(UNACKNOWLEDGED_TIMEOUT_MS)))
+    socket.set_tcp_user_timeout(Some(unacknowledged_timeout))
 }
--- a/crates/entry/src/relay/request.rs
+++ b/crates/entry/src/relay/request.rs
@@ -59,6 +59,10 @@
 #[display("response aborted")]
 pub(crate) struct ResponseAborted;
 
+/// Deadline of the request that a response belongs to, in milliseconds since the start of the relay.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ResponseDeadline(pub(crate) u64);
+
 /// An authorized request of a caller, with its whole body.
 pub(crate) struct CallerRequest {
     /// Identifier from the caller; empty if it sent none.
@@ -396,7 +400,8 @@
     };
     unanswered.close();
     match served {
-        Ok(Ok(response)) => {
+        Ok(Ok(mut response)) => {
+            response.extensions_mut().insert(ResponseDeadline(request.deadline_ms));
             let took_ms = relay.now_ms().saturating_sub(request.arrived_ms);
             let labels = RequestLabels {
                 route: request.authorized.route.name.clone(),
--- a/crates/entry/src/relay/state.rs
+++ b/crates/entry/src/relay/state.rs
@@ -186,6 +186,11 @@
         self.clock.now_ms()
     }
 
+    /// Returns the clock of the process.
+    pub(crate) fn clock(&self) -> Clock {
+        self.clock
+    }
+
     /// Returns the active configuration; none before the first has arrived.
     pub(crate) fn table(&self) -> Option<Arc<RouteTable>> {
         lock(&self.table).clone()
