--- a/crates/entry/src/relay/attempt.rs
+++ b/crates/entry/src/relay/attempt.rs
@@ -18,6 +18,7 @@
 use yuccatrail_runtime::http::is_expected_status;
 
 use crate::relay::{
+    buffers::ReadError,
     pool::{Connection, SendError},
     sabotage::Mechanism,
     state::Relay,
@@ -38,6 +39,18 @@
     /// The response belongs to another request or was corrupted on the way.
     #[display("response damaged: {_0}")]
     Damaged(#[error(not(source))] String),
+    /// The response has begun, and there is no memory for the rest of it.
+    #[display("no memory for the response")]
+    NoMemory,
+}
+
+impl From<ReadError> for AttemptError {
+    fn from(error: ReadError) -> Self {
+        match error {
+            ReadError::NoMemory => Self::NoMemory,
+            ReadError::Broken(_) | ReadError::TooLong => Self::Lost(error.to_string()),
+        }
+    }
 }
 
 /// A request to an upstream, with its whole body so that it can be sent again.
@@ -211,8 +224,7 @@
             meta.closes_connection |= !is_whole;
             return Ok((status, meta, Bytes::new()));
         }
-        let body = self.relay.response_buffers.read_own(response.into_body()).await;
-        let body = body.map_err(|error| AttemptError::Lost(error.to_string()))?;
+        let body = self.relay.response_buffers.read_own(response.into_body()).await?;
         Ok((status, meta, body))
     }
 
@@ -224,9 +236,8 @@
         let request = self.own_request(Method::GET, path, Bytes::new());
         let (response, meta) = self.send(&request).await?;
         let status = response.status();
-        let body = self.relay.response_buffers.read(response.into_body()).await;
-        let body = body.map_err(|error| AttemptError::Lost(error.to_string()))?;
-        Ok((status, meta, body))
+        let body = self.relay.response_buffers.read(response.into_body(), false).await?;
+        Ok((status, meta, body.into_bytes()))
     }
 
     /// Builds a request that the relay makes for itself.
--- a/crates/entry/src/relay/buffers.rs
+++ b/crates/entry/src/relay/buffers.rs
@@ -1,13 +1,20 @@
 //! Response bodies of upstreams that are read to their end before they are used.
 //!
-//! An upstream in trouble may send bytes without end, so each body and all of them together are limited.
+//! An upstream in trouble may send bytes without end, and a caller may read in its own time, so each body and
+//! all of them together are limited until the callers have them.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+    time::Duration,
+};
 
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error, From};
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 /// Maximum size of a response body, in bytes.
@@ -20,8 +27,9 @@
 /// Size up to which a body or an event does not count towards the total, in bytes; nearly all are smaller,
 /// and a thousand of them at once fit into the memory of a small instance.
 const UNCOUNTED_BYTES: usize = 16 * 1024;
-/// Total size of the larger bodies and events that are held at the same time, in kilobytes.
-const TOTAL_KB: usize = 32 * 1024;
+/// Size of the parts in which a body is handed to hyper, in bytes. hyper keeps a buffer as large as the
+/// largest part until the connection is closed.
+const PART_BYTES: usize = 64 * 1024;
 /// Maximum size of a body that is read only so that its connection can be reused, in bytes.
 const MAX_SKIPPED_BYTES: usize = 64 * 1024;
 /// Time within which such a body has to end, in milliseconds; a new connection takes less.
@@ -32,22 +40,67 @@
 pub(crate) enum ReadError {
     /// The connection broke.
     Broken(hyper::Error),
-    /// The body exceeds the limit for one body, or for all that are read at the same time.
+    /// The body exceeds the limit for one body.
     #[display("body is too long")]
     #[from(ignore)]
     TooLong,
+    /// Other bodies take all the memory for them.
+    #[display("no memory for the body")]
+    #[from(ignore)]
+    NoMemory,
+}
+
+/// A body that was read to its end, and what it takes of the total until it is dropped.
+#[derive(Debug)]
+pub(crate) struct HeldResponse {
+    bytes: Bytes,
+    _held: HeldBytes,
+}
+
+impl HeldResponse {
+    /// Returns the bytes, which no longer count.
+    pub(crate) fn into_bytes(self) -> Bytes {
+        self.bytes
+    }
+}
+
+impl Body for HeldResponse {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        if self.bytes.is_empty() {
+            return Poll::Ready(None);
+        }
+        let part_bytes = self.bytes.len().min(PART_BYTES);
+        let part = self.bytes.split_to(part_bytes);
+        Poll::Ready(Some(Ok(Frame::data(part))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.bytes.len() as u64)
+    }
 }
 
-/// Limits on the bodies that are read at the same time.
+/// Limits on the bodies that are held at the same time.
 #[derive(Debug)]
 pub(crate) struct ResponseBuffers {
-    total_kb: Arc<Semaphore>,
+    /// Size of the larger bodies and events that may be held at the same time, in kilobytes.
+    limit_kb: usize,
+    free_kb: Arc<Semaphore>,
 }
 
 /// What one body or event takes of the total; given back when dropped.
 #[derive(Debug)]
 pub(crate) struct HeldBytes {
-    total_kb: Arc<Semaphore>,
+    free_kb: Arc<Semaphore>,
     permit: Option<OwnedSemaphorePermit>,
 }
 
@@ -55,7 +108,7 @@
     /// Takes as much as this number of bytes needs, or gives back what it does not need; returns false if
     /// the total is exhausted.
     pub(crate) fn hold(&mut self, bytes: usize) -> bool {
-        let counted_kb = bytes.saturating_sub(UNCOUNTED_BYTES).div_ceil(1024);
+        let counted_kb = counted_kb(bytes);
         let held_kb = self.permit.as_ref().map_or(0, OwnedSemaphorePermit::num_permits);
         if counted_kb == 0 {
             self.permit = None;
@@ -67,7 +120,7 @@
             return true;
         }
         let missing_kb = (counted_kb - held_kb) as u32;
-        let Ok(added) = self.total_kb.clone().try_acquire_many_owned(missing_kb) else {
+        let Ok(added) = self.free_kb.clone().try_acquire_many_owned(missing_kb) else {
             return false;
         };
         match &mut self.permit {
@@ -76,48 +129,59 @@
         }
         true
     }
-}
 
-impl Default for ResponseBuffers {
-    fn default() -> Self {
-        Self { total_kb: Arc::new(Semaphore::new(TOTAL_KB)) }
+    /// Takes as much as this number of bytes needs, once it is free.
+    async fn hold_when_free(&mut self, bytes: usize) {
+        let counted_kb = counted_kb(bytes);
+        // Two that hold a part and wait for more would wait for each other.
+        self.permit = None;
+        if counted_kb > 0 {
+            // The semaphore is never closed.
+            self.permit = self.free_kb.clone().acquire_many_owned(counted_kb as u32).await.ok();
+        }
     }
 }
 
 impl ResponseBuffers {
-    /// Reads the body of a response to a caller to its end.
-    pub(crate) async fn read(&self, body: Incoming) -> Result<Bytes, ReadError> {
-        let has_length = body.size_hint().exact().is_some();
-        let max_bytes = if has_length { MAX_RESPONSE_BYTES } else { MAX_UNSTATED_BYTES };
-        self.read_limited(body, max_bytes).await
+    /// Limits the larger bodies and events to this many bytes, at least to one body of the largest size.
+    pub(crate) fn new(limit_bytes: usize) -> Self {
+        let limit_kb = limit_bytes.max(MAX_RESPONSE_BYTES) / 1024;
+        Self { limit_kb, free_kb: Arc::new(Semaphore::new(limit_kb)) }
     }
 
-    /// Reads the body of a response to a call that the relay made for itself to its end.
-    pub(crate) async fn read_own(&self, body: Incoming) -> Result<Bytes, ReadError> {
-        self.read_limited(body, MAX_OWN_BYTES).await
+    /// Returns the size of the larger bodies and events that are held, in bytes.
+    pub(crate) fn held_bytes(&self) -> usize {
+        self.limit_kb.saturating_sub(self.free_kb.available_permits()) * 1024
     }
 
-    async fn read_limited(&self, mut body: Incoming, max_bytes: usize) -> Result<Bytes, ReadError> {
-        let mut read = BytesMut::new();
+    /// Reads the body of a response to its end. With `waits_for_memory`, one with a stated length waits until
+    /// there is memory for it.
+    pub(crate) async fn read(
+        &self,
+        body: Incoming,
+        waits_for_memory: bool,
+    ) -> Result<HeldResponse, ReadError> {
         let mut held = self.hold_nothing();
-        while let Some(frame) = body.frame().await {
-            // Trailers are not forwarded.
-            let Ok(bytes) = frame?.into_data() else { continue };
-            let read_bytes = read.len() + bytes.len();
-            if read_bytes > max_bytes {
-                return Err(ReadError::TooLong);
-            }
-            if !held.hold(read_bytes) {
-                return Err(ReadError::TooLong);
-            }
-            read.extend_from_slice(&bytes);
+        let length = body.size_hint().exact();
+        let max_bytes = if length.is_some() { MAX_RESPONSE_BYTES } else { MAX_UNSTATED_BYTES };
+        if let Some(length) = length
+            && length <= max_bytes as u64
+            && waits_for_memory
+        {
+            held.hold_when_free(length as usize).await;
         }
-        Ok(read.freeze())
+        let bytes = read_limited(body, max_bytes, &mut held).await?;
+        Ok(HeldResponse { bytes, _held: held })
+    }
+
+    /// Reads the body of a response to a call that the relay made for itself to its end.
+    pub(crate) async fn read_own(&self, body: Incoming) -> Result<Bytes, ReadError> {
+        read_limited(body, MAX_OWN_BYTES, &mut self.hold_nothing()).await
     }
 
     /// Returns a part of the total that is empty so far.
     pub(crate) fn hold_nothing(&self) -> HeldBytes {
-        HeldBytes { total_kb: self.total_kb.clone(), permit: None }
+        HeldBytes { free_kb: self.free_kb.clone(), permit: None }
     }
 
     /// Reads a short body to its end without keeping it; tells whether it ended.
@@ -137,3 +201,39 @@
         tokio::time::timeout(limit, reading).await.unwrap_or(false)
     }
 }
+
+/// Returns how much a body or event counts, in kilobytes.
+fn counted_kb(bytes: usize) -> usize {
+    bytes.saturating_sub(UNCOUNTED_BYTES).div_ceil(1024)
+}
+
+/// Reads a body to its end. The memory for one with a stated length is taken at once, so that bodies don't fill
+/// it in part and wait for each other.
+async fn read_limited(
+    mut body: Incoming,
+    max_bytes: usize,
+    held: &mut HeldBytes,
+) -> Result<Bytes, ReadError> {
+    let length = body.size_hint().exact().unwrap_or(0);
+    if length > max_bytes as u64 {
+        return Err(ReadError::TooLong);
+    }
+    let length = length as usize;
+    if !held.hold(length) {
+        return Err(ReadError::NoMemory);
+    }
+    let mut read = BytesMut::with_capacity(length);
+    while let Some(frame) = body.frame().await {
+        // Trailers are not forwarded.
+        let Ok(bytes) = frame?.into_data() else { continue };
+        let read_bytes = read.len() + bytes.len();
+        if read_bytes > max_bytes {
+            return Err(ReadError::TooLong);
+        }
+        if !held.hold(read_bytes.max(length)) {
+            return Err(ReadError::NoMemory);
+        }
+        read.extend_from_slice(&bytes);
+    }
+    Ok(read.freeze())
+}
--- a/crates/entry/src/relay/connection.rs
+++ b/crates/entry/src/relay/connection.rs
@@ -90,7 +90,9 @@
                 activity.begin_response(clock.instant_at(*at_ms).into());
             }
             let response = match version {
-                Version::HTTP_10 => with_length(response).await,
+                Version::HTTP_10 if response.body().size_hint().exact().is_none() => {
+                    with_length(response).await
+                }
                 _ => response,
             };
             Ok::<_, Infallible>(response.map(|it| TrackedBody::new(it, activity)))
--- a/crates/entry/src/relay/metrics.rs
+++ b/crates/entry/src/relay/metrics.rs
@@ -111,6 +111,8 @@
     pub(crate) memory_refusals: Family<ServiceLabels, Counter>,
     /// Bytes that the bodies of requests in progress hold.
     pub(crate) request_body_bytes: Gauge,
+    /// Larger response bodies and incomplete events that are held now, in bytes.
+    pub(crate) response_bytes: Gauge,
     /// Open connections of callers.
     pub(crate) caller_connections: Gauge,
     /// Writes of this entry's record of crashes.
@@ -133,6 +135,7 @@
         let memory_report_age_ms = Family::default();
         let memory_refusals = Family::default();
         let request_body_bytes = Gauge::default();
+        let response_bytes = Gauge::default();
         let caller_connections = Gauge::default();
         let requests = Family::default();
         let first_bytes: Family<ServiceLabels, Histogram> =
@@ -151,6 +154,8 @@
         registry.register("model_memory_refusals", help, memory_refusals.clone());
         let help = "Bytes that the bodies of requests in progress hold";
         registry.register("request_body_bytes", help, request_body_bytes.clone());
+        let help = "Bytes of larger responses and incomplete events that are held now";
+        registry.register("response_bytes", help, response_bytes.clone());
         let help = "Open connections of callers";
         registry.register("caller_connections", help, caller_connections.clone());
         let crash_record_writes = Counter::default();
@@ -174,6 +179,7 @@
             memory_report_age_ms,
             memory_refusals,
             request_body_bytes,
+            response_bytes,
             caller_connections,
             crash_record_writes,
             requests,
--- a/crates/entry/src/relay/plain.rs
+++ b/crates/entry/src/relay/plain.rs
@@ -2,8 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::{Response, StatusCode};
 use log::{info, warn};
 use yuccatrail_adapter::{ResponseMeta, forwarded_headers};
@@ -16,6 +15,7 @@
 
 use crate::relay::{
     attempt::{Attempt, AttemptError, check_seal},
+    buffers::HeldResponse,
     crashes::LostResponse,
     request::{CallerRequest, Refusal, ResponseBody, no_upstream_refusal},
     retries::take_retry,
@@ -97,6 +97,10 @@
                     TryOutcome::NotRun => retry_cause = Some(RetryCause::Rejected),
                 }
             }
+            // The upstream is sound, and another one's response would find no memory either.
+            Err(AttemptError::NoMemory) => {
+                return Err(Refusal::busy("response_memory_full", BUSY_RETRY_MS));
+            }
             Err(error) => {
                 warn!(
                     id:% = request.id,
@@ -175,8 +179,9 @@
         meta.closes_connection |= !relay.response_buffers.skip(body).await;
         return Ok((TryOutcome::NotRun, meta));
     }
-    let body = relay.response_buffers.read(body).await;
-    let body = body.map_err(|error| AttemptError::Lost(error.to_string()))?;
+    // What ran once only is not repeated, so its response is worth waiting for.
+    let waits_for_memory = !request.authorized.route.is_repeatable();
+    let body = relay.response_buffers.read(body, waits_for_memory).await?;
     check_seal(parts.status, &meta)?;
     let evidence = match parts.status.is_server_error() {
         true => Evidence::Failure,
@@ -205,9 +210,9 @@
 fn forward_response(
     status: StatusCode,
     headers: &hyper::HeaderMap,
-    body: Bytes,
+    body: HeldResponse,
 ) -> Response<ResponseBody> {
-    let body = Full::new(body).map_err(|never| match never {}).boxed_unsync();
+    let body = body.map_err(|never| match never {}).boxed_unsync();
     let mut response = Response::new(body);
     *response.status_mut() = status;
     *response.headers_mut() = forwarded_headers(headers);
--- a/crates/entry/src/relay/server.rs
+++ b/crates/entry/src/relay/server.rs
@@ -75,6 +75,7 @@
 /// Serves the metrics.
 pub(crate) async fn handle_metrics(relay: Arc<Relay>, _: Request<Incoming>) -> Response<Body> {
     relay.metrics.request_body_bytes.set(relay.request_bodies.held_bytes() as i64);
+    relay.metrics.response_bytes.set(relay.response_buffers.held_bytes() as i64);
     relay.metrics.caller_connections.set(relay.caller_connections.count() as i64);
     respond(StatusCode::OK, METRICS_CONTENT_TYPE, relay.metrics.encode())
 }
--- a/crates/entry/src/relay/state.rs
+++ b/crates/entry/src/relay/state.rs
@@ -151,7 +151,7 @@
             pool: ConnectionPool::default(),
             caller_connections: OpenConnections::new(settings.machine.caller_connections(), clock),
             request_bodies: RequestBodies::new(settings.machine.request_body_bytes(), clock),
-            response_buffers: ResponseBuffers::default(),
+            response_buffers: ResponseBuffers::new(settings.machine.response_bytes()),
             stages: StageQueues::default(),
             peers: Peers::new(own),
             configurations: Configurations::default(),
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -61,6 +61,11 @@
         self.memory_mb * 1024 * 1024 / 4
     }
 
+    /// Returns the memory for responses on their way to callers, in bytes; a growing buffer may take twice as much.
+    pub(crate) fn response_bytes(self) -> usize {
+        self.memory_mb * 1024 * 1024 / 8
+    }
+
     /// Returns the largest number of callers' connections: their buffers take an eighth of the memory, and
     /// each request may need a connection to an upstream.
     pub(crate) fn caller_connections(self) -> usize {
