Responses: a limit of their own, apart from events and own calls

While slow callers used up the memory for responses, a stream with events of over 16 kB was broken off: incomplete events and the relay's own calls shared the limit, which is now held for as long as callers read.

Incomplete events and own calls have half as much for themselves.

--- a/crates/entry/src/relay/attempt.rs
+++ b/crates/entry/src/relay/attempt.rs
@@ -236,8 +236,8 @@
         let request = self.own_request(Method::GET, path, Bytes::new());
         let (response, meta) = self.send(&request).await?;
         let status = response.status();
-        let body = self.relay.response_buffers.read(response.into_body(), false).await?;
-        Ok((status, meta, body.into_bytes()))
+        let body = self.relay.response_buffers.read_list(response.into_body()).await?;
+        Ok((status, meta, body))
     }
 
     /// Builds a request that the relay makes for itself.
--- a/crates/entry/src/relay/buffers.rs
+++ b/crates/entry/src/relay/buffers.rs
@@ -24,7 +24,7 @@
 /// Maximum size of the response to a call that the relay makes for itself, in bytes; the results of the
 /// largest stage call take a few kilobytes.
 const MAX_OWN_BYTES: usize = 256 * 1024;
-/// Size up to which a body or an event does not count towards the total, in bytes; nearly all are smaller,
+/// Size up to which a body or an event does not count towards the limits, in bytes; nearly all are smaller,
 /// and a thousand of them at once fit into the memory of a small instance.
 const UNCOUNTED_BYTES: usize = 16 * 1024;
 /// Size of the parts in which a body is handed to hyper, in bytes. hyper keeps a buffer as large as the
@@ -50,20 +50,13 @@
     NoMemory,
 }
 
-/// A body that was read to its end, and what it takes of the total until it is dropped.
+/// A body that was read to its end, and what it takes of its pool until it is dropped.
 #[derive(Debug)]
 pub(crate) struct HeldResponse {
     bytes: Bytes,
     _held: HeldBytes,
 }
 
-impl HeldResponse {
-    /// Returns the bytes, which no longer count.
-    pub(crate) fn into_bytes(self) -> Bytes {
-        self.bytes
-    }
-}
-
 impl Body for HeldResponse {
     type Data = Bytes;
     type Error = Infallible;
@@ -89,15 +82,24 @@
     }
 }
 
-/// Limits on the bodies that are held at the same time.
+/// Limits on the larger bodies and events that are held at the same time.
+///
+/// Responses on their way to callers have a limit of their own: slow callers may use it up for seconds, and
+/// streams and the relay's own calls must go on.
 #[derive(Debug)]
 pub(crate) struct ResponseBuffers {
-    /// Size of the larger bodies and events that may be held at the same time, in kilobytes.
+    responses: Pool,
+    others: Pool,
+}
+
+/// Memory for one use.
+#[derive(Debug)]
+struct Pool {
     limit_kb: usize,
     free_kb: Arc<Semaphore>,
 }
 
-/// What one body or event takes of the total; given back when dropped.
+/// What one body or event takes of its pool; given back when dropped.
 #[derive(Debug)]
 pub(crate) struct HeldBytes {
     free_kb: Arc<Semaphore>,
@@ -106,7 +108,7 @@
 
 impl HeldBytes {
     /// Takes as much as this number of bytes needs, or gives back what it does not need; returns false if
-    /// the total is exhausted.
+    /// the pool is exhausted.
     pub(crate) fn hold(&mut self, bytes: usize) -> bool {
         let counted_kb = counted_kb(bytes);
         let held_kb = self.permit.as_ref().map_or(0, OwnedSemaphorePermit::num_permits);
@@ -143,28 +145,27 @@
 }
 
 impl ResponseBuffers {
-    /// Limits the larger bodies and events to this many bytes, at least to one body of the largest size.
+    /// Limits the responses to callers to this many bytes and all others to half as much, each at least to one
+    /// body of the largest size.
     pub(crate) fn new(limit_bytes: usize) -> Self {
-        let limit_kb = limit_bytes.max(MAX_RESPONSE_BYTES) / 1024;
-        Self { limit_kb, free_kb: Arc::new(Semaphore::new(limit_kb)) }
+        Self { responses: Pool::new(limit_bytes), others: Pool::new(limit_bytes / 2) }
     }
 
     /// Returns the size of the larger bodies and events that are held, in bytes.
     pub(crate) fn held_bytes(&self) -> usize {
-        self.limit_kb.saturating_sub(self.free_kb.available_permits()) * 1024
+        self.responses.held_bytes() + self.others.held_bytes()
     }
 
-    /// Reads the body of a response to its end. With `waits_for_memory`, one with a stated length waits until
-    /// there is memory for it.
+    /// Reads the body of a response to a caller to its end. With `waits_for_memory`, one with a stated length
+    /// waits until there is memory for it.
     pub(crate) async fn read(
         &self,
         body: Incoming,
         waits_for_memory: bool,
     ) -> Result<HeldResponse, ReadError> {
-        let mut held = self.hold_nothing();
-        let length = body.size_hint().exact();
-        let max_bytes = if length.is_some() { MAX_RESPONSE_BYTES } else { MAX_UNSTATED_BYTES };
-        if let Some(length) = length
+        let mut held = self.responses.hold_nothing();
+        let max_bytes = max_bytes(&body);
+        if let Some(length) = body.size_hint().exact()
             && length <= max_bytes as u64
             && waits_for_memory
         {
@@ -174,14 +175,20 @@
         Ok(HeldResponse { bytes, _held: held })
     }
 
+    /// Reads a list that the relay has asked an upstream for to its end.
+    pub(crate) async fn read_list(&self, body: Incoming) -> Result<Bytes, ReadError> {
+        let max_bytes = max_bytes(&body);
+        read_limited(body, max_bytes, &mut self.hold_nothing()).await
+    }
+
     /// Reads the body of a response to a call that the relay made for itself to its end.
     pub(crate) async fn read_own(&self, body: Incoming) -> Result<Bytes, ReadError> {
         read_limited(body, MAX_OWN_BYTES, &mut self.hold_nothing()).await
     }
 
-    /// Returns a part of the total that is empty so far.
+    /// Returns what an incomplete event takes, nothing so far.
     pub(crate) fn hold_nothing(&self) -> HeldBytes {
-        HeldBytes { free_kb: self.free_kb.clone(), permit: None }
+        self.others.hold_nothing()
     }
 
     /// Reads a short body to its end without keeping it; tells whether it ended.
@@ -202,6 +209,26 @@
     }
 }
 
+impl Pool {
+    fn new(limit_bytes: usize) -> Self {
+        let limit_kb = limit_bytes.max(MAX_RESPONSE_BYTES) / 1024;
+        Self { limit_kb, free_kb: Arc::new(Semaphore::new(limit_kb)) }
+    }
+
+    fn held_bytes(&self) -> usize {
+        self.limit_kb.saturating_sub(self.free_kb.available_permits()) * 1024
+    }
+
+    fn hold_nothing(&self) -> HeldBytes {
+        HeldBytes { free_kb: self.free_kb.clone(), permit: None }
+    }
+}
+
+/// Returns the maximum size of a body, in bytes.
+fn max_bytes(body: &Incoming) -> usize {
+    if body.size_hint().exact().is_some() { MAX_RESPONSE_BYTES } else { MAX_UNSTATED_BYTES }
+}
+
 /// Returns how much a body or event counts, in kilobytes.
 fn counted_kb(bytes: usize) -> usize {
     bytes.saturating_sub(UNCOUNTED_BYTES).div_ceil(1024)
--- a/crates/entry/src/relay/pool.rs
+++ b/crates/entry/src/relay/pool.rs
@@ -195,7 +195,7 @@
     set_options(stream, Duration::from_millis(UNACKNOWLEDGED_TIMEOUT_MS))
 }
 
-/// Sets the same options; `unacknowledged_timeout` is the `TCP_USER_TIMEOUT`.
+/// Sets the same options with another `TCP_USER_TIMEOUT`.
 pub(crate) fn set_options(
     stream: &TcpStream,
     unacknowledged_timeout: Duration,
