Crash records: a write without a reply is not taken for one without effect

A sound request could be refused after a loss of all entries: its first crash record was written, the reply was lost, and the request completed before the write was repeated. The entry, which knew of no object, deleted none.

After such a write the entry trusts nothing it has stored: it repeats the write, or reads the object and deletes it if nothing is left to record. Beside it, only an entry that may have had an object reads it after a restore of the platform, so that hundreds don't read at once; a unit test compares both.

--- a/crates/core/src/quarantine/crashes/record.rs
+++ b/crates/core/src/quarantine/crashes/record.rs
@@ -138,8 +138,12 @@
     stored: BTreeSet<(CrashKey, bool)>,
     /// Revision of the object; none if there is none.
     revision: Option<u64>,
+    /// Whether there may have been an object since the start.
+    has_existed: bool,
     /// Whether the platform has been restored from a copy, whose object is not known.
     must_read: bool,
+    /// Whether the outcome of the last write is not known.
+    is_uncertain: bool,
     /// Number of calls that have failed since the last successful one.
     failures: u32,
     /// Time before which nothing is written, in milliseconds.
@@ -176,6 +180,7 @@
     /// Takes over what the platform holds of an earlier run of this entry.
     pub fn take_over(&mut self, suspects: &[RecordedSuspect], revision: u64) {
         self.revision = Some(revision);
+        self.has_existed = true;
         self.stored.extend(keys_of(suspects));
         for suspect in suspects {
             for it in &suspect.crashes {
@@ -191,12 +196,12 @@
 
     /// Records that the platform was restored from a copy, which may lack the object or hold an earlier one.
     pub fn on_platform_restored(&mut self) {
-        self.must_read = true;
+        self.must_read |= self.has_existed;
     }
 
     /// Tells whether there is neither an object nor a crash that could be recorded.
     pub fn is_empty(&self) -> bool {
-        self.observed.is_empty() && self.revision.is_none() && !self.must_read
+        self.observed.is_empty() && self.revision.is_none() && !self.must_read && !self.is_uncertain
     }
 
     /// Returns the time after which a call may be due without another crash, in milliseconds; none if
@@ -224,7 +229,7 @@
         let wanted = self.wanted(tracker, now_ms);
         let keys = keys_of(&wanted);
         let exists = self.revision.is_some();
-        if keys == self.stored && exists != keys.is_empty() {
+        if keys == self.stored && exists != keys.is_empty() && !self.is_uncertain {
             self.removal_due_ms = None;
             return None;
         }
@@ -235,7 +240,7 @@
             }
         }
         match self.revision {
-            None if keys.is_empty() => None,
+            None if keys.is_empty() => self.is_uncertain.then_some(RecordCall::Read),
             None => Some(RecordCall::Create(wanted)),
             Some(revision) if keys.is_empty() => Some(RecordCall::Delete { revision }),
             Some(revision) => Some(RecordCall::Replace { revision, suspects: wanted }),
@@ -245,9 +250,11 @@
     /// Records the outcome of a call.
     pub fn on_outcome(&mut self, call: &RecordCall, outcome: RecordOutcome, now_ms: u64) {
         self.removal_due_ms = None;
+        self.is_uncertain &= outcome == RecordOutcome::Unknown;
         match outcome {
             RecordOutcome::Done(revision) => {
                 self.revision = revision;
+                self.has_existed |= revision.is_some();
                 self.stored = match call {
                     RecordCall::Create(suspects) | RecordCall::Replace { suspects, .. } => {
                         keys_of(suspects)
@@ -267,6 +274,11 @@
             RecordOutcome::Unknown => {
                 let delay_ms = MIN_RETRY_MS << self.failures.min(8);
                 self.failures += 1;
+                if *call != RecordCall::Read {
+                    self.is_uncertain = true;
+                    self.has_existed = true;
+                    self.stored.clear();
+                }
                 self.not_before_ms = now_ms + delay_ms.min(MAX_RETRY_MS);
             }
         }
--- a/crates/core/src/quarantine/crashes/record/tests.rs
+++ b/crates/core/src/quarantine/crashes/record/tests.rs
@@ -199,3 +199,19 @@
     assert!(recorded.iter().all(|it| it.crashes.len() == 2));
     assert_eq!(entry.next_call(WRITE_INTERVAL_MS), None);
 }
+
+/// A restore of the platform must not make hundreds of entries read at once.
+#[test]
+fn only_an_entry_that_has_had_a_record_reads_it_after_a_restore_of_the_platform() {
+    let mut entry = Entry::default();
+    entry.record.on_platform_restored();
+    assert_eq!((entry.next_call(0), entry.record.next_check_ms(0)), (None, None));
+    entry.crash(1, 0);
+    entry.write(7, 0);
+    entry.record.on_platform_restored();
+    let read = RecordCall::Read;
+    assert_eq!(entry.next_call(WRITE_INTERVAL_MS), Some(read.clone()));
+    entry.record.on_outcome(&read, RecordOutcome::Conflict(None), WRITE_INTERVAL_MS);
+    let create = entry.next_call(WRITE_INTERVAL_MS);
+    assert!(matches!(create, Some(RecordCall::Create(_))), "{create:?}");
+}
--- a/crates/core/tests/crashes_fuzz.rs
+++ b/crates/core/tests/crashes_fuzz.rs
@@ -37,6 +37,7 @@
     2 Crash { upstream: usize = 0..UPSTREAMS }
     8 Gossip { from: usize = 0..ENTRIES, to: usize = 0..ENTRIES }
     4 Record { entry: usize = 0..ENTRIES }
+    1 RecordWithoutReply { entry: usize = 0..ENTRIES }
     1 CopyPlatform { entry: usize = 0..ENTRIES }
     1 RestorePlatform { entry: usize = 0..ENTRIES }
     2 Advance { ms: u64 = 1..300_u64 }
@@ -159,6 +160,13 @@
         self.record.on_outcome(&call, outcome, now_ms);
     }
 
+    /// Makes the call that is due, if any, and loses the platform's reply.
+    fn record_without_reply(&mut self, now_ms: u64) {
+        let Some(call) = self.record.next_call(&self.tracker, now_ms) else { return };
+        self.platform.make(&call);
+        self.record.on_outcome(&call, RecordOutcome::Unknown, now_ms);
+    }
+
     /// Restores the platform from its copy.
     fn restore_platform(&mut self) {
         self.platform = self.copy.clone();
@@ -224,6 +232,9 @@
             Step::Crash { upstream } => self.crash(upstream),
             Step::Gossip { from, to } => self.gossip(from, to),
             Step::Record { entry } => self.entries[entry].record(self.now_ms),
+            Step::RecordWithoutReply { entry } => {
+                self.entries[entry].record_without_reply(self.now_ms);
+            }
             Step::CopyPlatform { entry } => {
                 let Entry { platform, copy, .. } = &mut self.entries[entry];
                 copy.clone_from(platform);
