--- a/crates/entry/src/relay/crash_record.rs
+++ b/crates/entry/src/relay/crash_record.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use hyper::Method;
-use log::{info, warn};
+use log::{debug, info, warn};
 use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 use yuccatrail_adapter::{
@@ -55,8 +55,7 @@
 
     /// Records that the entry has a configuration.
     pub(crate) fn set_configured(&self, now_ms: u64) {
-        // Later configurations change nothing.
-        let _ = self.configured_ms.set(now_ms);
+        self.configured_ms.get_or_init(|| now_ms);
     }
 
     /// Tells whether requests may be decided on: the records have been read, or that takes too long.
@@ -71,8 +70,9 @@
         }
         let limit = Duration::from_millis(self.hold_ms(now_ms));
         let mut is_restored = self.is_restored.subscribe();
-        // A timeout and a sender that is gone both end the wait.
-        let _ = tokio::time::timeout(limit, is_restored.wait_for(|it| *it)).await;
+        if tokio::time::timeout(limit, is_restored.wait_for(|it| *it)).await.is_err() {
+            debug!("a request is decided on without the recorded crashes");
+        }
     }
 
     /// Returns for how long requests are still held at most, in milliseconds.
--- a/crates/entry/src/relay/pool.rs
+++ b/crates/entry/src/relay/pool.rs
@@ -149,7 +149,7 @@
         let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
         let connecting = tokio::time::timeout(limit, TcpStream::connect(address)).await;
         let stream = connecting.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))?;
-        set_socket_options(&stream)?;
+        set_socket_options(&stream, UNACKNOWLEDGED_TIMEOUT_MS)?;
         let head_limit = Arc::new(HeadLimit::default());
         let end_hold = Arc::new(EndHold::default());
         let stream = EndCheckedStream::new(stream, end_hold.clone());
@@ -191,14 +191,9 @@
 }
 
 /// Sets the options that detect a peer that has silently gone, and disables Nagle's algorithm.
-fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
-    set_options(stream, Duration::from_millis(UNACKNOWLEDGED_TIMEOUT_MS))
-}
-
-/// Sets the same options with another `TCP_USER_TIMEOUT`.
-pub(crate) fn set_options(
+pub(crate) fn set_socket_options(
     stream: &TcpStream,
-    unacknowledged_timeout: Duration,
+    unacknowledged_timeout_ms: u64,
 ) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
@@ -207,5 +202,5 @@
         .with_interval(Duration::from_secs(KEEPALIVE_INTERVAL_S))
         .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(unacknowledged_timeout))
+    socket.set_tcp_user_timeout(Some(Duration::from_millis(unacknowledged_timeout_ms)))
 }
--- a/crates/entry/src/relay/server.rs
+++ b/crates/entry/src/relay/server.rs
@@ -1,6 +1,6 @@
 //! HTTP servers for callers, readiness checks and metrics.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use log::warn;
@@ -11,7 +11,7 @@
     http::{Body, METRICS_CONTENT_TYPE, respond},
 };
 
-use crate::relay::{connection::serve_connection, pool::set_options, state::Relay};
+use crate::relay::{connection::serve_connection, pool::set_socket_options, state::Relay};
 
 /// Time after which the connection of a caller that takes no more bytes is closed (`TCP_USER_TIMEOUT`), in
 /// milliseconds. The kernel counts a slow reader's closed window like a peer that has gone, and such a
@@ -55,8 +55,7 @@
         async move { connections.until_room(|| bodies.evict_stalled()).await }
     };
     accept_with_room(&listener, &stop, until_room, |stream| {
-        let timeout = Duration::from_millis(UNACKNOWLEDGED_TIMEOUT_MS);
-        if let Err(error) = set_options(&stream, timeout) {
+        if let Err(error) = set_socket_options(&stream, UNACKNOWLEDGED_TIMEOUT_MS) {
             warn!(error:% = error; "failed to set socket options of a caller's connection");
         }
         let open = relay.caller_connections.open(|| relay.request_bodies.evict_stalled());
--- a/crates/entry/src/relay/updates.rs
+++ b/crates/entry/src/relay/updates.rs
@@ -125,9 +125,13 @@
                 false
             }
         };
-        if is_empty {
-            return;
+        if !is_empty {
+            self.publish(update);
         }
+    }
+
+    /// Keeps an update for followers and starts what it has made possible.
+    fn publish(self: &Arc<Self>, update: PlatformUpdate) {
         lock(&self.updates.log).append(update);
         self.updates.notify();
         self.stages.start_all_calls(self);
@@ -140,9 +144,7 @@
         let revision = self.upstreams().revisions().upstreams;
         self.upstreams().update(ListUpdate::Part(records.clone()), revision, self.now_ms());
         let changes = records.into_iter().map(UpstreamChange::Listed).collect();
-        lock(&self.updates.log).append(PlatformUpdate::UpstreamChanges { revision, changes });
-        self.updates.notify();
-        self.stages.start_all_calls(self);
+        self.publish(PlatformUpdate::UpstreamChanges { revision, changes });
     }
 
     /// Applies the entries of a list of which only a part could be read.
