Tests: a response that is being written is not idle

The limit on idle connections could end a response whose last part the caller had no room for. Nothing failed with that part of the mechanism switched off; this unit test does.

--- a/crates/entry/src/relay/connection/activity.rs
+++ b/crates/entry/src/relay/connection/activity.rs
@@ -254,3 +254,6 @@
         self.since = Instant::now();
     }
 }
+
+#[cfg(test)]
+mod tests;
