--- /dev/null
+++ b/review/harness-3/src/main.rs
@@ -0,0 +1,53 @@
+//! Runs one case: `review-harness-3 CASE OUTPUT-FOLDER`, in the root of the repository.
+//!
+//! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+
+mod early_reset;
+mod extra_stage_answer;
+mod http;
+mod stack;
+mod stage;
+mod store;
+
+use std::{path::PathBuf, process::ExitCode, time::Duration};
+
+use stack::Record;
+
+const LIMIT: Duration = Duration::from_secs(110);
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let mut arguments = std::env::args().skip(1);
+    let case = arguments.next().unwrap_or_default();
+    let output = PathBuf::from(arguments.next().unwrap_or_default());
+    let logs = std::env::var_os("REVIEW_LOGS").map_or_else(std::env::temp_dir, PathBuf::from);
+    let has_trouble = std::env::var("TROUBLE").map_or(true, |it| it != "0");
+    let record = Record::new();
+    record.add(format!("case {case}, trouble: {has_trouble}"));
+    let running = async {
+        match case.as_str() {
+            "extra-stage-answer" => extra_stage_answer::run(&record, &logs, has_trouble).await,
+            "early-reset" => early_reset::run(&record, &logs, has_trouble).await,
+            _ => Err(std::io::Error::other("unknown case")),
+        }
+    };
+    let result = tokio::time::timeout(LIMIT, running).await;
+    let code = match result {
+        Ok(Ok(false)) => 0,
+        Ok(Ok(true)) => 1,
+        Ok(Err(error)) => {
+            record.add(format!("could not run: {error}"));
+            2
+        }
+        Err(_) => {
+            record.add("could not run: it took too long");
+            2
+        }
+    };
+    record.add(format!("exit {code}"));
+    if let Err(error) = record.write(&output.join("record.txt")) {
+        eprintln!("{error}");
+        return ExitCode::from(2);
+    }
+    ExitCode::from(code)
+}
