--- a/review/harness-3/src/main.rs
+++ b/review/harness-3/src/main.rs
@@ -5,6 +5,7 @@
 mod early_reset;
 mod extra_stage_answer;
 mod http;
+mod repeated_rejection;
 mod stack;
 mod stage;
 mod store;
@@ -28,6 +29,7 @@
         match case.as_str() {
             "extra-stage-answer" => extra_stage_answer::run(&record, &logs, has_trouble).await,
             "early-reset" => early_reset::run(&record, &logs, has_trouble).await,
+            "repeated-rejection" => repeated_rejection::run(&record, &logs, has_trouble).await,
             _ => Err(std::io::Error::other("unknown case")),
         }
     };
--- a/review/harness-3/src/stage.rs
+++ b/review/harness-3/src/stage.rs
@@ -12,7 +12,10 @@
 };
 
 use serde_json::{Value, json};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::{JoinHandle, JoinSet},
+};
 
 use crate::{
     http::{Connection, Message, encode},
@@ -35,6 +38,7 @@
 pub struct StageServer {
     pub id: String,
     pub address: SocketAddr,
+    accepting: Option<Arc<JoinHandle<()>>>,
     results: Results,
     record: Record,
     next_handle: Arc<AtomicU64>,
@@ -58,8 +62,9 @@
         (call_ms, piece_us): (u64, u64),
     ) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let server = Self {
+        let mut server = Self {
             id: id.to_owned(),
+            accepting: None,
             address: listener.local_addr()?,
             results: results.clone(),
             record: record.clone(),
@@ -72,14 +77,26 @@
             piece_us,
         };
         let served = server.clone();
-        tokio::spawn(async move {
+        let accepting = tokio::spawn(async move {
+            let mut connections = JoinSet::new();
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(served.clone().serve(stream));
+                connections.spawn(served.clone().serve(stream));
             }
         });
+        server.accepting = Some(Arc::new(accepting));
         Ok(server)
     }
 
+    /// Ends the server with its connections; its results are lost.
+    pub fn crash(&self) {
+        if let Some(accepting) = &self.accepting {
+            accepting.abort();
+        }
+        let holder = format!("{}/", self.address);
+        self.results.lock().unwrap().retain(|handle, _| !handle.starts_with(&holder));
+        self.record.add(format!("{}: crashes", self.id));
+    }
+
     async fn serve(self, stream: TcpStream) {
         let mut connection = Connection::new(stream);
         // A copy of the last answer, to be sent where the next one is expected.
