--- a/review/harness-3/src/main.rs
+++ b/review/harness-3/src/main.rs
@@ -6,6 +6,7 @@
 mod extra_stage_answer;
 mod http;
 mod repeated_rejection;
+mod silent_watches;
 mod stack;
 mod stage;
 mod store;
@@ -30,6 +31,7 @@
             "extra-stage-answer" => extra_stage_answer::run(&record, &logs, has_trouble).await,
             "early-reset" => early_reset::run(&record, &logs, has_trouble).await,
             "repeated-rejection" => repeated_rejection::run(&record, &logs, has_trouble).await,
+            "silent-watches" => silent_watches::run(&record, &logs, has_trouble).await,
             _ => Err(std::io::Error::other("unknown case")),
         }
     };
