--- a/review/harness-3/src/main.rs
+++ b/review/harness-3/src/main.rs
@@ -22,7 +22,14 @@
     let mut arguments = std::env::args().skip(1);
     let case = arguments.next().unwrap_or_default();
     let output = PathBuf::from(arguments.next().unwrap_or_default());
-    let logs = std::env::var_os("REVIEW_LOGS").map_or_else(std::env::temp_dir, PathBuf::from);
+    // Logs are kept only where REVIEW_LOGS names a folder.
+    let kept_logs = std::env::var_os("REVIEW_LOGS").map(PathBuf::from);
+    let temporary = std::env::temp_dir().join(format!("review-3-{}-logs", std::process::id()));
+    let logs = kept_logs.clone().unwrap_or_else(|| temporary.clone());
+    if let Err(error) = std::fs::create_dir_all(&logs) {
+        eprintln!("{error}");
+        return ExitCode::from(2);
+    }
     let has_trouble = std::env::var("TROUBLE").map_or(true, |it| it != "0");
     let record = Record::new();
     record.add(format!("case {case}, trouble: {has_trouble}"));
@@ -35,7 +42,14 @@
             _ => Err(std::io::Error::other("unknown case")),
         }
     };
-    let result = tokio::time::timeout(LIMIT, running).await;
+    // Dropping the case ends the processes that it has started.
+    let result = tokio::select! {
+        result = tokio::time::timeout(LIMIT, running) => result,
+        () = until_stopped() => Ok(Err(std::io::Error::other("stopped by a signal"))),
+    };
+    if kept_logs.is_none() {
+        let _ = std::fs::remove_dir_all(&temporary);
+    }
     let code = match result {
         Ok(Ok(false)) => 0,
         Ok(Ok(true)) => 1,
@@ -55,3 +69,16 @@
     }
     ExitCode::from(code)
 }
+
+async fn until_stopped() {
+    use tokio::signal::unix::{SignalKind, signal};
+    let (Ok(mut terminate), Ok(mut interrupt)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
