--- a/crates/agent/src/upstream.rs
+++ b/crates/agent/src/upstream.rs
@@ -10,7 +10,7 @@
     io,
     net::SocketAddr,
     sync::{
-        Mutex, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicUsize, Ordering},
     },
     time::Duration,
@@ -31,9 +31,12 @@
 use rustc_hash::FxHasher;
 use serde::Deserialize;
 use tower_service::Service;
-use yuccatrail_core::{agent::ProbeResult, ids::AttemptId};
+use yuccatrail_core::{agent::ProbeResult, ids::AttemptId, upstreams::ResponseEnds};
 use yuccatrail_rpc::messages::{ResponseForm, UpstreamCall};
-use yuccatrail_runtime::http::{BodyFraming, is_expected_status};
+use yuccatrail_runtime::{
+    http::{BodyFraming, is_expected_status},
+    response_end::ResponseEnd,
+};
 
 use self::connect::BootConnector;
 
@@ -124,6 +127,8 @@
     boot_id: Option<u64>,
     connector: BootConnector,
     client: Client<BootConnector, Full<Bytes>>,
+    /// How the boot's responses without a length have ended.
+    response_ends: Arc<Mutex<ResponseEnds>>,
 }
 
 impl UpstreamClient {
@@ -188,7 +193,7 @@
     fn new(connector: HttpConnector, address: SocketAddr, boot_id: Option<u64>) -> Self {
         let connector = BootConnector::new(connector, address, boot_id);
         let client = client_builder().build(connector.clone());
-        Self { address, boot_id, connector, client }
+        Self { address, boot_id, connector, client, response_ends: Arc::default() }
     }
 
     /// Makes a call and passes the request limit that its response states to `on_limit`, and each chunk
@@ -205,6 +210,12 @@
             return Err(CallError::NotConnected);
         };
         let response = map_send_error(self.client.request(request).await)?;
+        let end = response.extensions().get::<ResponseEnd>().cloned().unwrap_or_default();
+        let framing = BodyFraming::of(response.status(), response.headers());
+        // A stream has a final event.
+        if framing != BodyFraming::Close || form == ResponseForm::Events {
+            end.set_marked();
+        }
         // The request has no headers that ask for a special status.
         if !is_expected_status(response.status(), &HeaderMap::new()) {
             return Err(CallError::Lost);
@@ -222,11 +233,10 @@
             read_events(chunks, on_chunk).await?;
             return Ok(head);
         }
-        let framing = BodyFraming::of(response.status(), response.headers());
         let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await;
         let body = body.map_err(|_| CallError::Lost)?.to_bytes();
-        if framing == BodyFraming::Close && !self.is_running().await {
-            return Err(CallError::Lost);
+        if framing == BodyFraming::Close {
+            self.confirm_end(&end).await?;
         }
         if is_server_error(head.status) {
             return Err(CallError::Status(head.status));
@@ -235,6 +245,22 @@
         Ok(head)
     }
 
+    /// Waits until a response that ended with its connection is known to be whole.
+    async fn confirm_end(&self, end: &ResponseEnd) -> Result<(), CallError> {
+        let limit = Duration::from_millis(self.response_ends().confirmation_ms());
+        let confirmed = end.confirm(limit).await;
+        if confirmed.is_err() || !self.is_running().await {
+            self.response_ends().record_failure();
+            return Err(CallError::Lost);
+        }
+        self.response_ends().record_whole();
+        Ok(())
+    }
+
+    fn response_ends(&self) -> MutexGuard<'_, ResponseEnds> {
+        self.response_ends.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Tells whether the boot still answers; its connections also end if it crashes.
     async fn is_running(&self) -> bool {
         let Ok(uri) = self.url("/health").parse::<Uri>() else { return false };
--- a/crates/agent/src/upstream/connect.rs
+++ b/crates/agent/src/upstream/connect.rs
@@ -57,7 +57,7 @@
             // The error remains in the source chain, by which a refused connection is
             // distinguished.
             let connection = connecting.await.map_err(io::Error::other)?;
-            let connection = TokioIo::new(EndCheckedStream::unannounced(connection.into_inner()));
+            let connection = TokioIo::new(EndCheckedStream::new(connection.into_inner()));
             let (connection, boot_id) = fetch_boot_id(connection, address).await?;
             if expected.is_some_and(|it| it != boot_id) {
                 return Err(io::Error::other("the upstream has been restarted"));
--- a/crates/agent/src/upstream/tests.rs
+++ b/crates/agent/src/upstream/tests.rs
@@ -200,16 +200,18 @@
     address
 }
 
-/// Guards against MIXED: the end of the connection after a part, while the request was still being written,
-/// made that part a complete response.
+/// Guards against MIXED: the end of the connection after a part made that part a complete response, although
+/// a reset followed, whether the request had been read or not.
 #[tokio::test]
-async fn a_part_of_a_response_to_an_unfinished_request_is_lost() {
+async fn a_part_of_a_response_before_a_reset_is_lost() {
     let client = UpstreamClient::new(start_engine_that_breaks_off().await);
     let attempt =
         AttemptId { request: RequestId(7), stage: StageIndex(0), number: 0, entry: Incarnation(1) };
-    let call = UpstreamCall { body: vec![b'u'; 4 << 20].into(), ..plain_call() };
-    let result = client.current_boot().call(attempt, call, |_| {}, |_| {}).await;
-    assert_eq!(result, Err(CallError::Lost));
+    for body_bytes in [4 << 20, 15_000, 1_000] {
+        let call = UpstreamCall { body: vec![b'u'; body_bytes].into(), ..plain_call() };
+        let result = client.current_boot().call(attempt, call, |_| {}, |_| {}).await;
+        assert_eq!(result, Err(CallError::Lost), "{body_bytes} bytes");
+    }
 }
 
 /// Engine whose responses have a status, but for those of its health endpoint.
--- a/crates/core/src/upstreams/calls.rs
+++ b/crates/core/src/upstreams/calls.rs
@@ -110,6 +110,9 @@
         self.end_at_version(key, end);
         let Some(upstream) = self.all.get_mut(key) else { return };
         upstream.in_flight = upstream.in_flight.saturating_sub(1);
+        if matches!(end, CallEnd::Failed | CallEnd::Unreachable) {
+            upstream.response_ends.record_failure();
+        }
         match end {
             CallEnd::Answered { latency_ms } => {
                 upstream.connect_failures = 0;
--- a/crates/core/src/upstreams/record.rs
+++ b/crates/core/src/upstreams/record.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     request_limit::RequestLimit,
-    upstreams::{ColdShare, HeldMemory, Occupancy, Rest},
+    upstreams::{ColdShare, HeldMemory, Occupancy, ResponseEnds, Rest},
 };
 
 new_key_type! {
@@ -126,6 +126,8 @@
     pub(crate) request_limit: RequestLimit,
     /// This entry's share of its memory, and what its requests hold there.
     pub(crate) memory: HeldMemory,
+    /// How its responses without a length have ended.
+    pub(crate) response_ends: ResponseEnds,
 }
 
 impl Upstream {
@@ -153,6 +155,7 @@
             rest: Rest::default(),
             request_limit: RequestLimit::default(),
             memory: HeldMemory::default(),
+            response_ends: ResponseEnds::default(),
         }
     }
 
--- a/crates/core/src/upstreams/tests.rs
+++ b/crates/core/src/upstreams/tests.rs
@@ -444,3 +444,20 @@
     assert_eq!(state(Some(1e300), 500).1, 10.0);
     assert_eq!(state(Some(1e-300), 600).1, 0.5);
 }
+
+/// Guards against MIXED: an upstream in trouble has to prove itself again before its ends are believed soon.
+#[test]
+fn a_failed_call_takes_the_proof_of_whole_responses_away() {
+    for end in [CallEnd::Failed, CallEnd::Unreachable] {
+        let mut upstreams = upstreams(vec![record("a", "x")]);
+        let key = upstreams.key_of("a").unwrap();
+        let unproven_ms = upstreams.confirmation_ms(key);
+        for _ in 0..3 {
+            upstreams.record_whole_response(key);
+        }
+        assert!(upstreams.confirmation_ms(key) < unproven_ms);
+        assert!(upstreams.begin(key, 1));
+        upstreams.end(key, end, 2);
+        assert_eq!(upstreams.confirmation_ms(key), unproven_ms, "{end:?}");
+    }
+}
--- a/crates/entry/src/relay/attempt.rs
+++ b/crates/entry/src/relay/attempt.rs
@@ -1,6 +1,6 @@
 //! One call to one upstream, which counts as in flight there until it ends.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
@@ -189,6 +189,7 @@
             return Err(AttemptError::Damaged("it belongs to another request".to_owned()));
         }
         if meta.is_not_run {
+            self.mark_end();
             self.end(match (meta.is_replaced, meta.requested_rest_s) {
                 (true, _) => CallEnd::Replaced,
                 (false, Some(_)) => CallEnd::Rests,
@@ -218,6 +219,7 @@
     ) -> Result<(StatusCode, ResponseMeta, Bytes), AttemptError> {
         let request = self.own_request(Method::POST, path, body);
         let (response, mut meta) = self.send(&request).await?;
+        self.mark_end();
         let status = response.status();
         if meta.is_not_run {
             let is_whole = self.relay.response_buffers.skip(response.into_body()).await;
@@ -235,11 +237,41 @@
     ) -> Result<(StatusCode, ResponseMeta, Bytes), AttemptError> {
         let request = self.own_request(Method::GET, path, Bytes::new());
         let (response, meta) = self.send(&request).await?;
+        self.mark_end();
         let status = response.status();
         let body = self.relay.response_buffers.read_list(response.into_body()).await?;
         Ok((status, meta, body))
     }
 
+    /// States that the response shows by itself whether it is whole: the head of a rejection decides, and a
+    /// part of a JSON document can't be decoded.
+    fn mark_end(&self) {
+        if let Some(connection) = &self.connection {
+            connection.response_end().set_marked();
+        }
+    }
+
+    /// Waits until a response that ended with its connection is known to be whole, at most half of the time
+    /// that the request has left, so that it still arrives in time.
+    pub(crate) async fn confirm_end(
+        &self,
+        limit_ms: u64,
+        remaining_ms: u64,
+    ) -> Result<(), AttemptError> {
+        let Some(connection) = &self.connection else { return Ok(()) };
+        let end = connection.response_end();
+        if !end.is_unconfirmed() {
+            return Ok(());
+        }
+        let wait_ms = limit_ms.min(remaining_ms / 2);
+        let confirmed = end.confirm(Duration::from_millis(wait_ms)).await;
+        confirmed.map_err(|it| AttemptError::Lost(it.to_string()))?;
+        if wait_ms == limit_ms {
+            self.relay.upstreams().record_whole_response(self.key);
+        }
+        Ok(())
+    }
+
     /// Builds a request that the relay makes for itself.
     fn own_request(&self, method: Method, path: &'static str, body: Bytes) -> UpstreamRequest {
         UpstreamRequest {
--- a/crates/entry/src/relay/plain.rs
+++ b/crates/entry/src/relay/plain.rs
@@ -71,12 +71,16 @@
         let limit_ms = try_timeout_ms(request, runs + 1 < max_runs, relay.now_ms());
         let limit = Duration::from_millis(limit_ms);
         let outcome = tokio::time::timeout(limit, try_once(relay, request, &mut attempt)).await;
-        let outcome = outcome.unwrap_or_else(|_| {
-            // The call took at least as long, which shows a slow version.
-            let evidence = Evidence::Plain { took_ms: limit_ms };
-            attempt.record_evidence(&request.authorized.route.name, evidence);
-            Err(AttemptError::Lost(format!("none within {limit_ms} ms")))
-        });
+        let outcome = match outcome {
+            Ok(Ok(response)) => confirm_end(relay, request, &attempt).await.map(|()| response),
+            Ok(Err(error)) => Err(error),
+            Err(_) => {
+                // The call took at least as long, which shows a slow version.
+                let evidence = Evidence::Plain { took_ms: limit_ms };
+                attempt.record_evidence(&request.authorized.route.name, evidence);
+                Err(AttemptError::Lost(format!("none within {limit_ms} ms")))
+            }
+        };
         match outcome {
             Ok((result, meta)) => {
                 attempt.finish(&meta);
@@ -207,6 +211,17 @@
     Ok((outcome, meta))
 }
 
+/// Waits until the response is known to be whole. That is no work of the upstream and does not count towards
+/// the timeout of the attempt.
+async fn confirm_end(
+    relay: &Relay,
+    request: &CallerRequest,
+    attempt: &Attempt,
+) -> Result<(), AttemptError> {
+    let limit_ms = relay.upstreams().confirmation_ms(attempt.key);
+    attempt.confirm_end(limit_ms, request.remaining_ms(relay.now_ms())).await
+}
+
 fn forward_response(
     status: StatusCode,
     headers: &hyper::HeaderMap,
--- a/crates/entry/src/relay/pool.rs
+++ b/crates/entry/src/relay/pool.rs
@@ -14,11 +14,7 @@
 use bytes::Bytes;
 use derive_more::{Display, Error, From};
 use http_body_util::Full;
-use hyper::{
-    Request, Response,
-    body::{Body, Incoming},
-    client::conn::http1,
-};
+use hyper::{Request, Response, body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use log::debug;
 use socket2::{SockRef, TcpKeepalive};
@@ -26,7 +22,7 @@
 use yuccatrail_core::{FastMap, upstreams::UpstreamKey};
 use yuccatrail_runtime::{
     http::BodyFraming,
-    response_end::{EndCheckedStream, EndHold},
+    response_end::{EndCheckedStream, ResponseEnd},
 };
 
 use crate::relay::{pool::head_limit::HeadLimit, state::lock};
@@ -72,7 +68,7 @@
 pub(crate) struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     head_limit: Arc<HeadLimit>,
-    end_hold: Arc<EndHold>,
+    response_end: ResponseEnd,
     driver: JoinHandle<()>,
 }
 
@@ -151,8 +147,8 @@
         let stream = connecting.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))?;
         set_socket_options(&stream, UNACKNOWLEDGED_TIMEOUT_MS)?;
         let head_limit = Arc::new(HeadLimit::default());
-        let end_hold = Arc::new(EndHold::default());
-        let stream = EndCheckedStream::new(stream, end_hold.clone());
+        let stream = EndCheckedStream::new(stream);
+        let response_end = stream.response_end();
         let io = TokioIo::new(head_limit.apply(stream));
         let mut builder = http1::Builder::new();
         builder.max_buf_size(READ_BUFFER_BYTES);
@@ -163,7 +159,7 @@
                 debug!(error:% = error; "connection to an upstream failed");
             }
         });
-        Ok(Self { sender, head_limit, end_hold, driver })
+        Ok(Self { sender, head_limit, response_end, driver })
     }
 
     /// Sends a request and waits for the response headers.
@@ -175,7 +171,6 @@
             return Err(SendError::NotSent);
         }
         self.head_limit.begin();
-        self.end_hold.begin(request.body().size_hint().exact().unwrap_or(u64::MAX));
         let response = self.sender.try_send_request(request).await.map_err(|mut error| {
             if error.take_message().is_some() {
                 return SendError::NotSent;
@@ -184,10 +179,15 @@
         })?;
         self.head_limit.lift();
         if BodyFraming::of(response.status(), response.headers()) != BodyFraming::Close {
-            self.end_hold.release();
+            self.response_end.set_marked();
         }
         Ok(response)
     }
+
+    /// Returns the end of the last response.
+    pub(crate) fn response_end(&self) -> &ResponseEnd {
+        &self.response_end
+    }
 }
 
 /// Sets the options that detect a peer that has silently gone, and disables Nagle's algorithm.
--- a/crates/entry/src/relay/stream.rs
+++ b/crates/entry/src/relay/stream.rs
@@ -23,7 +23,7 @@
     quarantine::{PartVerdict, SOUND_EVENTS},
     retry_share::RetryCause,
     stage_graph::ResultHandle,
-    upstreams::{Affinity, UpstreamKey},
+    upstreams::{Affinity, LONG_CONFIRMATION_MS, UpstreamKey},
 };
 use yuccatrail_runtime::http::BodyFraming;
 
@@ -279,8 +279,17 @@
                     }
                 }
                 Ok(None) if self.framer.is_empty() => {
-                    self.finish();
-                    return None;
+                    // Only the end of the response waits, the caller has all events.
+                    let remaining_ms = self.call.request.remaining_ms(self.call.relay.now_ms());
+                    let confirmed =
+                        source.attempt.confirm_end(LONG_CONFIRMATION_MS, remaining_ms).await;
+                    let Err(error) = confirmed else {
+                        self.finish();
+                        return None;
+                    };
+                    if let Err(error) = self.resume(&error.to_string()).await {
+                        return Some(Err(error));
+                    }
                 }
                 Ok(None) => {
                     if let Err(error) = self.resume("stream ended inside an event").await {
--- a/crates/runtime/src/response_end.rs
+++ b/crates/runtime/src/response_end.rs
@@ -1,135 +1,146 @@
-//! Connections on which the end of a response is believed only once its request has been received.
+//! Connections on which the end of a response can be told from a reset.
 //!
-//! A response of HTTP/1 may have no length and end with its connection. A server in trouble may respond to
-//! a long request at once, close its side after a part of the response and reset the connection, since
-//! it never reads the rest of the request. hyper takes the closed side as the end and does not learn of
-//! the reset. Such an end is therefore held back until the request has been written, and a little longer:
-//! a reset in that time makes the response incomplete.
+//! A response of HTTP/1 may have no length and end with its connection. A server in trouble may close its
+//! side after a part of the response and reset the connection then. After the closed side, the system
+//! reports the end again and again; only the error of the socket shows the reset, and hyper closes the
+//! socket at the end. A connection therefore keeps its socket open until the reader of the response has
+//! had the time to wait for a reset.
 
 use std::{
     io::{self, IoSlice},
+    mem,
     pin::Pin,
-    sync::{
-        Arc, Mutex, PoisonError,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     task::{Context, Poll, Waker, ready},
     time::Duration,
 };
 
 use hyper_util::client::legacy::connect::{Connected, Connection};
-use log::debug;
-use socket2::SockRef;
+use log::{debug, info};
+use socket2::{SockRef, Socket};
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
+    io::{AsyncRead, AsyncWrite, Interest, ReadBuf},
     net::TcpStream,
-    time::Sleep,
+    time::Instant,
 };
 
-/// Time for which an end is held back after the request has been written; a server that closes the
-/// connection without having read all of it resets it at that moment.
-const HOLD_TIME: Duration = Duration::from_millis(200);
-/// Size from which on a request may still be on its way when its response begins, in bytes.
-const LONG_REQUEST_BYTES: u64 = 16 * 1024;
 /// Bytes that the system takes over before it has sent them. Without a limit, a request of megabytes
 /// would count as written although the server has received little of it.
 const UNSENT_BYTES: u32 = 16 * 1024;
 
-/// Tells a connection whether the end of the current response is held back.
+/// What is known about the end of the response in progress.
 #[derive(Debug, Default)]
-pub struct EndHold {
-    is_set: AtomicBool,
-    /// Task that waits for a held end.
-    reader: Mutex<Option<Waker>>,
+enum EndState {
+    /// The connection has not ended, and its end may be that of the response.
+    #[default]
+    Open,
+    /// The response marks its end itself.
+    Marked,
+    /// The connection has ended; its socket, or why that could not be kept.
+    Ended(io::Result<Socket>),
 }
 
-impl EndHold {
-    /// Begins a request with a body of this size.
-    pub fn begin(&self, body_bytes: u64) {
-        self.set(body_bytes >= LONG_REQUEST_BYTES);
-    }
-
-    /// Lets the end pass, since something else marks that of the response, or it has ended.
-    pub fn release(&self) {
-        self.set(false);
-    }
-
-    fn set(&self, is_set: bool) {
-        self.is_set.store(is_set, Ordering::Relaxed);
-        if !is_set && let Some(reader) = self.lock().take() {
-            reader.wake();
-        }
-    }
+/// The end of the response that a connection carries.
+#[derive(Clone, Debug, Default)]
+pub struct ResponseEnd {
+    state: Arc<Mutex<EndState>>,
+}
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, Option<Waker>> {
-        self.reader.lock().unwrap_or_else(PoisonError::into_inner)
+impl ResponseEnd {
+    /// States that the current response marks its end itself, so that the end of the connection means
+    /// nothing.
+    pub fn set_marked(&self) {
+        *self.lock() = EndState::Marked;
+    }
+
+    /// Tells whether the response has ended with its connection, so that only a reset would show that it is
+    /// a part.
+    pub fn is_unconfirmed(&self) -> bool {
+        matches!(*self.lock(), EndState::Ended(_))
+    }
+
+    /// Waits for a reset after a response that ended with its connection, for `limit` at the most.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection was reset, or if that can't be told.
+    pub async fn confirm(&self, limit: Duration) -> io::Result<()> {
+        // A response that ended otherwise needs no confirmation.
+        let EndState::Ended(socket) = mem::replace(&mut *self.lock(), EndState::Marked) else {
+            return Ok(());
+        };
+        let stream = TcpStream::from_std(socket?.into())?;
+        let started = Instant::now();
+        // The error decides, whether or not the system reported it.
+        let _ = tokio::time::timeout(limit, stream.ready(Interest::ERROR)).await;
+        let Some(error) = stream.take_error()? else { return Ok(()) };
+        let after_ms = started.elapsed().as_millis() as u64;
+        info!(after_ms = after_ms, error:% = error; "connection was reset after the end of a response");
+        let detail = "the connection was reset after the end of the response";
+        Err(io::Error::new(io::ErrorKind::ConnectionReset, detail))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, EndState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// A client's connection whose end may be held back.
+/// A client's connection that keeps its socket open after the end of a response without a length.
 #[derive(Debug)]
 pub struct EndCheckedStream {
     stream: TcpStream,
-    hold: Arc<EndHold>,
-    /// Whether the end is held back for each response that began while its request was being written.
-    holds_early: bool,
+    end: ResponseEnd,
     /// Whether the last request has been written; hyper flushes once its own buffer is empty.
     is_written: bool,
-    /// Whether bytes arrived before that.
-    has_early_response: bool,
-    /// Runs from when a held end was seen and the request was written.
-    held: Option<Pin<Box<Sleep>>>,
+    /// Whether bytes have arrived since the last request began.
+    has_response: bool,
+    /// Task that waits for the end of the connection until the request has been written.
+    reader: Option<Waker>,
 }
 
 impl EndCheckedStream {
-    /// Creates a connection whose requests are announced to `hold`.
-    pub fn new(stream: TcpStream, hold: Arc<EndHold>) -> Self {
+    /// Creates a connection; it carries one request at a time.
+    pub fn new(stream: TcpStream) -> Self {
         if let Err(error) = SockRef::from(&stream).set_tcp_notsent_lowat(UNSENT_BYTES) {
             debug!(error:% = error; "failed to limit the unsent bytes of a connection");
         }
         Self {
             stream,
-            hold,
-            holds_early: false,
+            end: ResponseEnd::default(),
             is_written: true,
-            has_early_response: false,
-            held: None,
+            has_response: false,
+            reader: None,
         }
     }
 
-    /// Creates a connection whose requests are not announced: the end is held back if bytes of the
-    /// response arrive before the request has been written.
-    pub fn unannounced(stream: TcpStream) -> Self {
-        Self { holds_early: true, ..Self::new(stream, Arc::default()) }
-    }
-
-    fn holds_end(&self) -> bool {
-        self.hold.is_set.load(Ordering::Relaxed) || self.holds_early && self.has_early_response
+    /// Returns the end of the response in progress. A response that hyper returns has it as an extension
+    /// where its connection was opened by hyper's connector.
+    pub fn response_end(&self) -> ResponseEnd {
+        self.end.clone()
     }
 
-    /// Decides about an end of the connection: it passes, turns out to be a reset, or is held back.
+    /// Reports the end of the connection once the request has been written: a server may respond early
+    /// and read on.
     fn poll_end(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if !self.holds_end() {
+        if !self.has_response {
             return Poll::Ready(Ok(()));
         }
-        *self.hold.lock() = Some(context.waker().clone());
         if !self.is_written {
+            self.reader = Some(context.waker().clone());
             return Poll::Pending;
         }
-        let held = self.held.get_or_insert_with(|| Box::pin(tokio::time::sleep(HOLD_TIME)));
-        ready!(held.as_mut().poll(context));
-        match self.stream.take_error()? {
-            Some(error) => Poll::Ready(Err(error)),
-            None => Poll::Ready(Ok(())),
+        let mut state = self.end.lock();
+        if matches!(*state, EndState::Open) {
+            *state = EndState::Ended(SockRef::from(&self.stream).try_clone());
         }
+        Poll::Ready(Ok(()))
     }
 
     fn on_write(&mut self) {
-        if self.is_written {
-            self.has_early_response = false;
-            self.held = None;
+        if mem::replace(&mut self.is_written, false) {
+            self.has_response = false;
+            *self.end.lock() = EndState::Open;
         }
-        self.is_written = false;
     }
 }
 
@@ -143,7 +154,7 @@
         let has_room = buffer.remaining() > 0;
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
         if buffer.filled().len() > filled_bytes {
-            self.has_early_response |= !self.is_written;
+            self.has_response = true;
             return Poll::Ready(Ok(()));
         }
         match has_room {
@@ -178,22 +189,26 @@
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(Pin::new(&mut self.stream).poll_flush(context))?;
-        if !std::mem::replace(&mut self.is_written, true)
-            && let Some(reader) = self.hold.lock().take()
-        {
+        self.is_written = true;
+        if let Some(reader) = self.reader.take() {
             reader.wake();
         }
         Poll::Ready(Ok(()))
     }
 
+    /// Leaves the connection open while the end of a response is to be confirmed: a server whose system
+    /// has received both ends does not send a reset any more.
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if matches!(*self.end.lock(), EndState::Ended(_)) {
+            return Poll::Ready(Ok(()));
+        }
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
 
 impl Connection for EndCheckedStream {
     fn connected(&self) -> Connected {
-        self.stream.connected()
+        self.stream.connected().extra(self.response_end())
     }
 }
 
