--- a/crates/entry/src/relay/connection.rs
+++ b/crates/entry/src/relay/connection.rs
@@ -9,6 +9,7 @@
 
 use std::{
     convert::Infallible,
+    error::Error,
     pin::{Pin, pin},
     sync::Arc,
     time::Duration,
@@ -35,7 +36,7 @@
         tracked_body::TrackedBody,
     },
     rejection::UnreadBody,
-    request::{ResponseBody, ResponseDeadline, handle_request},
+    request::{AnsweredRequest, ResponseBody, handle_request},
     state::Relay,
 };
 
@@ -82,12 +83,12 @@
         let has_body = !request.body().is_end_stream();
         let response = handle_request(relay.clone(), request);
         async move {
-            let response = response.await;
+            let mut response = response.await;
             if has_body && response.extensions().get::<UnreadBody>().is_some() {
                 activity.record_unread_body();
             }
-            if let Some(ResponseDeadline(at_ms)) = response.extensions().get() {
-                activity.begin_response(clock.instant_at(*at_ms).into());
+            if let Some(answered) = response.extensions_mut().remove::<AnsweredRequest>() {
+                activity.begin_response(answered.id, clock.instant_at(answered.deadline_ms).into());
             }
             let response = match version {
                 Version::HTTP_10 if response.body().size_hint().exact().is_none() => {
@@ -117,7 +118,7 @@
                 match ended {
                     Ok(()) if activity.has_unread_body() => break Ended::Unread,
                     Ok(()) => {}
-                    Err(error) => debug!(error:% = error; "connection of a caller failed"),
+                    Err(error) => log_failure(&activity, &error),
                 }
                 return;
             }
@@ -141,7 +142,12 @@
             () = activity.until_replaced() => {}
         },
         Ended::Expired(expired) => {
-            debug!(limit:? = expired; "connection of a caller reached a time limit");
+            match activity.unwritten_response() {
+                Some(id) => {
+                    info!(id = id, limit:? = expired; "caller did not take its response in time, connection closed")
+                }
+                None => debug!(limit:? = expired; "connection of a caller reached a time limit"),
+            }
             // An earlier response may still have to be written, which can't be done without hyper.
             if expired == Expired::Head && activity.is_flushed() {
                 reject_late_head(stream).await;
@@ -150,6 +156,16 @@
     }
 }
 
+fn log_failure(activity: &Activity, error: &hyper::Error) {
+    let cause = error.source().map_or_else(String::new, ToString::to_string);
+    match activity.unwritten_response() {
+        Some(id) => {
+            info!(id = id, error:% = error, cause = cause; "connection of a caller failed before its response was written")
+        }
+        None => debug!(error:% = error, cause = cause; "connection of a caller failed"),
+    }
+}
+
 /// Waits until a connection has to be closed after its request; one that was just accepted has time to send
 /// one.
 async fn until_closing(closing: &CancellationToken, activity: &Activity) {
--- a/crates/entry/src/relay/connection/activity.rs
+++ b/crates/entry/src/relay/connection/activity.rs
@@ -61,6 +61,8 @@
     flush_waiter: Option<Waker>,
     /// Deadline of a response that has not been written yet.
     response_due: Option<Instant>,
+    /// Identifier of the request that it answers.
+    response_id: String,
     /// Whether the last request was answered before its body was read.
     has_unread_body: bool,
     /// The request in progress; a connection with one is not closed for another one.
@@ -83,6 +85,7 @@
             is_flushed: true,
             flush_waiter: None,
             response_due: None,
+            response_id: String::new(),
             has_unread_body: false,
             request: None,
         };
@@ -121,9 +124,17 @@
         lock(&self.state).has_unread_body
     }
 
-    /// Records the deadline of the request whose response begins.
-    pub(super) fn begin_response(&self, due: Instant) {
-        lock(&self.state).response_due = Some(due);
+    /// Records the identifier and the deadline of the request whose response begins.
+    pub(super) fn begin_response(&self, id: String, due: Instant) {
+        let mut state = lock(&self.state);
+        (state.response_id, state.response_due) = (id, Some(due));
+    }
+
+    /// Returns the identifier of the request whose response has begun and is not completely written; none
+    /// without one.
+    pub(super) fn unwritten_response(&self) -> Option<String> {
+        let state = lock(&self.state);
+        state.response_due.map(|_| state.response_id.clone())
     }
 
     /// Records that hyper has taken over the last bytes of a response.
--- a/crates/entry/src/relay/connection/activity/tests.rs
+++ b/crates/entry/src/relay/connection/activity/tests.rs
@@ -18,12 +18,14 @@
     let activity = Activity::new(open);
     let due = Instant::now() + Duration::from_secs(60);
     activity.begin_request();
-    activity.begin_response(due);
+    activity.begin_response("r".to_owned(), due);
+    assert_eq!(activity.unwritten_response().as_deref(), Some("r"));
     activity.record_written();
     activity.end_response();
     let late = due + Duration::from_millis(LATE_RESPONSE_MS);
     assert_eq!(activity.expires(LIMITS), Some((late, Expired::Response)));
     activity.record_flushed();
+    assert_eq!(activity.unwritten_response(), None);
     let (at, expired) = activity.expires(LIMITS).unwrap();
     assert_eq!(expired, Expired::Idle);
     assert!(at < due);
--- a/crates/entry/src/relay/request.rs
+++ b/crates/entry/src/relay/request.rs
@@ -59,9 +59,14 @@
 #[display("response aborted")]
 pub(crate) struct ResponseAborted;
 
-/// Deadline of the request that a response belongs to, in milliseconds since the start of the relay.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct ResponseDeadline(pub(crate) u64);
+/// The request that a response belongs to.
+#[derive(Clone, Debug)]
+pub(crate) struct AnsweredRequest {
+    /// Identifier from the caller.
+    pub(crate) id: String,
+    /// Deadline, in milliseconds since the start of the relay.
+    pub(crate) deadline_ms: u64,
+}
 
 /// An authorized request of a caller, with its whole body.
 pub(crate) struct CallerRequest {
@@ -401,7 +406,9 @@
     unanswered.close();
     match served {
         Ok(Ok(mut response)) => {
-            response.extensions_mut().insert(ResponseDeadline(request.deadline_ms));
+            let answered =
+                AnsweredRequest { id: request.id.clone(), deadline_ms: request.deadline_ms };
+            response.extensions_mut().insert(answered);
             let took_ms = relay.now_ms().saturating_sub(request.arrived_ms);
             let labels = RequestLabels {
                 route: request.authorized.route.name.clone(),
--- a/crates/fakes/src/stack/process.rs
+++ b/crates/fakes/src/stack/process.rs
@@ -53,6 +53,9 @@
     /// Requests a graceful shutdown.
     #[display("-TERM")]
     Terminate,
+    /// Asks for the settings to be read again.
+    #[display("-HUP")]
+    HangUp,
     /// Kills the process.
     #[display("-KILL")]
     Kill,
