Callers: no user timeout, responses are limited by their deadlines alone

A caller that had no room for 30 s lost its response with a reset, although the deadline of its request was later. The class of fault was still there for requests with more than 28.5 s.

Dead callers are still noticed: by keepalive after 30 s if nothing is unacknowledged, otherwise 1.5 s after the deadline or by the limit on idle connections.

a_caller_may_take_nothing_until_its_deadline (32 s of 45 s) failed before with ECONNRESET, and passes.

--- a/crates/entry/src/relay/pool.rs
+++ b/crates/entry/src/relay/pool.rs
@@ -30,8 +30,8 @@
 /// Timeout for opening a connection, in milliseconds; far above a round trip within a region.
 const CONNECT_TIMEOUT_MS: u64 = 300;
 /// Time after which a connection with unacknowledged bytes, or whose peer has no room for more, is closed
-/// (`TCP_USER_TIMEOUT`), in milliseconds.
-const UNACKNOWLEDGED_TIMEOUT_MS: u64 = 1_500;
+/// (`TCP_USER_TIMEOUT`).
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Size of the read buffer of a connection, in bytes, and thus of the largest head of a response. Hundreds
 /// of connections to upstreams that send without end must fit into the memory of a small instance.
 const READ_BUFFER_BYTES: usize = 32 * 1024;
@@ -145,7 +145,8 @@
         let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
         let connecting = tokio::time::timeout(limit, TcpStream::connect(address)).await;
         let stream = connecting.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))?;
-        set_socket_options(&stream, UNACKNOWLEDGED_TIMEOUT_MS)?;
+        set_socket_options(&stream, KEEPALIVE_PROBES)?;
+        SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
         let head_limit = Arc::new(HeadLimit::default());
         let stream = EndCheckedStream::new(stream);
         let response_end = stream.response_end();
@@ -190,17 +191,13 @@
     }
 }
 
-/// Sets the options that detect a peer that has silently gone, and disables Nagle's algorithm.
-pub(crate) fn set_socket_options(
-    stream: &TcpStream,
-    unacknowledged_timeout_ms: u64,
-) -> std::io::Result<()> {
+/// Makes the system close a connection on which nothing is awaited from the peer once that many probes are
+/// unanswered, one a second, and disables Nagle's algorithm.
+pub(crate) fn set_socket_options(stream: &TcpStream, keepalive_probes: u32) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(Duration::from_secs(KEEPALIVE_INTERVAL_S))
         .with_interval(Duration::from_secs(KEEPALIVE_INTERVAL_S))
-        .with_retries(KEEPALIVE_PROBES);
-    socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(Duration::from_millis(unacknowledged_timeout_ms)))
+        .with_retries(keepalive_probes);
+    SockRef::from(stream).set_tcp_keepalive(&keepalive)
 }
--- a/crates/entry/src/relay/server.rs
+++ b/crates/entry/src/relay/server.rs
@@ -13,11 +13,10 @@
 
 use crate::relay::{connection::serve_connection, pool::set_socket_options, state::Relay};
 
-/// Time after which the connection of a caller that takes no more bytes is closed (`TCP_USER_TIMEOUT`), in
-/// milliseconds. The kernel counts a slow reader's closed window like a peer that has gone, and such a
-/// window stays closed until a large part of the reader's buffer is free. Responses have earlier limits,
-/// their deadlines.
-const UNACKNOWLEDGED_TIMEOUT_MS: u64 = 30_000;
+/// Unanswered TCP keepalive probes after which the connection of a caller that sends nothing is closed.
+/// There is no limit on unacknowledged bytes (`TCP_USER_TIMEOUT`): the kernel takes the closed window of a
+/// slow reader for a peer that has gone. Responses have limits of their own, their deadlines.
+const KEEPALIVE_PROBES: u32 = 30;
 
 /// Begins to serve callers; `stop` ends accepting connections and, after the requests in progress, the
 /// connections.
@@ -55,7 +54,7 @@
         async move { connections.until_room(|| bodies.evict_stalled()).await }
     };
     accept_with_room(&listener, &stop, until_room, |stream| {
-        if let Err(error) = set_socket_options(&stream, UNACKNOWLEDGED_TIMEOUT_MS) {
+        if let Err(error) = set_socket_options(&stream, KEEPALIVE_PROBES) {
             warn!(error:% = error; "failed to set socket options of a caller's connection");
         }
         let open = relay.caller_connections.open(|| relay.request_bodies.evict_stalled());
