--- a/crates/fakes/src/stack/fault_proxy.rs
+++ b/crates/fakes/src/stack/fault_proxy.rs
@@ -14,7 +14,7 @@
 };
 
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::{AsyncReadExt, AsyncWriteExt, Interest},
     net::{
         TcpListener, TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
@@ -23,6 +23,8 @@
     task::JoinSet,
 };
 
+/// Time for which a reset is awaited after the end of a direction.
+const RESET_TIMEOUT: Duration = Duration::from_millis(300);
 /// Size of the buffer for each direction of a connection, in bytes.
 const BUFFER_BYTES: usize = 16 * 1024;
 
@@ -175,6 +177,13 @@
     target_reader.as_ref().set_zero_linger()
 }
 
+/// Waits for a while whether a peer that has closed its side resets the connection, which fails.
+async fn wait_for_reset(reader: &OwnedReadHalf) -> io::Result<()> {
+    // Without an error the connection has ended properly so far.
+    let _ = tokio::time::timeout(RESET_TIMEOUT, reader.ready(Interest::ERROR)).await;
+    reader.as_ref().take_error()?.map_or(Ok(()), Err)
+}
+
 /// Forwards bytes in one direction; `dropping` is the state in which this direction is dropped.
 async fn forward_bytes(
     reader: &mut OwnedReadHalf,
@@ -193,7 +202,8 @@
             return Err(io::ErrorKind::ConnectionReset.into());
         }
         if read == 0 {
-            return writer.shutdown().await;
+            writer.shutdown().await?;
+            return wait_for_reset(reader).await;
         }
         match current {
             ProxyState::Delayed(delay_ms) => {
--- a/crates/fakes/src/stack/fault_proxy/tests.rs
+++ b/crates/fakes/src/stack/fault_proxy/tests.rs
@@ -107,6 +107,25 @@
     }
 }
 
+#[tokio::test]
+async fn a_reset_of_the_target_after_its_end_reaches_the_caller() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let proxy = FaultProxy::open(listener.local_addr().unwrap()).await.unwrap();
+    for _ in 0..20 {
+        let mut caller = TcpStream::connect(proxy.address()).await.unwrap();
+        let (mut target, _) = listener.accept().await.unwrap();
+        target.write_all(b"half").await.unwrap();
+        let mut received = [0; 4];
+        caller.read_exact(&mut received).await.unwrap();
+        target.shutdown().await.unwrap();
+        target.set_zero_linger().unwrap();
+        drop(target);
+        assert_eq!(caller.read(&mut received).await.unwrap(), 0);
+        caller.ready(Interest::ERROR).await.unwrap();
+        assert!(caller.take_error().unwrap().is_some());
+    }
+}
+
 #[tokio::test]
 async fn throttled_proxy_takes_as_long_as_its_rate_states() {
     let proxy = proxy_to_echo_server().await;
