Reading the change again: a missing end is a loss, one set-up for the proxy's resets

At an agent, a response whose connection has no record of its end would have been believed; it is lost now.

--- a/crates/agent/src/upstream.rs
+++ b/crates/agent/src/upstream.rs
@@ -210,10 +210,11 @@
             return Err(CallError::NotConnected);
         };
         let response = map_send_error(self.client.request(request).await)?;
-        let end = response.extensions().get::<ResponseEnd>().cloned().unwrap_or_default();
+        let end = response.extensions().get::<ResponseEnd>().cloned();
         let framing = BodyFraming::of(response.status(), response.headers());
         // A stream has a final event.
-        if framing != BodyFraming::Close || form == ResponseForm::Events {
+        let is_marked = framing != BodyFraming::Close || form == ResponseForm::Events;
+        if let Some(end) = end.as_ref().filter(|_| is_marked) {
             end.set_marked();
         }
         // The request has no headers that ask for a special status.
@@ -235,8 +236,8 @@
         }
         let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await;
         let body = body.map_err(|_| CallError::Lost)?.to_bytes();
-        if framing == BodyFraming::Close {
-            self.confirm_end(&end).await?;
+        if !is_marked {
+            self.confirm_end(end.ok_or(CallError::Lost)?).await?;
         }
         if is_server_error(head.status) {
             return Err(CallError::Status(head.status));
@@ -246,7 +247,7 @@
     }
 
     /// Waits until a response that ended with its connection is known to be whole.
-    async fn confirm_end(&self, end: &ResponseEnd) -> Result<(), CallError> {
+    async fn confirm_end(&self, end: ResponseEnd) -> Result<(), CallError> {
         let limit = Duration::from_millis(self.response_ends().confirmation_ms());
         let confirmed = end.confirm(limit).await;
         if confirmed.is_err() || !self.is_running().await {
--- a/crates/fakes/src/stack/fault_proxy/tests.rs
+++ b/crates/fakes/src/stack/fault_proxy/tests.rs
@@ -90,19 +90,24 @@
     assert!(TcpStream::connect(address).await.is_err());
 }
 
+/// Opens a connection through a proxy on which the caller has received something; returns both ends.
+async fn connect(proxy: &FaultProxy, listener: &TcpListener) -> (TcpStream, TcpStream) {
+    let mut caller = TcpStream::connect(proxy.address()).await.unwrap();
+    let (mut target, _) = listener.accept().await.unwrap();
+    target.write_all(b"half").await.unwrap();
+    caller.read_exact(&mut [0; 4]).await.unwrap();
+    (caller, target)
+}
+
 #[tokio::test]
 async fn a_reset_of_the_target_reaches_the_caller_as_a_reset() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let proxy = FaultProxy::open(listener.local_addr().unwrap()).await.unwrap();
     for _ in 0..20 {
-        let mut caller = TcpStream::connect(proxy.address()).await.unwrap();
-        let (mut target, _) = listener.accept().await.unwrap();
-        target.write_all(b"half").await.unwrap();
-        let mut received = [0; 4];
-        caller.read_exact(&mut received).await.unwrap();
+        let (mut caller, target) = connect(&proxy, &listener).await;
         target.set_zero_linger().unwrap();
         drop(target);
-        let end = caller.read(&mut received).await;
+        let end = caller.read_u8().await;
         assert_eq!(end.unwrap_err().kind(), io::ErrorKind::ConnectionReset);
     }
 }
@@ -112,15 +117,11 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let proxy = FaultProxy::open(listener.local_addr().unwrap()).await.unwrap();
     for _ in 0..20 {
-        let mut caller = TcpStream::connect(proxy.address()).await.unwrap();
-        let (mut target, _) = listener.accept().await.unwrap();
-        target.write_all(b"half").await.unwrap();
-        let mut received = [0; 4];
-        caller.read_exact(&mut received).await.unwrap();
+        let (mut caller, mut target) = connect(&proxy, &listener).await;
         target.shutdown().await.unwrap();
         target.set_zero_linger().unwrap();
         drop(target);
-        assert_eq!(caller.read(&mut received).await.unwrap(), 0);
+        assert_eq!(caller.read(&mut [0; 4]).await.unwrap(), 0);
         caller.ready(Interest::ERROR).await.unwrap();
         assert!(caller.take_error().unwrap().is_some());
     }
--- a/crates/runtime/src/response_end.rs
+++ b/crates/runtime/src/response_end.rs
@@ -71,7 +71,7 @@
         };
         let stream = TcpStream::from_std(socket?.into())?;
         let started = Instant::now();
-        // The error decides, whether or not the system reported it.
+        // Whether the time is over or an error was reported, the error of the socket decides.
         let _ = tokio::time::timeout(limit, stream.ready(Interest::ERROR)).await;
         let Some(error) = stream.take_error()? else { return Ok(()) };
         let after_ms = started.elapsed().as_millis() as u64;
@@ -113,8 +113,8 @@
         }
     }
 
-    /// Returns the end of the response in progress. A response that hyper returns has it as an extension
-    /// where its connection was opened by hyper's connector.
+    /// Returns the end of the response in progress. Responses of hyper's pooled client have it as an
+    /// extension.
     pub fn response_end(&self) -> ResponseEnd {
         self.end.clone()
     }
