--- a/crates/fakes/src/stack/fault_proxy.rs
+++ b/crates/fakes/src/stack/fault_proxy.rs
@@ -177,7 +177,7 @@
     target_reader.as_ref().set_zero_linger()
 }
 
-/// Waits for a while whether a peer that has closed its side resets the connection, which fails.
+/// Fails if a peer that has closed its side resets the connection soon afterwards.
 async fn wait_for_reset(reader: &OwnedReadHalf) -> io::Result<()> {
     // Without an error the connection has ended properly so far.
     let _ = tokio::time::timeout(RESET_TIMEOUT, reader.ready(Interest::ERROR)).await;
