--- a/crates/entry/src/relay/attempt.rs
+++ b/crates/entry/src/relay/attempt.rs
@@ -19,7 +19,7 @@
 
 use crate::relay::{
     buffers::ReadError,
-    pool::{Connection, SendError},
+    pool::{Connection, ConnectionId, SendError},
     sabotage::Mechanism,
     state::Relay,
 };
@@ -66,6 +66,9 @@
     pub(crate) body: Bytes,
     /// Identifier that the response has to carry; none for calls that the relay makes for itself.
     pub(crate) request_id: Option<String>,
+    /// Connections on which the request was rejected before. An upstream may write that rejection once more
+    /// where the next response is due, which nothing tells from a response to the same request.
+    pub(crate) rejected_on: Vec<ConnectionId>,
 }
 
 /// A call in progress; dropping it closes its connection, which cancels the call.
@@ -152,6 +155,11 @@
         self.started_ms
     }
 
+    /// Returns the connection that carries the call; none before it is sent.
+    pub(crate) fn connection_id(&self) -> Option<ConnectionId> {
+        self.connection.as_ref().map(|it| it.id)
+    }
+
     /// Sends a request and waits for the response headers.
     pub(crate) async fn send(
         &mut self,
@@ -280,6 +288,7 @@
             headers: system_headers(&self.record.id, self.record.address),
             body,
             request_id: None,
+            rejected_on: Vec::new(),
         }
     }
 
@@ -311,7 +320,8 @@
     ) -> Result<Response<Incoming>, SendError> {
         for _ in 0..MAX_IDLE_TRIES {
             let now_ms = self.relay.now_ms();
-            let Some(connection) = self.relay.pool.take_idle(self.key, now_ms) else { break };
+            let idle = self.relay.pool.take_idle(self.key, &request.rejected_on, now_ms);
+            let Some(connection) = idle else { break };
             self.is_connection_reused = true;
             match self.send_on(connection, request).await {
                 Err(SendError::NotSent) => {}
@@ -319,7 +329,7 @@
             }
         }
         self.is_connection_reused = false;
-        let connection = Connection::open(self.record.address).await?;
+        let connection = self.relay.pool.open(self.record.address).await?;
         self.relay.metrics.connections.inc();
         self.send_on(connection, request).await
     }
--- a/crates/entry/src/relay/pool.rs
+++ b/crates/entry/src/relay/pool.rs
@@ -7,7 +7,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -63,9 +66,15 @@
     Lost(hyper::Error),
 }
 
+/// Identifies a connection among all that this process opens.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub(crate) struct ConnectionId(u64);
+
 /// An open connection; closed when dropped.
 #[derive(Debug)]
 pub(crate) struct Connection {
+    /// Identifier, which no later connection has.
+    pub(crate) id: ConnectionId,
     sender: http1::SendRequest<Full<Bytes>>,
     head_limit: Arc<HeadLimit>,
     response_end: ResponseEnd,
@@ -87,15 +96,29 @@
 /// Idle connections of all upstreams.
 #[derive(Debug, Default)]
 pub(crate) struct ConnectionPool {
+    next_id: AtomicU64,
     idle: Mutex<FastMap<UpstreamKey, Vec<IdleConnection>>>,
 }
 
 impl ConnectionPool {
-    /// Takes an idle connection that is still usable, if any.
-    pub(crate) fn take_idle(&self, upstream: UpstreamKey, now_ms: u64) -> Option<Connection> {
+    /// Opens a connection to an upstream.
+    pub(crate) async fn open(&self, address: SocketAddr) -> Result<Connection, SendError> {
+        let id = ConnectionId(self.next_id.fetch_add(1, Ordering::Relaxed));
+        Connection::open(id, address).await
+    }
+
+    /// Takes the idle connection that was used last, is still usable and is not among `excluded`.
+    pub(crate) fn take_idle(
+        &self,
+        upstream: UpstreamKey,
+        excluded: &[ConnectionId],
+        now_ms: u64,
+    ) -> Option<Connection> {
         let mut idle = lock(&self.idle);
         let connections = idle.get_mut(&upstream)?;
-        while let Some(candidate) = connections.pop() {
+        let is_allowed = |it: &IdleConnection| !excluded.contains(&it.connection.id);
+        while let Some(index) = connections.iter().rposition(is_allowed) {
+            let candidate = connections.remove(index);
             if candidate.expires_ms > now_ms && !candidate.connection.sender.is_closed() {
                 return Some(candidate.connection);
             }
@@ -141,7 +164,7 @@
 
 impl Connection {
     /// Connects to an upstream within the timeout.
-    pub(crate) async fn open(address: SocketAddr) -> Result<Self, SendError> {
+    async fn open(id: ConnectionId, address: SocketAddr) -> Result<Self, SendError> {
         let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
         let connecting = tokio::time::timeout(limit, TcpStream::connect(address)).await;
         let stream = connecting.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))?;
@@ -160,7 +183,7 @@
                 debug!(error:% = error; "connection to an upstream failed");
             }
         });
-        Ok(Self { sender, head_limit, response_end, driver })
+        Ok(Self { id, sender, head_limit, response_end, driver })
     }
 
     /// Sends a request and waits for the response headers.
--- a/crates/entry/src/relay/request.rs
+++ b/crates/entry/src/relay/request.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicUsize, Ordering},
     },
     time::Duration,
@@ -33,13 +33,14 @@
         crashes::part_digests,
         metrics::RequestLabels,
         model, plain,
+        pool::ConnectionId,
         rejection::{
             STOPPING_RETRY_MS, bad_request, problem_response, read_body, reject, reject_and_close,
             reject_unread, stopping_problem,
         },
         resumption::find_origin,
         sabotage::Mechanism,
-        state::{InProgressGuard, Relay},
+        state::{InProgressGuard, Relay, lock},
     },
 };
 
@@ -93,6 +94,8 @@
     pub(crate) part_digests: Vec<Digest>,
     /// Number of calls that may have run, including those about to be sent.
     possible_runs: AtomicUsize,
+    /// Connections on which upstreams have rejected the request.
+    rejected_on: Mutex<Vec<ConnectionId>>,
 }
 
 /// Why a request is answered by the relay itself instead of an upstream.
@@ -180,7 +183,7 @@
         self.body.bytes()
     }
 
-    /// Sends the request and keeps count of the calls that may have run.
+    /// Sends the request, and records whether it may have run and where it was rejected.
     pub(crate) async fn send(
         &self,
         attempt: &mut Attempt,
@@ -194,6 +197,16 @@
             Err(error) => matches!(error, AttemptError::Unreachable(_)),
         };
         if is_not_run {
+            if let (Ok((response, _)), Some(connection)) = (&sent, attempt.connection_id()) {
+                info!(
+                    id:% = self.id,
+                    upstream:% = attempt.record.id,
+                    connection:% = connection,
+                    status = response.status().as_u16();
+                    "upstream rejected the request"
+                );
+                lock(&self.rejected_on).push(connection);
+            }
             self.possible_runs.fetch_sub(1, Ordering::Relaxed);
             return sent;
         }
@@ -230,7 +243,15 @@
             headers: upstream_headers(&self.headers, &call),
             body: self.body.bytes().clone(),
             request_id: Some(self.id.clone()),
+            rejected_on: self.rejected_on(),
+        }
+    }
+
+    fn rejected_on(&self) -> Vec<ConnectionId> {
+        if Mechanism::FreshConnection.is_off() {
+            return Vec::new();
         }
+        lock(&self.rejected_on).clone()
     }
 
     /// Builds, logs and counts the response to a request that no upstream answered.
@@ -371,6 +392,7 @@
         headers: parts.headers,
         body,
         possible_runs: AtomicUsize::new(0),
+        rejected_on: Mutex::default(),
     });
     if let Some(refusal) = refusal {
         return request.refuse(&relay, &refusal);
--- a/crates/entry/src/relay/sabotage.rs
+++ b/crates/entry/src/relay/sabotage.rs
@@ -19,6 +19,8 @@
     TrueRefusal,
     /// A response that belongs to another request is dropped.
     OwnAnswer,
+    /// A request is not sent again on a connection on which it was rejected.
+    FreshConnection,
     /// A resumed stream continues after the last event that was forwarded.
     ResumePosition,
     /// Only whole events of a stream are forwarded, so that a cut within one is noticed.
