--- a/crates/agent/src/upstream.rs
+++ b/crates/agent/src/upstream.rs
@@ -34,7 +34,7 @@
 use yuccatrail_core::{agent::ProbeResult, ids::AttemptId, upstreams::ResponseEnds};
 use yuccatrail_rpc::messages::{ResponseForm, UpstreamCall};
 use yuccatrail_runtime::{
-    http::{BodyFraming, is_expected_status},
+    http::{BodyFraming, has_inner_status_line, is_expected_status},
     response_end::ResponseEnd,
 };
 
@@ -299,11 +299,12 @@
     builder
 }
 
-/// Converts the error of a failed request.
+/// Converts the error of a failed request, or of a response whose head begins with a part of another one.
 fn map_send_error(
     result: Result<Response<Incoming>, client::legacy::Error>,
 ) -> Result<Response<Incoming>, CallError> {
     match result {
+        Ok(response) if has_inner_status_line(&response) => Err(CallError::Lost),
         Ok(response) => Ok(response),
         Err(error) if is_refused(&error) => Err(CallError::Refused),
         Err(error) if error.is_connect() => Err(CallError::NotConnected),
--- a/crates/entry/src/relay/attempt.rs
+++ b/crates/entry/src/relay/attempt.rs
@@ -15,7 +15,7 @@
         Upstreams,
     },
 };
-use yuccatrail_runtime::http::is_expected_status;
+use yuccatrail_runtime::http::{has_inner_status_line, is_expected_status};
 
 use crate::relay::{
     buffers::ReadError,
@@ -187,6 +187,11 @@
             let detail = format!("unexpected status {}", response.status().as_u16());
             return Err(AttemptError::Damaged(detail));
         }
+        if has_inner_status_line(&response) && !Mechanism::WholeHeads.is_off() {
+            self.end(CallEnd::Failed);
+            let detail = "its head begins with a part of another one".to_owned();
+            return Err(AttemptError::Damaged(detail));
+        }
         let now_ms = self.relay.now_ms();
         self.latency_ms = now_ms.saturating_sub(self.started_ms) as f64;
         let meta = decode_response_meta(response.status(), response.headers());
--- a/crates/entry/src/relay/sabotage.rs
+++ b/crates/entry/src/relay/sabotage.rs
@@ -21,6 +21,8 @@
     OwnAnswer,
     /// A request is not sent again on a connection on which it was rejected.
     FreshConnection,
+    /// A head that begins with a part of another one is no response.
+    WholeHeads,
     /// A resumed stream continues after the last event that was forwarded.
     ResumePosition,
     /// Only whole events of a stream are forwarded, so that a cut within one is noticed.
--- a/crates/runtime/src/http.rs
+++ b/crates/runtime/src/http.rs
@@ -6,7 +6,11 @@
 use derive_more::Display;
 use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
 use hyper::{
-    HeaderMap, Request, Response, StatusCode, body::Incoming, header, service::service_fn,
+    HeaderMap, Request, Response, StatusCode,
+    body::Incoming,
+    ext::ReasonPhrase,
+    header::{self, HeaderValue},
+    service::service_fn,
 };
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
@@ -84,6 +88,27 @@
     }
 }
 
+/// Tells whether the head of a response holds the status line of another one.
+///
+/// Additional bytes before a response that end within a line of a head join with its status line, so that
+/// its own headers seem to belong to their status.
+pub fn has_inner_status_line<B>(response: &Response<B>) -> bool {
+    let reason = response.extensions().get::<ReasonPhrase>();
+    let mut values = response.headers().values().map(HeaderValue::as_bytes);
+    reason.is_some_and(|it| contains_status_line(it.as_bytes())) || values.any(contains_status_line)
+}
+
+fn contains_status_line(text: &[u8]) -> bool {
+    const VERSION: &[u8] = b"HTTP/1.";
+    const LENGTH: usize = b"HTTP/1.1 200".len();
+    text.windows(LENGTH).any(|it| {
+        it.strip_prefix(VERSION).is_some_and(|rest| {
+            let [minor, space, status @ ..] = rest else { return false };
+            minor.is_ascii_digit() && *space == b' ' && status.iter().all(u8::is_ascii_digit)
+        })
+    })
+}
+
 /// Creates a complete body from bytes.
 pub fn full(bytes: impl Into<Bytes>) -> Body {
     Full::new(bytes.into()).boxed_unsync()
@@ -97,9 +122,7 @@
 ) -> Response<Body> {
     let mut response = Response::new(full(bytes));
     *response.status_mut() = status;
-    response
-        .headers_mut()
-        .insert(header::CONTENT_TYPE, header::HeaderValue::from_static(content_type));
+    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(content_type));
     response
 }
 
