--- a/crates/entry/src/relay/attempt.rs
+++ b/crates/entry/src/relay/attempt.rs
@@ -285,6 +285,12 @@
         Ok(())
     }
 
+    /// Tells whether the response names a stage result that an earlier one on its connection has named, so
+    /// that it is a copy of that one: each result has a handle of its own.
+    pub(crate) fn repeats_results<'a>(&mut self, handles: impl Iterator<Item = &'a str>) -> bool {
+        self.connection.as_mut().is_some_and(|it| it.results.record(handles))
+    }
+
     /// Builds a request that the relay makes for itself.
     fn own_request(&self, method: Method, path: &'static str, body: Bytes) -> UpstreamRequest {
         UpstreamRequest {
--- a/crates/entry/src/relay/pool.rs
+++ b/crates/entry/src/relay/pool.rs
@@ -4,6 +4,7 @@
 //! Dropping it closes it at once, which tells the upstream to cancel the request.
 
 mod head_limit;
+mod recent_results;
 
 use std::{
     net::SocketAddr,
@@ -28,7 +29,10 @@
     response_end::{EndCheckedStream, ResponseEnd},
 };
 
-use crate::relay::{pool::head_limit::HeadLimit, state::lock};
+use crate::relay::{
+    pool::{head_limit::HeadLimit, recent_results::RecentResults},
+    state::lock,
+};
 
 /// Timeout for opening a connection, in milliseconds; far above a round trip within a region.
 const CONNECT_TIMEOUT_MS: u64 = 300;
@@ -75,6 +79,8 @@
 pub(crate) struct Connection {
     /// Identifier, which no later connection has.
     pub(crate) id: ConnectionId,
+    /// Stage results that its responses have named.
+    pub(crate) results: RecentResults,
     sender: http1::SendRequest<Full<Bytes>>,
     head_limit: Arc<HeadLimit>,
     response_end: ResponseEnd,
@@ -183,7 +189,7 @@
                 debug!(error:% = error; "connection to an upstream failed");
             }
         });
-        Ok(Self { id, sender, head_limit, response_end, driver })
+        Ok(Self { id, results: RecentResults::default(), sender, head_limit, response_end, driver })
     }
 
     /// Sends a request and waits for the response headers.
--- a/crates/entry/src/relay/stages/call.rs
+++ b/crates/entry/src/relay/stages/call.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use log::{info, warn};
 use yuccatrail_adapter::{STAGE_PATH, StageCallItem, decode_stage_results, encode_stage_call};
-use yuccatrail_core::batching::{Batcher, CallResult, PlannedCall};
+use yuccatrail_core::batching::{Batcher, CallResult, PieceResult, PlannedCall};
 
 use crate::relay::{
     attempt::{Attempt, AttemptError},
@@ -111,7 +111,7 @@
     // An upstream that does not answer in time is known to be slow.
     let limit = Duration::from_millis(call.limit_ms);
     let posted = tokio::time::timeout(limit, attempt.post(STAGE_PATH, body)).await;
-    let (status, meta, body) = match posted {
+    let (status, mut meta, body) = match posted {
         Ok(Ok(response)) => response,
         Err(_) => {
             attempt.record_stage_answer(call.planned.pieces.len());
@@ -125,11 +125,18 @@
         }
     };
     if meta.is_not_run {
+        // Nothing would tell a copy of the rejection from the response to the next call.
+        meta.closes_connection = true;
         attempt.finish(&meta);
         return CallResult::Full;
     }
     let detail = match decode_stage_results(&body, call.planned.pieces.len()) {
+        Ok(results) if attempt.repeats_results(handles(&results)) => {
+            "it names a result of an earlier response".to_owned()
+        }
         Ok(results) if status.is_success() => {
+            // Nor a copy of a response that names no result.
+            meta.closes_connection |= handles(&results).next().is_none();
             attempt.record_stage_answer(call.planned.pieces.len());
             attempt.finish(&meta);
             return CallResult::Answered(results);
@@ -145,6 +152,14 @@
     CallResult::Failed
 }
 
+/// Returns the handles of the results that a response names.
+fn handles(results: &[PieceResult]) -> impl Iterator<Item = &str> {
+    results.iter().filter_map(|it| match it {
+        PieceResult::Completed(handle) => Some(handle.as_str()),
+        _ => None,
+    })
+}
+
 fn log_failure(attempt: &Attempt, error: &AttemptError) {
     warn!(
         service:% = attempt.record.service,
